Add workspace, shared models and design page

The workspace has five packages, a lock file, formatter, linter, import rules, type check and tests behind make test. The core package holds result codes, messages, settings, the slot map and the interfaces to the platform and to servers; the router package holds the contracts between its parts.

--- /dev/null
+++ b/packages/bench/src/yuccadale_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Public names of this package."""
--- /dev/null
+++ b/packages/bench/src/yuccadale_bench/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation; import from the public package instead."""
--- /dev/null
+++ b/packages/core/src/yuccadale_core/_internal/timing.py
@@ -0,0 +1,34 @@
+"""Time limits of the control protocol, in ms unless stated.
+
+The sum of the parts keeps the time from a loss until a key is served again
+below 2 s: suspicion and the end of a grant run in parallel, the takeover of a
+group starts one lease term after the standby's last promise.
+"""
+
+LEASE_TERM_MS = 1000
+PROMISE_INTERVAL_MS = 200
+GRANT_TTL_MS = 1000
+GRANT_INTERVAL_MS = 200
+STANDBY_SILENCE_MS = 400
+SUSPICION_MS = 600
+LINK_SILENCE_MS = 1000
+HEARTBEAT_INTERVAL_MS = 200
+TABLE_TIMEOUT_MS = 500
+
+# Two clocks may run at rates that differ by this factor; whoever waits for
+# somebody else's term waits that much longer.
+CLOCK_RATE_MARGIN = 1.02
+
+STORE_READ_INTERVAL_MS = 500
+STORE_READERS_PER_DATA_CENTRE = 3
+MILLISECONDS_PER_SECOND = 1000
+
+
+def milliseconds(seconds: float) -> float:
+    """Converts seconds to milliseconds."""
+    return seconds * MILLISECONDS_PER_SECOND
+
+
+def seconds(milliseconds_value: float) -> float:
+    """Converts milliseconds to seconds."""
+    return milliseconds_value / MILLISECONDS_PER_SECOND
--- /dev/null
+++ b/packages/core/src/yuccadale_core/peer_keys.py
@@ -0,0 +1,9 @@
+"""Keyed MACs for batches between instances."""
+
+from yuccadale_core._internal.peer_keys import (
+    PeerKeys,
+)
+
+__all__ = [
+    'PeerKeys',
+]
--- /dev/null
+++ b/packages/core/src/yuccadale_core/platform.py
@@ -0,0 +1,21 @@
+"""Interfaces to the platform: table, objects and the list of instances."""
+
+from yuccadale_core._internal.platform import (
+    InstanceList,
+    ListedInstance,
+    Objects,
+    Row,
+    Table,
+    TableFailure,
+    TableFailureKind,
+)
+
+__all__ = [
+    'InstanceList',
+    'ListedInstance',
+    'Objects',
+    'Row',
+    'Table',
+    'TableFailure',
+    'TableFailureKind',
+]
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The declaration in force: reading, spreading and submitting it."""
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Who owns a slot, who may send to a server, and how that changes."""
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which server of a group owns each slot."""
--- /dev/null
+++ b/tests/builders/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data."""
