Add the request path: entry, forwarding and dispatch

Callers' requests find their slot, group and leader; the leader queues them by priority and deadline within each server's concurrency and runs non-repeatable work at most once, with its record at the standby before the write. Forwards are matched by number, incarnation and length.

In core, TargetRequest gains 'permitted', asked directly before the first byte, because a connection may take longer than a lease; OutcomeAnswer gains 'remembered_ms', because a restarted server has forgotten what it ran.

--- a/packages/core/src/yuccadale_core/_internal/targets.py
+++ b/packages/core/src/yuccadale_core/_internal/targets.py
@@ -1,6 +1,6 @@
 """Interface to servers: fenced grants, requests, cancellation, load."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
@@ -8,6 +8,10 @@
 from expression import Result
 
 
+def _always() -> bool:
+    return True
+
+
 class TargetFailureKind(StrEnum):
     """Why a call to a server gave no answer.
 
@@ -102,6 +106,8 @@
     Attributes:
         request_id: the idempotency key, or an id made by the entry instance.
         remaining_ms: time left until the deadline.
+        permitted: asked again directly before the first byte is written,
+            after a connection was made; when it is false nothing is sent.
     """
 
     request_id: str
@@ -114,6 +120,7 @@
     remaining_ms: float
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b''
+    permitted: Callable[[], bool] = _always
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,10 +143,17 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeAnswer:
-    """A server's record about a request id, with its answer when done."""
+    """A server's record about a request id, with its answer when done.
+
+    Attributes:
+        remembered_ms: how long the server has recorded ids without a break,
+            None when it does not say; ``not offered`` from a server that was
+            restarted says nothing about earlier requests.
+    """
 
     outcome: ServerOutcome
     answer: TargetAnswer | None = None
+    remembered_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/requests/delivery.py
@@ -0,0 +1,487 @@
+"""Brings requests to the servers of a group, within each server's limits."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any, TypeVar
+
+from expression import Result
+
+from yuccadale_core.codes import ResultCode
+from yuccadale_core.counters import Counters
+from yuccadale_core.declaration import Service
+from yuccadale_core.instances import ServerRef
+from yuccadale_core.messages import Hop
+from yuccadale_core.refusals import Refusal
+from yuccadale_core.targets import (
+    Target,
+    TargetAnswer,
+    TargetFailure,
+    TargetFailureKind,
+    TargetRequest,
+)
+from yuccadale_core.timing import seconds
+from yuccadale_router._internal.clock import Clock
+from yuccadale_router._internal.contracts import (
+    GroupOwnership,
+    LoadObserver,
+    LoadSample,
+    SendPermit,
+    ServerSight,
+    TargetFactory,
+)
+from yuccadale_router._internal.requests import counter_names
+from yuccadale_router._internal.requests.answers import (
+    DispatchAnswer,
+    refuse,
+    refused_answer,
+)
+from yuccadale_router._internal.requests.flights import Flight, Flights
+from yuccadale_router._internal.requests.jobs import Job
+from yuccadale_router._internal.requests.keyed_waits import KeyedWaits
+from yuccadale_router._internal.requests.server_queue import (
+    GRANTED,
+    LOOK_AGAIN,
+    ServerQueue,
+)
+
+# A server that does not confirm a cancellation keeps its place this long.
+_CANCEL_LIMIT_MS = 1000
+
+# Refusals of a permit that pass without a new leader; the request waits here.
+_WAITED_CODES = frozenset((ResultCode.slot_not_ready, ResultCode.slot_moving))
+_DEADLINE_CODES = frozenset(
+    (ResultCode.deadline_passed, ResultCode.deadline_too_short)
+)
+_CODE_BY_FAILURE = MappingProxyType(
+    {
+        TargetFailureKind.refused: ResultCode.server_refused_token,
+        TargetFailureKind.shedding: ResultCode.server_shedding,
+        TargetFailureKind.lost: ResultCode.answer_lost,
+        TargetFailureKind.malformed: ResultCode.answer_malformed,
+    }
+)
+
+_Value = TypeVar('_Value')
+
+
+@dataclass(frozen=True, slots=True)
+class DispatcherParts:
+    """What a dispatcher works with, the same for all groups of a process.
+
+    Attributes:
+        where: name of this hop, such as ``leader lodz-a-1``.
+        random_unit: returns numbers from 0 to 1, for jitter.
+        record_limit: idempotency records of one group.
+        record_body_limit_bytes: bodies kept by the records of one group.
+    """
+
+    where: str
+    clock: Clock
+    counters: Counters
+    targets: TargetFactory
+    observer: LoadObserver
+    random_unit: Callable[[], float]
+    record_limit: int = 500_000
+    record_body_limit_bytes: int = 32 << 20
+
+
+class Tasks:
+    """Background work of a dispatcher, kept until it ends."""
+
+    def __init__(self, on_idle: Callable[[], None]) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._on_idle = on_idle
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is under way."""
+        return not self._tasks
+
+    def spawn(
+        self, work: Coroutine[Any, Any, _Value]
+    ) -> 'asyncio.Task[_Value]':
+        """Starts a task and keeps it."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: 'asyncio.Task[Any]') -> None:
+        self._tasks.discard(task)
+        if not self._tasks:
+            self._on_idle()
+
+
+# Called for work with a record, before it may be written to the server.
+Prepare = Callable[[Job, str], Awaitable[Result[None, Refusal]]]
+# Called directly before the write; returns why it must not be made.
+LastCheck = Callable[[Job], ResultCode | None]
+# Called with the answer of work with a record.
+Finish = Callable[[Job, TargetAnswer], None]
+
+
+@dataclass(frozen=True, slots=True)
+class RecordSteps:
+    """Steps of work that has an idempotency record."""
+
+    prepare: Prepare
+    last_check: LastCheck
+    finish: Finish
+
+
+class Delivery:
+    """Queues, sends and judges requests; knows nothing about ids."""
+
+    def __init__(
+        self,
+        ownership: GroupOwnership,
+        service: Service,
+        parts: DispatcherParts,
+        tasks: Tasks,
+        record_steps: RecordSteps,
+    ) -> None:
+        self.waits = KeyedWaits(parts.clock, self._slot_ready)
+        self.flights = Flights()
+        self._ownership = ownership
+        self._service = service
+        self._parts = parts
+        self._clock = parts.clock
+        self._tasks = tasks
+        self._record_steps = record_steps
+        self._queue_by_server: dict[str, ServerQueue] = {}
+        self._target_by_server: dict[str, Target] = {}
+
+    def apply_service(self, service: Service) -> None:
+        """Takes over changed limits."""
+        self._service = service
+        for queue in self._queue_by_server.values():
+            queue.apply_service(service)
+
+    def queue(self, server: ServerRef) -> ServerQueue:
+        """Returns the queue of a server, a new one if need be."""
+        known = self._queue_by_server.get(server.name)
+        if known is not None and known.server.address == server.address:
+            return known
+        queue = ServerQueue(
+            server, self._service, self._clock, self._parts.random_unit
+        )
+        self._queue_by_server[server.name] = queue
+        self._target_by_server[server.name] = self._parts.targets(server)
+        if known is not None:
+            known.wake_all()
+        return queue
+
+    def target(self, server_name: str) -> Target | None:
+        """Returns the way to a server that is known."""
+        return self._target_by_server.get(server_name)
+
+    def forget_server(self, server_name: str) -> None:
+        """Ends the waiting for a server."""
+        self.flights.give_up_server(
+            server_name, fenced=self._service.checks_grants
+        )
+        # The queue stays: its places are taken until the server confirms
+        # the cancellations or their time is over.
+        queue = self._queue_by_server.get(server_name)
+        if queue is not None:
+            queue.wake_all()
+
+    def wake_slot(self, slot: int) -> None:
+        """Lets the queued requests of a slot look again for their server."""
+        for queue in self._queue_by_server.values():
+            queue.wake_slot(slot)
+
+    def effective_slot(self, job: Job) -> int:
+        """Returns the slot of the key, or of the key's own pin."""
+        return self._ownership.effective_slot(job.forward.slot, job.forward.key)
+
+    async def carry(self, job: Job) -> DispatchAnswer:
+        """Brings a request to the server that owns its slot."""
+        while not job.caller_gone:
+            job.slot = self.effective_slot(job)
+            permitted = self._ownership.permit(job.slot)
+            obstacle = self._obstacle(job.slot, permitted)
+            if obstacle is not None:
+                if self._must_not_wait(job, obstacle):
+                    return DispatchAnswer(refusal=obstacle)
+                await self.waits.wait(job.slot, job.deadline_ms)
+                continue
+            answer = await self._visit(job, self.queue(permitted.ok.server))
+            if answer is not None:
+                return answer
+            self._parts.counters.count(counter_names.REQUEUED)
+        return self._refused(ResultCode.caller_gone)
+
+    def _slot_ready(self, slot: int) -> bool:
+        permitted = self._ownership.permit(slot)
+        return permitted.is_ok() or permitted.error.code not in _WAITED_CODES
+
+    def _obstacle(
+        self, slot: int, permitted: Result[SendPermit, Refusal]
+    ) -> Refusal | None:
+        if self.waits.held(slot):
+            return refuse(ResultCode.slot_moving, self._parts.where)
+        return permitted.error if permitted.is_error() else None
+
+    def _must_not_wait(self, job: Job, obstacle: Refusal) -> bool:
+        if obstacle.code not in _WAITED_CODES:
+            return True
+        if self.waits.count >= self._wait_limit():
+            return True
+        return self._clock() >= job.deadline_ms
+
+    def _wait_limit(self) -> int:
+        servers = max(1, len(self._queue_by_server))
+        return servers * self._service.queue_limit
+
+    async def _visit(
+        self, job: Job, queue: ServerQueue
+    ) -> DispatchAnswer | None:
+        """Waits for a turn at a server and uses it; None to look again."""
+        forward = job.forward
+        if job.record is not None and job.replicated_for != queue.server.name:
+            code = queue.early_refusal(
+                forward.key, forward.priority, job.deadline_ms
+            )
+            if code is not None:
+                return self._refused(self._named(job, code))
+            prepared = await self._record_steps.prepare(job, queue.server.name)
+            if prepared.is_error():
+                return DispatchAnswer(refusal=prepared.error)
+        code = await queue.acquire(
+            job.slot, forward.key, forward.priority, job.deadline_ms
+        )
+        if code == GRANTED:
+            return await self._use_turn(job, queue)
+        if code == LOOK_AGAIN:
+            return None
+        return self._refused(self._named(job, code))
+
+    async def _use_turn(
+        self, job: Job, queue: ServerQueue
+    ) -> DispatchAnswer | None:
+        permit = self._permit_now(job, queue)
+        if permit is None:
+            queue.release(job.forward.key, 0)
+            return None
+        code = self._late_refusal(job)
+        if code is not None:
+            queue.release(job.forward.key, 0)
+            return self._refused(code)
+        return await self._write(job, queue, permit)
+
+    def _permit_now(self, job: Job, queue: ServerQueue) -> SendPermit | None:
+        """Checks the right to send again, after all waiting."""
+        if self.waits.held(job.slot) or self.effective_slot(job) != job.slot:
+            return None
+        permitted = self._ownership.permit(job.slot)
+        if permitted.is_error():
+            return None
+        permit = permitted.ok
+        if permit.server != queue.server:
+            return None
+        if job.record is not None and job.replicated_for != permit.server.name:
+            return None
+        return permit
+
+    def _late_refusal(self, job: Job) -> ResultCode | None:
+        if self._clock() >= job.deadline_ms:
+            return self._named(job, ResultCode.deadline_passed)
+        if job.record is None:
+            return None
+        return self._record_steps.last_check(job)
+
+    async def _write(
+        self, job: Job, queue: ServerQueue, permit: SendPermit
+    ) -> DispatchAnswer | None:
+        """Writes the request; the check of the permit was just before."""
+        sent_ms = self._clock()
+        request = self._target_request(job, permit, sent_ms)
+        if job.record is not None:
+            job.record.token = permit.token
+        job.written = True
+        flight = self.flights.start(
+            job.slot, queue.server.name, job.deadline_ms
+        )
+        target = self._target_by_server[queue.server.name]
+        try:
+            async with asyncio.timeout(seconds(request.remaining_ms)) as limit:
+                flight.limit = limit
+                answered = await target.run(request)
+        except TimeoutError:
+            self._abandon(job, queue, flight)
+            return self._unanswered(queue, flight)
+        except asyncio.CancelledError:
+            self._abandon(job, queue, flight)
+            raise
+        service_ms = self._clock() - sent_ms
+        self.flights.end(flight)
+        queue.release(job.forward.key, service_ms)
+        if answered.is_error():
+            return self._failed(job, queue, permit, answered.error, service_ms)
+        return self._succeeded(job, queue, answered.ok, sent_ms, service_ms)
+
+    def _target_request(
+        self, job: Job, permit: SendPermit, now_ms: float
+    ) -> TargetRequest:
+        forward = job.forward
+        ownership = self._ownership
+        slot = job.slot
+
+        def permitted() -> bool:
+            now_permitted = ownership.permit(slot)
+            return now_permitted.is_ok() and now_permitted.ok == permit
+
+        return TargetRequest(
+            request_id=forward.request_id,
+            service=forward.service,
+            key=forward.key,
+            slot=slot,
+            token=permit.token,
+            method=forward.method,
+            path=forward.path,
+            remaining_ms=job.deadline_ms - now_ms,
+            headers=forward.headers,
+            body=forward.body,
+            permitted=permitted,
+        )
+
+    def _succeeded(
+        self,
+        job: Job,
+        queue: ServerQueue,
+        answer: TargetAnswer,
+        sent_ms: float,
+        service_ms: float,
+    ) -> DispatchAnswer:
+        server_name = queue.server.name
+        waited_ms = sent_ms - job.received_ms
+        queue.service_time.add(service_ms)
+        queue.pacer.answered()
+        self._ownership.report_sight(server_name, ServerSight(reached=True))
+        self._parts.observer.observe(
+            LoadSample(
+                slot=job.slot,
+                key=job.forward.key,
+                server_name=server_name,
+                service_ms=service_ms,
+                waited_ms=waited_ms,
+                refused=False,
+            )
+        )
+        if job.record is not None:
+            self._record_steps.finish(job, answer)
+        return DispatchAnswer(
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            hops=(
+                Hop('server', server_name, service_ms),
+                Hop('queue', self._parts.where, waited_ms),
+            ),
+        )
+
+    def _failed(
+        self,
+        job: Job,
+        queue: ServerQueue,
+        permit: SendPermit,
+        failure: TargetFailure,
+        service_ms: float,
+    ) -> DispatchAnswer | None:
+        """Judges a failure; None when the request is queued again."""
+        kind = failure.kind
+        self._report_failure(queue.server.name, permit, failure)
+        if kind == TargetFailureKind.not_sent:
+            job.written = False
+            job.obstacle = ResultCode.server_unreachable
+            queue.pacer.unreachable(self._clock())
+            return None
+        if kind == TargetFailureKind.draining:
+            job.written = False
+            job.obstacle = ResultCode.server_draining
+            queue.draining = True
+            return None
+        if kind == TargetFailureKind.shedding:
+            queue.pacer.shed(self._clock())
+            self._observe_shedding(job, queue, service_ms)
+        return DispatchAnswer(
+            refusal=refuse(
+                _CODE_BY_FAILURE[kind],
+                f'server {queue.server.name}',
+                failure.detail,
+                failure.retry_after_s,
+            )
+        )
+
+    def _report_failure(
+        self, server_name: str, permit: SendPermit, failure: TargetFailure
+    ) -> None:
+        highest_token = failure.highest_token
+        self._ownership.report_sight(
+            server_name,
+            ServerSight(
+                reached=failure.kind
+                not in {TargetFailureKind.not_sent, TargetFailureKind.lost},
+                token_refused=highest_token is not None
+                and highest_token > permit.token,
+                draining=failure.kind == TargetFailureKind.draining,
+            ),
+        )
+
+    def _observe_shedding(
+        self, job: Job, queue: ServerQueue, service_ms: float
+    ) -> None:
+        self._parts.observer.observe(
+            LoadSample(
+                slot=job.slot,
+                key=job.forward.key,
+                server_name=queue.server.name,
+                service_ms=service_ms,
+                waited_ms=self._clock() - service_ms - job.received_ms,
+                refused=True,
+            )
+        )
+
+    def _unanswered(self, queue: ServerQueue, flight: Flight) -> DispatchAnswer:
+        server_name = queue.server.name
+        self._ownership.report_sight(server_name, ServerSight(reached=False))
+        reason = 'was lost' if flight.server_lost else 'did not answer in time'
+        return DispatchAnswer(
+            refusal=refuse(
+                ResultCode.answer_lost,
+                f'server {server_name}',
+                f'Server {server_name} {reason}.',
+            )
+        )
+
+    def _abandon(self, job: Job, queue: ServerQueue, flight: Flight) -> None:
+        """Cancels a request at its server; keeps its place until then."""
+        flight.limit = None
+        self._tasks.spawn(self._cancel(job, queue, flight))
+
+    async def _cancel(
+        self, job: Job, queue: ServerQueue, flight: Flight
+    ) -> None:
+        target = self._target_by_server[queue.server.name]
+        try:
+            async with asyncio.timeout(seconds(_CANCEL_LIMIT_MS)):
+                await target.cancel(job.forward.request_id)
+        except TimeoutError:
+            self._parts.counters.count(counter_names.CANCEL_UNCONFIRMED)
+            left_ms = max(0, flight.deadline_ms - self._clock())
+            await asyncio.sleep(seconds(left_ms))
+        finally:
+            self.flights.end(flight)
+            queue.release(job.forward.key, 0)
+
+    def _named(self, job: Job, code: ResultCode) -> ResultCode:
+        """Names what kept the request waiting until its deadline."""
+        if code in _DEADLINE_CODES and job.obstacle is not None:
+            return job.obstacle
+        return code
+
+    def _refused(self, code: ResultCode) -> DispatchAnswer:
+        return refused_answer(code, self._parts.where)
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/requests/dispatchers.py
@@ -0,0 +1,48 @@
+"""The dispatchers of the groups that this instance leads."""
+
+from yuccadale_core.declaration import Declaration
+from yuccadale_core.instances import GroupId
+from yuccadale_router._internal.contracts import GroupOwnership
+from yuccadale_router._internal.requests.delivery import DispatcherParts
+from yuccadale_router._internal.requests.dispatcher import GroupDispatcher
+
+
+class Dispatchers:
+    """Makes dispatchers for ownership and finds them for requests."""
+
+    def __init__(self, parts: DispatcherParts) -> None:
+        self._parts = parts
+        self._declaration = Declaration()
+        self._dispatcher_by_group: dict[GroupId, GroupDispatcher] = {}
+
+    def __call__(
+        self, group: GroupId, ownership: GroupOwnership
+    ) -> GroupDispatcher:
+        """Implements ``GroupRequestsFactory``.
+
+        The service must be declared: call ``declaration_changed`` first.
+        """
+        dispatcher = GroupDispatcher(
+            group,
+            ownership,
+            self._declaration.service_by_name[group.service],
+            self._parts,
+        )
+        self._dispatcher_by_group[group] = dispatcher
+        return dispatcher
+
+    def find(self, group: GroupId) -> GroupDispatcher | None:
+        """Returns the newest dispatcher of a group."""
+        return self._dispatcher_by_group.get(group)
+
+    def forget(self, group: GroupId) -> None:
+        """Drops the dispatcher of a group that is no longer led here."""
+        self._dispatcher_by_group.pop(group, None)
+
+    def declaration_changed(self, declaration: Declaration) -> None:
+        """Passes changed services on."""
+        self._declaration = declaration
+        for group, dispatcher in self._dispatcher_by_group.items():
+            service = declaration.service_by_name.get(group.service)
+            if service is not None:
+                dispatcher.apply_service(service)
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/requests/flights.py
@@ -0,0 +1,86 @@
+"""Requests that were written to a server and are not answered yet."""
+
+import asyncio
+
+
+_Idle = asyncio.Future[None]
+
+
+class Flight:
+    """One request at a server.
+
+    Attributes:
+        deadline_ms: when the server gives the request up by itself.
+        limit: the timeout around the call; ended early when the server is
+            lost; None when nobody waits for the answer.
+        server_lost: whether ownership has given the server up.
+    """
+
+    __slots__ = ('deadline_ms', 'limit', 'server_lost', 'server_name', 'slot')
+
+    def __init__(self, slot: int, server_name: str, deadline_ms: float) -> None:
+        self.deadline_ms = deadline_ms
+        self.slot = slot
+        self.server_name = server_name
+        self.limit: asyncio.Timeout | None = None
+        self.server_lost = False
+
+    def give_up(self, now_s: float) -> None:
+        """Ends the waiting for the answer; ``now_s`` is the loop's time."""
+        self.server_lost = True
+        if self.limit is not None:
+            self.limit.reschedule(now_s)
+
+
+class Flights:
+    """All requests at the servers of a group, by slot."""
+
+    def __init__(self) -> None:
+        self._flights_by_slot: dict[int, set[Flight]] = {}
+        self._idle_by_slot: dict[int, list[_Idle]] = {}
+
+    def start(self, slot: int, server_name: str, deadline_ms: float) -> Flight:
+        """Adds a request that is about to be written."""
+        flight = Flight(slot, server_name, deadline_ms)
+        self._flights_by_slot.setdefault(slot, set()).add(flight)
+        return flight
+
+    def end(self, flight: Flight) -> None:
+        """Removes a request that is answered, cancelled or too late."""
+        flights = self._flights_by_slot.get(flight.slot)
+        if flights is None:
+            return
+        flights.discard(flight)
+        if flights:
+            return
+        self._flights_by_slot.pop(flight.slot)
+        for idle in self._idle_by_slot.pop(flight.slot, ()):
+            if not idle.done():
+                idle.set_result(None)
+
+    async def wait_until_idle(self, slot: int) -> None:
+        """Returns when nothing is under way for the slot."""
+        if slot not in self._flights_by_slot:
+            return
+        idle: _Idle = asyncio.get_running_loop().create_future()
+        self._idle_by_slot.setdefault(slot, []).append(idle)
+        await idle
+
+    def give_up_server(self, server_name: str, *, fenced: bool) -> None:
+        """Ends the waiting for all answers of a server.
+
+        Args:
+            fenced: whether the server itself refuses the work by now, so
+                that nothing counts as under way there any more.
+        """
+        now_s = asyncio.get_running_loop().time()
+        at_server = [
+            flight
+            for flights in self._flights_by_slot.values()
+            for flight in flights
+            if flight.server_name == server_name
+        ]
+        for flight in at_server:
+            flight.give_up(now_s)
+            if fenced:
+                self.end(flight)
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/requests/forward_server.py
@@ -0,0 +1,199 @@
+"""Serves requests that other instances forward to this leader."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from yuccadale_core.codes import ResultCode
+from yuccadale_core.counters import Counters
+from yuccadale_core.instances import InstanceRef
+from yuccadale_core.messages import (
+    BodyPiece,
+    Cancel,
+    Forward,
+    ForwardAnswer,
+    PeerMessage,
+)
+from yuccadale_core.timing import seconds
+from yuccadale_router._internal.contracts import Peers
+from yuccadale_router._internal.requests import counter_names
+from yuccadale_router._internal.requests.answers import DispatchAnswer
+from yuccadale_router._internal.requests.pieces import (
+    Assembly,
+    piece_count,
+    split,
+)
+from yuccadale_router._internal.requests.region_budget import RegionLinks
+from yuccadale_router._internal.requests.replay_window import ReplayWindow
+
+# Processes of one peer whose forward numbers are remembered.
+_PROCESS_LIMIT = 3
+# No service declares bodies above this; it bounds unfinished assemblies.
+_BODY_LIMIT_BYTES = 64 << 20
+
+Dispatch = Callable[[Forward], Awaitable[DispatchAnswer]]
+_ForwardKey = tuple[str, str, int]
+
+
+@dataclass(slots=True)
+class _Unfinished:
+    """A forward whose body pieces are still coming."""
+
+    sender: InstanceRef
+    forward: Forward
+    assembly: Assembly
+    timer: asyncio.TimerHandle
+
+
+class ForwardServer:
+    """The leader's side of a forward."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        counters: Counters,
+        links: RegionLinks,
+        dispatch: Dispatch,
+    ) -> None:
+        self._peers = peers
+        self._counters = counters
+        self._links = links
+        self._dispatch = dispatch
+        self._task_by_key: dict[_ForwardKey, asyncio.Task[None]] = {}
+        self._unfinished_by_key: dict[_ForwardKey, _Unfinished] = {}
+        # Forward numbers that came, by process, by name of the peer.
+        self._windows_by_peer: dict[str, dict[str, ReplayWindow]] = {}
+        peers.handle(Forward, self._take_message)
+        peers.handle(Cancel, self._take_message)
+
+    @property
+    def running_count(self) -> int:
+        """Number of forwards that are being served."""
+        return len(self._task_by_key)
+
+    def take_piece(self, sender: InstanceRef, piece: BodyPiece) -> None:
+        """Takes a piece of a forward's body."""
+        key = _key(sender, piece.forward_id)
+        unfinished = self._unfinished_by_key.get(key)
+        if unfinished is None:
+            self._counters.count(counter_names.PIECE_UNEXPECTED)
+            return
+        if not unfinished.assembly.add(piece):
+            self._drop_unfinished(key)
+            return
+        if unfinished.assembly.complete:
+            unfinished.timer.cancel()
+            self._unfinished_by_key.pop(key)
+            forward = msgspec.structs.replace(
+                unfinished.forward, body=unfinished.assembly.body
+            )
+            self._start(sender, forward)
+
+    def _take_message(self, sender: InstanceRef, message: PeerMessage) -> None:
+        if isinstance(message, Forward):
+            self._take_forward(sender, message)
+        elif isinstance(message, Cancel):
+            self._take_cancel(sender, message)
+
+    def _take_forward(self, sender: InstanceRef, forward: Forward) -> None:
+        if not self._is_new(sender, forward.forward_id):
+            self._counters.count(counter_names.FORWARD_DUPLICATE)
+            return
+        self._counters.count(counter_names.FORWARD_RECEIVED)
+        if not forward.body_pieces:
+            self._start(sender, forward)
+            return
+        key = _key(sender, forward.forward_id)
+        timer = asyncio.get_running_loop().call_later(
+            seconds(max(0, forward.remaining_ms)), self._drop_unfinished, key
+        )
+        self._unfinished_by_key[key] = _Unfinished(
+            sender,
+            forward,
+            Assembly(forward.body_pieces, _BODY_LIMIT_BYTES),
+            timer,
+        )
+
+    def _is_new(self, sender: InstanceRef, forward_id: int) -> bool:
+        """Says whether the forward comes for the first time.
+
+        Work that was refused here as ``not run`` must not run by a second
+        copy of its message.
+        """
+        window_by_process = self._windows_by_peer.setdefault(sender.name, {})
+        window = window_by_process.get(sender.incarnation)
+        if window is None:
+            window = ReplayWindow()
+            window_by_process[sender.incarnation] = window
+            if len(window_by_process) > _PROCESS_LIMIT:
+                window_by_process.pop(next(iter(window_by_process)))
+        return window.is_new(forward_id)
+
+    def _take_cancel(self, sender: InstanceRef, cancel: Cancel) -> None:
+        key = _key(sender, cancel.forward_id)
+        task = self._task_by_key.get(key)
+        if task is not None:
+            self._counters.count(counter_names.FORWARD_CANCELLED)
+            task.cancel()
+        elif key in self._unfinished_by_key:
+            self._drop_unfinished(key)
+
+    def _drop_unfinished(self, key: _ForwardKey) -> None:
+        unfinished = self._unfinished_by_key.pop(key)
+        unfinished.timer.cancel()
+        self._counters.count(counter_names.FORWARD_INCOMPLETE)
+
+    def _start(self, sender: InstanceRef, forward: Forward) -> None:
+        key = _key(sender, forward.forward_id)
+        task = asyncio.create_task(self._serve(sender, forward))
+        self._task_by_key[key] = task
+        task.add_done_callback(lambda _: self._task_by_key.pop(key))
+
+    async def _serve(self, sender: InstanceRef, forward: Forward) -> None:
+        answer = await self._dispatch(forward)
+        body = answer.body
+        admitted = await self._links.admit(
+            sender,
+            forward.service,
+            priority=forward.priority,
+            body_bytes=len(body),
+            limit_ms=forward.remaining_ms,
+        )
+        if not admitted:
+            # The work is done; without its answer it would be unknown.
+            self._links.charge(sender, forward.service, len(body))
+        message = _answer_message(sender, forward.forward_id, answer)
+        sent = self._peers.send(sender.name, message)
+        for piece in split(forward.forward_id, body, of_answer=True):
+            await asyncio.sleep(0)
+            sent = sent and self._peers.send(sender.name, piece)
+        if not sent:
+            self._counters.count(counter_names.ANSWER_NOT_SENT)
+
+
+def _answer_message(
+    sender: InstanceRef, forward_id: int, answer: DispatchAnswer
+) -> ForwardAnswer:
+    refusal = answer.refusal
+    pieces = piece_count(len(answer.body))
+    retry_after_s = None if refusal is None else refusal.retry_after_s
+    return ForwardAnswer(
+        forward_id=forward_id,
+        incarnation=sender.incarnation,
+        code=ResultCode.done if refusal is None else refusal.code,
+        where='' if refusal is None else refusal.where,
+        detail='' if refusal is None else refusal.detail,
+        retry_after_s=-1 if retry_after_s is None else retry_after_s,
+        status=answer.status,
+        headers=dict(answer.headers),
+        body=b'' if pieces else answer.body,
+        body_length=len(answer.body),
+        hops=list(answer.hops),
+        body_pieces=pieces,
+    )
+
+
+def _key(sender: InstanceRef, forward_id: int) -> _ForwardKey:
+    return sender.name, sender.incarnation, forward_id
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/requests/idempotency.py
@@ -0,0 +1,246 @@
+"""Records of non-repeatable requests: what is known about each id."""
+
+import asyncio
+from collections import deque
+from collections.abc import Iterator
+from enum import StrEnum
+
+import xxhash
+
+from yuccadale_core.messages import Forward, RecordChange
+from yuccadale_core.targets import TargetAnswer
+from yuccadale_core.timing import CLOCK_RATE_MARGIN, milliseconds
+from yuccadale_router._internal.clock import Clock
+
+# Allowance for the way from the caller, see the tenure rule.
+CALLER_ALLOWANCE_MS = 2000
+# Token of records from an earlier leader; below every token in use.
+INHERITED_TOKEN = -1
+
+RecordId = tuple[int, str]
+
+
+class RecordState(StrEnum):
+    """What is known about an id."""
+
+    started = 'started'
+    done = 'done'
+    unknown = 'unknown'
+    not_run = 'not run'
+
+
+class Record:
+    """What is known about one id.
+
+    Attributes:
+        server: the server that the request was or will be written to.
+        token: the token that it was written with.
+        made_ms: when the record was made, on this process's clock.
+        answer: the server's answer when done and still kept.
+        settled: awaited by requests with the same id, None when there are none.
+    """
+
+    __slots__ = (
+        'answer',
+        'fingerprint',
+        'made_ms',
+        'record_id',
+        'server',
+        'settled',
+        'state',
+        'token',
+    )
+
+    def __init__(
+        self, record_id: RecordId, fingerprint: int, made_ms: float
+    ) -> None:
+        self.record_id = record_id
+        self.fingerprint = fingerprint
+        self.made_ms = made_ms
+        self.server = ''
+        self.token = INHERITED_TOKEN
+        self.state = RecordState.started
+        self.answer: TargetAnswer | None = None
+        self.settled: asyncio.Future[None] | None = None
+
+    def change(self, now_ms: float) -> RecordChange:
+        """Returns the record as a message for the standby."""
+        answer = self.answer
+        slot, request_id = self.record_id
+        return RecordChange(
+            slot=slot,
+            request_id=request_id,
+            state=self.state.value,
+            fingerprint=self.fingerprint,
+            server=self.server,
+            age_ms=now_ms - self.made_ms,
+            status=answer.status if answer else 0,
+            headers=dict(answer.headers) if answer else {},
+            body=answer.body if answer else b'',
+        )
+
+
+def fingerprint_of(forward: Forward) -> int:
+    """Hashes what makes two requests with one id the same work."""
+    hasher = xxhash.xxh3_64()
+    for part in (forward.method, forward.path, forward.key):
+        hasher.update(part.encode())
+        hasher.update(b'\n')
+    hasher.update(forward.body)
+    return hasher.intdigest()
+
+
+class RecordStore:
+    """The records of one group, oldest first.
+
+    Records are kept for the retry window and the caller's allowance. Their
+    number is bounded by refusing new ids, never by dropping a live record,
+    because a dropped record would let its work run twice. Kept answers are
+    bounded by dropping the oldest bodies.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        retry_window_s: float,
+        *,
+        record_limit: int,
+        body_limit_bytes: int,
+    ) -> None:
+        self._clock = clock
+        self._keep_ms: float = 0
+        self._record_limit = record_limit
+        self._body_limit_bytes = body_limit_bytes
+        self._body_bytes = 0
+        self._record_by_id: dict[RecordId, Record] = {}
+        self._with_body: deque[Record] = deque()
+        self.apply_window(retry_window_s)
+
+    def __len__(self) -> int:
+        """Returns the number of records, expired ones included."""
+        return len(self._record_by_id)
+
+    def apply_window(self, retry_window_s: float) -> None:
+        """Takes over a changed retry window."""
+        window_ms = milliseconds(retry_window_s)
+        self._keep_ms = window_ms * CLOCK_RATE_MARGIN + CALLER_ALLOWANCE_MS
+
+    def full(self) -> bool:
+        """Says whether there is no room for another id."""
+        self._expire()
+        return len(self._record_by_id) >= self._record_limit
+
+    def find(self, record_id: RecordId) -> Record | None:
+        """Returns the live record of an id."""
+        record = self._record_by_id.get(record_id)
+        if record is None or not self._expired(record):
+            return record
+        # Work that is still under way keeps its record.
+        return record if record.state == RecordState.started else None
+
+    def start(self, record_id: RecordId, fingerprint: int) -> Record:
+        """Makes the record of work that is about to be sent."""
+        record = Record(record_id, fingerprint, self._clock())
+        self._record_by_id.pop(record_id, None)
+        self._record_by_id[record_id] = record
+        return record
+
+    def finish(self, record: Record, answer: TargetAnswer | None) -> None:
+        """Records that the work ran; None when the answer is not known."""
+        record.state = RecordState.done
+        record.answer = answer
+        if answer is not None:
+            self._body_bytes += len(answer.body)
+            self._with_body.append(record)
+            self._drop_old_bodies()
+        self._settle(record)
+
+    def mark_unknown(self, record: Record) -> None:
+        """Records that the work may have run."""
+        record.state = RecordState.unknown
+        self._settle(record)
+
+    def drop(self, record: Record) -> None:
+        """Forgets an id whose work certainly did not run."""
+        record.state = RecordState.not_run
+        if self._record_by_id.get(record.record_id) is record:
+            self._record_by_id.pop(record.record_id)
+        self._settle(record)
+
+    def export(self) -> Iterator[RecordChange]:
+        """Yields all live records."""
+        self._expire()
+        now_ms = self._clock()
+        for record in self._record_by_id.values():
+            yield record.change(now_ms)
+
+    def take_over(self, changes: list[RecordChange]) -> None:
+        """Takes over records of an earlier leader.
+
+        A ``started`` record becomes ``unknown``: its work may have run.
+        """
+        for change in sorted(changes, key=_age, reverse=True):
+            self._take_over_one(change)
+
+    def _take_over_one(self, change: RecordChange) -> None:
+        record_id = (change.slot, change.request_id)
+        known = self._record_by_id.get(record_id)
+        if known is not None and not _may_replace(known, change):
+            return
+        if change.state == RecordState.not_run.value:
+            if known is not None:
+                self.drop(known)
+            return
+        record = known or Record(
+            record_id, change.fingerprint, self._clock() - change.age_ms
+        )
+        record.server = change.server
+        self._record_by_id[record_id] = record
+        if change.state == RecordState.done.value:
+            answer = TargetAnswer(change.status, change.headers, change.body)
+            self.finish(record, answer if change.status else None)
+        else:
+            self.mark_unknown(record)
+
+    def _settle(self, record: Record) -> None:
+        settled = record.settled
+        record.settled = None
+        if settled is not None and not settled.done():
+            settled.set_result(None)
+
+    def _expired(self, record: Record) -> bool:
+        return self._clock() - record.made_ms > self._keep_ms
+
+    def _expire(self) -> None:
+        expired: list[Record] = []
+        for record in self._record_by_id.values():
+            if not self._expired(record):
+                break
+            if record.state != RecordState.started:
+                expired.append(record)
+        for record in expired:
+            self._record_by_id.pop(record.record_id)
+        while self._with_body and self._expired(self._with_body[0]):
+            self._forget_body(self._with_body.popleft())
+
+    def _drop_old_bodies(self) -> None:
+        while self._body_bytes > self._body_limit_bytes:
+            self._forget_body(self._with_body.popleft())
+
+    def _forget_body(self, record: Record) -> None:
+        if record.answer is not None:
+            self._body_bytes -= len(record.answer.body)
+            record.answer = None
+
+
+def _age(change: RecordChange) -> float:
+    return change.age_ms
+
+
+def _may_replace(known: Record, change: RecordChange) -> bool:
+    # Only knowledge of an earlier leader is corrected by an earlier leader.
+    return (
+        known.state == RecordState.unknown
+        and known.token == INHERITED_TOKEN
+        and known.fingerprint == change.fingerprint
+    )
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/requests/jobs.py
@@ -0,0 +1,41 @@
+"""One request on its way through a dispatcher."""
+
+from yuccadale_core.codes import ResultCode
+from yuccadale_core.messages import Forward
+from yuccadale_router._internal.requests.idempotency import Record
+
+
+class Job:
+    """State of one request at the leader.
+
+    Attributes:
+        slot: slot of the key, or of the key's own pin.
+        record: the idempotency record of non-repeatable work.
+        replicated_for: server for which the standby has the started record.
+        written: whether the request may have reached a server.
+        caller_gone: whether nobody waits for the answer any more.
+        obstacle: why the last server did not take the request.
+    """
+
+    __slots__ = (
+        'caller_gone',
+        'deadline_ms',
+        'forward',
+        'obstacle',
+        'received_ms',
+        'record',
+        'replicated_for',
+        'slot',
+        'written',
+    )
+
+    def __init__(self, forward: Forward, received_ms: float) -> None:
+        self.forward = forward
+        self.received_ms = received_ms
+        self.deadline_ms = received_ms + forward.remaining_ms
+        self.slot = forward.slot
+        self.record: Record | None = None
+        self.replicated_for = ''
+        self.written = False
+        self.caller_gone = False
+        self.obstacle: ResultCode | None = None
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/requests/retry_budget.py
@@ -0,0 +1,73 @@
+"""Decides whether a refused request may be sent again, and after how long."""
+
+from collections.abc import Callable
+
+from yuccadale_core.codes import Outcome, ResultCode
+from yuccadale_core.refusals import Refusal
+
+# One retry for ten first attempts; more would multiply an overload.
+_SHARE = 0.1
+# Lets a quiet instance retry after its first failures.
+_RESERVE = 20.0
+_LIMIT = 200.0
+_FIRST_DELAY_MS = 10.0
+_LAST_DELAY_MS = 200.0
+_LAST_DOUBLING = 5
+
+# Refusals by load (queue_full and others) are not repeated: the queue that
+# refused would only be asked again by the same excess of requests.
+_RETRIED_NOT_RUN = frozenset(
+    (
+        ResultCode.instance_draining,
+        ResultCode.lease_ended,
+        ResultCode.leader_unknown,
+        ResultCode.not_leader,
+        ResultCode.owner_unreachable,
+        ResultCode.peer_queue_full,
+        ResultCode.server_draining,
+        ResultCode.server_refused_token,
+        ResultCode.server_shedding,
+        ResultCode.server_unreachable,
+        ResultCode.slot_moving,
+        ResultCode.slot_not_ours,
+        ResultCode.slot_not_ready,
+    )
+)
+_RETRIED_IF_REPEATABLE = frozenset(
+    (
+        ResultCode.answer_lost,
+        ResultCode.answer_malformed,
+        ResultCode.link_lost,
+    )
+)
+
+
+def may_retry(refusal: Refusal, *, repeatable: bool) -> bool:
+    """Says whether sending again is safe and may help."""
+    if refusal.outcome == Outcome.not_run:
+        return refusal.code in _RETRIED_NOT_RUN
+    return repeatable and refusal.code in _RETRIED_IF_REPEATABLE
+
+
+def retry_delay_ms(attempt: int, random_unit: Callable[[], float]) -> float:
+    """Returns a full-jitter delay; ``attempt`` counts from 0."""
+    doubled = _FIRST_DELAY_MS * (1 << min(attempt, _LAST_DOUBLING))
+    return random_unit() * min(doubled, _LAST_DELAY_MS)
+
+
+class RetryBudget:
+    """Allows retries for a tenth of the first attempts."""
+
+    def __init__(self) -> None:
+        self._allowance = _RESERVE
+
+    def count_first_attempt(self) -> None:
+        """Adds to the budget."""
+        self._allowance = min(self._allowance + _SHARE, _LIMIT)
+
+    def take(self) -> bool:
+        """Takes one retry from the budget; false when it is spent."""
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/requests/slow_requests.py
@@ -0,0 +1,76 @@
+"""Remembers the slowest recent requests of each service."""
+
+from dataclasses import dataclass
+
+from yuccadale_core.messages import Hop
+from yuccadale_router._internal.clock import Clock
+
+_RECENT_MS = 600_000
+
+
+@dataclass(frozen=True, slots=True)
+class SlowRequest:
+    """One slow request with the time spent at each hop.
+
+    Attributes:
+        finished_ms: when it ended, on this process's monotonic clock.
+        code: number of the result code, 0 when a server answered.
+    """
+
+    service: str
+    key: str
+    request_id: str
+    duration_ms: float
+    finished_ms: float
+    code: int
+    hops: tuple[Hop, ...]
+
+
+class SlowRequests:
+    """Keeps the slowest requests of the last ten minutes by service."""
+
+    def __init__(self, clock: Clock, limit: int) -> None:
+        self._clock = clock
+        self._limit = limit
+        self._slowest_by_service: dict[str, list[SlowRequest]] = {}
+        # Duration that is worth noting, and until when that holds.
+        self._floor_by_service: dict[str, tuple[float, float]] = {}
+
+    def worth_noting(self, service: str, duration_ms: float) -> bool:
+        """Says whether the request is among the slowest; cheap."""
+        floor_ms, until_ms = self._floor_by_service.get(service, (0, 0))
+        return duration_ms > floor_ms or self._clock() > until_ms
+
+    def note(self, request: SlowRequest) -> None:
+        """Adds a request and drops the fastest one above the limit."""
+        slowest = self._recent(request.service)
+        slowest.append(request)
+        slowest.sort(key=_duration, reverse=True)
+        slowest = slowest[: self._limit]
+        self._slowest_by_service[request.service] = slowest
+        if len(slowest) == self._limit:
+            oldest_ms = min(slow.finished_ms for slow in slowest)
+            self._floor_by_service[request.service] = (
+                slowest[-1].duration_ms,
+                oldest_ms + _RECENT_MS,
+            )
+
+    def slowest(self, service: str) -> list[SlowRequest]:
+        """Returns the slowest recent requests, the slowest first."""
+        return self._recent(service)
+
+    def services(self) -> list[str]:
+        """Returns the services that have records."""
+        return sorted(self._slowest_by_service)
+
+    def _recent(self, service: str) -> list[SlowRequest]:
+        oldest_ms = self._clock() - _RECENT_MS
+        return [
+            request
+            for request in self._slowest_by_service.get(service, [])
+            if request.finished_ms >= oldest_ms
+        ]
+
+
+def _duration(request: SlowRequest) -> float:
+    return request.duration_ms
--- /dev/null
+++ b/tests/builders/fake_servers.py
@@ -0,0 +1,127 @@
+"""Servers in memory that know what they really ran."""
+
+import asyncio
+from collections import Counter, deque
+from typing import Any
+
+from expression import Result
+
+from tests.builders.virtual_time import virtual_ms
+from yuccadale_core.targets import (
+    OutcomeAnswer,
+    ServerOutcome,
+    TargetAnswer,
+    TargetFailure,
+    TargetFailureKind,
+    TargetRequest,
+)
+
+
+class FakeServer:
+    """A server that checks tokens and slots, and can be made to fail.
+
+    Attributes:
+        failures: what the next requests meet, in order; ``lost`` and
+            ``malformed`` are met after the work ran.
+        runs: how often the work of each id took effect.
+        slots: slots of its grant, None for all.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.delay_ms = 1.0
+        self.failures: deque[TargetFailureKind] = deque()
+        self.runs: Counter[str] = Counter()
+        self.running = 0
+        self.most_running = 0
+        self.highest_token = 0
+        self.slots: set[int] | None = None
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+        self.cancelled: set[str] = set()
+        self.outcome_answers = True
+        self._outcome_by_id: dict[str, OutcomeAnswer] = {}
+        self._work: set[asyncio.Task[object]] = set()
+
+    async def run(
+        self, request: TargetRequest
+    ) -> Result[TargetAnswer, TargetFailure]:
+        """Takes a request; its work goes on when the connection closes."""
+        failure = self.failures.popleft() if self.failures else None
+        if failure is not None and failure not in {
+            TargetFailureKind.lost,
+            TargetFailureKind.malformed,
+        }:
+            return _failed(failure)
+        if not request.permitted():
+            return _failed(TargetFailureKind.not_sent)
+        work = asyncio.create_task(self._serve(request))
+        self._work.add(work)
+        work.add_done_callback(self._work.discard)
+        answer = await asyncio.shield(work)
+        if failure is not None and answer.is_ok():
+            return _failed(failure)
+        return answer
+
+    async def cancel(self, request_id: str) -> None:
+        """Gives up work that did not take effect yet."""
+        await self.thawed.wait()
+        self.cancelled.add(request_id)
+
+    async def outcome(
+        self, request_id: str
+    ) -> Result[OutcomeAnswer, TargetFailure]:
+        """Reports what became of an id."""
+        await self.thawed.wait()
+        if not self.outcome_answers:
+            return _failed(TargetFailureKind.lost)
+        unheard = OutcomeAnswer(
+            ServerOutcome.not_offered, remembered_ms=virtual_ms() + 10_000
+        )
+        return Result.Ok(self._outcome_by_id.get(request_id, unheard))
+
+    async def _serve(
+        self, request: TargetRequest
+    ) -> Result[TargetAnswer, TargetFailure]:
+        await self.thawed.wait()
+        request_id = request.request_id
+        if self._refuses(request):
+            return self._refused(request)
+        deadline_ms = virtual_ms() + request.remaining_ms
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        self._outcome_by_id[request_id] = OutcomeAnswer(ServerOutcome.running)
+        await asyncio.sleep(self.delay_ms / 1000)
+        await self.thawed.wait()
+        self.running -= 1
+        if self._refuses(request) or virtual_ms() > deadline_ms:
+            return self._refused(request)
+        self.runs[request_id] += 1
+        answer = TargetAnswer(200, {'server': self.name}, request.key.encode())
+        self._outcome_by_id[request_id] = OutcomeAnswer(
+            ServerOutcome.done, answer
+        )
+        return Result.Ok(answer)
+
+    def _refuses(self, request: TargetRequest) -> bool:
+        self.highest_token = max(self.highest_token, request.token)
+        outside = self.slots is not None and request.slot not in self.slots
+        given_up = request.request_id in self.cancelled
+        return outside or given_up or request.token < self.highest_token
+
+    def _refused(
+        self, request: TargetRequest
+    ) -> Result[TargetAnswer, TargetFailure]:
+        if not self.runs[request.request_id]:
+            self._outcome_by_id[request.request_id] = OutcomeAnswer(
+                ServerOutcome.not_run
+            )
+        return Result.Error(
+            TargetFailure(
+                TargetFailureKind.refused, 'refused', self.highest_token
+            )
+        )
+
+
+def _failed(kind: TargetFailureKind) -> Result[Any, TargetFailure]:
+    return Result.Error(TargetFailure(kind, kind.value))
--- /dev/null
+++ b/tests/builders/virtual_time.py
@@ -0,0 +1,46 @@
+"""An event loop whose time jumps to the next timer; nothing waits."""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+_Value = TypeVar('_Value')
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Advances the loop's time instead of sleeping."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s: float = 0
+
+    def select(self, timeout=None):  # type: ignore[no-untyped-def]
+        """Moves the time on; raises when nothing is scheduled at all."""
+        if timeout is None:
+            raise RuntimeError('deadlock: no task is ready and no timer set')
+        self.now_s += max(timeout, 0)
+        return []
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Runs tasks and timers in virtual time, in the same order each time."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Returns the virtual time in seconds."""
+        return self._jumping.now_s
+
+
+def virtual_ms() -> float:
+    """Returns the virtual time in milliseconds."""
+    return asyncio.get_running_loop().time() * 1000
+
+
+def run_virtual(work: Coroutine[Any, Any, _Value]) -> _Value:
+    """Runs a coroutine to its end in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(work)
