--- a/packages/core/src/yuccadale_core/_internal/settings.py
+++ b/packages/core/src/yuccadale_core/_internal/settings.py
@@ -23,6 +23,14 @@
     caller_address: str
     peer_address: str
     operator_address: str
+    # Peers to ask when the platform's list cannot be read at the start.
+    seed_peers: str = ''
+
+    @property
+    def seed_addresses(self) -> list[str]:
+        """Addresses in ``seed_peers``, which are separated by commas."""
+        addresses = self.seed_peers.split(',')
+        return [address.strip() for address in addresses if address.strip()]
 
     @pydantic.field_validator(
         'caller_address', 'peer_address', 'operator_address'
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_link.py
@@ -0,0 +1,190 @@
+"""The link to one peer: one task that connects, sends and notices silence."""
+
+import asyncio
+
+import msgspec
+import pynng
+
+from yuccadale_core.counters import Counters
+from yuccadale_core.instances import InstanceRef
+from yuccadale_core.messages import (
+    AnyMessage,
+    Batch,
+    Heartbeat,
+    PeerMessage,
+    encode_batch,
+)
+from yuccadale_core.peer_keys import PeerKeys
+from yuccadale_core.timing import LINK_SILENCE_MS, seconds
+
+from yuccadale_router._internal.clock import Clock
+from yuccadale_router._internal.network.peer_outbox import PeerOutbox
+from yuccadale_router._internal.network.peer_transport import open_dialer
+
+# A numbered batch that arrives this much after newer ones is a late duplicate.
+_NUMBER_WINDOW = 1024
+
+
+class PeerLink:
+    """State of the link to one peer.
+
+    Attributes:
+        ref: newest reference to the peer.
+        opened_ms: when the link was opened.
+        heard_ms: when a valid batch of the peer last came.
+        echoed_ms: when the peer last acknowledged a new heartbeat.
+        leaving: whether the peer said that it is shutting down.
+        used_ms: when work was last sent to or received from the peer.
+    """
+
+    def __init__(
+        self,
+        me: InstanceRef,
+        ref: InstanceRef,
+        *,
+        keys: PeerKeys,
+        counters: Counters,
+        clock: Clock,
+        message_limit: int,
+    ) -> None:
+        self.ref = ref
+        self.opened_ms = clock()
+        self.heard_ms = -float('inf')
+        self.echoed_ms = -float('inf')
+        self.used_ms = -float('inf')
+        self.leaving = False
+        self._me = me
+        self._keys = keys
+        self._counters = counters
+        self._clock = clock
+        self._outbox = PeerOutbox(message_limit)
+        self._batch_number = 0
+        self._seen_numbers: set[int] = set()
+        self._retired_incarnations: set[str] = set()
+        self._newest_number = 0
+        self._heartbeat_number = 0
+        self._heartbeat_received = 0
+        self._oldest_unechoed_ms: float | None = None
+
+    @property
+    def receiver_name(self) -> str:
+        """Name in batches; empty for a seed whose name is not known yet."""
+        return '' if ':' in self.ref.name else self.ref.name
+
+    def send(self, message: AnyMessage) -> bool:
+        """Queues a message; false when the queue is full."""
+        if self._outbox.put(message):
+            return True
+        self._counters.count('peer.queue_full')
+        return False
+
+    def next_heartbeat(self, template: Heartbeat) -> Heartbeat:
+        """Numbers a heartbeat for this peer."""
+        self._heartbeat_number += 1
+        if self._oldest_unechoed_ms is None:
+            self._oldest_unechoed_ms = self._clock()
+        return msgspec.structs.replace(
+            template,
+            number=self._heartbeat_number,
+            echo=self._heartbeat_received,
+        )
+
+    def accept_number(self, number: int) -> bool:
+        """Says whether a batch is new; late duplicates are not."""
+        oldest_allowed = self._newest_number - _NUMBER_WINDOW
+        if number in self._seen_numbers or number <= oldest_allowed:
+            return False
+        self._seen_numbers.add(number)
+        self._newest_number = max(self._newest_number, number)
+        if len(self._seen_numbers) > 2 * _NUMBER_WINDOW:
+            self._seen_numbers = {
+                seen
+                for seen in self._seen_numbers
+                if seen > self._newest_number - _NUMBER_WINDOW
+            }
+        return True
+
+    def is_retired(self, incarnation: str) -> bool:
+        """Whether a later process has replaced the one with this id."""
+        return incarnation in self._retired_incarnations
+
+    def restart(self, ref: InstanceRef) -> None:
+        """Takes the reference of a new process behind the same name.
+
+        Only a process that was heard is retired: a reference from a row may
+        be newer than the late message that led here.
+        """
+        if self.heard_ms > 0:
+            self._retired_incarnations.add(self.ref.incarnation)
+        self.ref = ref
+        self._seen_numbers.clear()
+        self._newest_number = 0
+        self._heartbeat_received = 0
+        self.leaving = False
+
+    def heard(self, message: PeerMessage) -> None:
+        """Notes a message of the peer."""
+        now = self._clock()
+        self.heard_ms = now
+        if not isinstance(message, Heartbeat):
+            self.used_ms = now
+            return
+        self.leaving = message.leaving
+        self._heartbeat_received = max(
+            self._heartbeat_received, message.number
+        )
+        if 0 < message.echo <= self._heartbeat_number:
+            self.echoed_ms = now
+            self._oldest_unechoed_ms = (
+                None if message.echo == self._heartbeat_number else now
+            )
+
+    def is_silent(self) -> bool:
+        """Whether heartbeats have stayed unacknowledged for too long."""
+        oldest = self._oldest_unechoed_ms
+        return oldest is not None and self._clock() - oldest > LINK_SILENCE_MS
+
+    async def run(self) -> None:
+        """Connects, sends batches, and connects anew after silence."""
+        while True:
+            reason = await self._send_until_silent()
+            self._counters.count(f'peer.reconnect.{reason}')
+            self._oldest_unechoed_ms = None
+            dropped = self._outbox.clear()
+            if dropped:
+                self._counters.count('peer.dropped', dropped)
+
+    async def _send_until_silent(self) -> str:
+        with open_dialer(self.ref.peer_address) as dialer:
+            incarnation = self.ref.incarnation
+            while incarnation == self.ref.incarnation:
+                messages = await self._outbox.take_batch()
+                if self.is_silent():
+                    return 'silent'
+                sealed = self._sealed(messages)
+                try:
+                    await asyncio.wait_for(
+                        dialer.asend(sealed), seconds(LINK_SILENCE_MS)
+                    )
+                except TimeoutError:
+                    return 'blocked'
+                except pynng.NNGException:
+                    return 'failed'
+                self._counters.count('peer.sent_bytes', len(sealed))
+            return 'restarted'
+
+    def _sealed(self, messages: list[AnyMessage]) -> bytes:
+        self._batch_number += 1
+        self._counters.count('peer.sent_batches')
+        self._counters.count('peer.sent_messages', len(messages))
+        return self._keys.seal(
+            encode_batch(
+                Batch(
+                    sender=self._me.name,
+                    incarnation=self._me.incarnation,
+                    receiver=self.receiver_name,
+                    number=self._batch_number,
+                    messages=messages,
+                )
+            )
+        )
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -0,0 +1,305 @@
+"""All links of this instance: listening, heartbeats, and who is alive."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+import msgspec
+import pynng
+import structlog
+import xxhash
+
+from yuccadale_core.counters import Counters
+from yuccadale_core.instances import InstanceRef, Leadership
+from yuccadale_core.messages import (
+    AnyMessage,
+    Batch,
+    Heartbeat,
+    PeerMessage,
+    PeersTell,
+    decode_batch,
+)
+from yuccadale_core.peer_keys import PeerKeys
+from yuccadale_core.timing import (
+    HEARTBEAT_INTERVAL_MS,
+    SUSPICION_MS,
+    seconds,
+)
+
+from yuccadale_router._internal.clock import Clock
+from yuccadale_router._internal.contracts import (
+    LeadershipTable,
+    MessageHandler,
+)
+from yuccadale_router._internal.network.peer_link import PeerLink
+from yuccadale_router._internal.network.peer_transport import open_listener
+
+_log = structlog.get_logger()
+# Heartbeats go to this many peers of the same data centre and this many
+# others, chosen by hash, and to peers in recent use; not to all.
+_NEAR_PEERS = 8
+_FAR_PEERS = 3
+_RECENT_USE_MS = 5000
+# A change of leadership rides on heartbeats for this long.
+_NEWS_MS = 2000
+# A new peer hears of this many others; it learns the rest from them.
+_INTRODUCTIONS = 32
+# A peer that stays silent this long is forgotten; the list brings it back.
+_FORGET_MS = 60_000
+
+
+class PeerLinks:
+    """Implements ``Peers`` with one ``PeerLink`` and one task per peer."""
+
+    def __init__(
+        self,
+        me: InstanceRef,
+        *,
+        keys: PeerKeys,
+        leaderships: LeadershipTable,
+        counters: Counters,
+        clock: Clock,
+        message_limit: int,
+    ) -> None:
+        self._me = me
+        self._keys = keys
+        self._leaderships = leaderships
+        self.counters = counters
+        self._clock = clock
+        self._message_limit = message_limit
+        self._link_by_name: dict[str, PeerLink] = {}
+        self._task_by_name: dict[str, asyncio.Task[None]] = {}
+        self._handlers_by_type: dict[
+            type[PeerMessage], list[MessageHandler]
+        ] = {}
+        self._news: list[tuple[float, Leadership]] = []
+        self._leaving = False
+        self.revision_by_scope: Callable[[], dict[str, int]] = dict
+        leaderships.listen(self._note_news)
+
+    def send(self, peer_name: str, message: AnyMessage) -> bool:
+        """Queues a message for a peer; see ``Peers``."""
+        link = self._link_by_name.get(peer_name)
+        if link is None:
+            return False
+        link.used_ms = self._clock()
+        return link.send(message)
+
+    def handle(
+        self, message_type: type[PeerMessage], handler: MessageHandler
+    ) -> None:
+        """Calls the handler for each message of the type."""
+        self._handlers_by_type.setdefault(message_type, []).append(handler)
+
+    def silence_ms(self, peer_name: str) -> float:
+        """Time since the peer was last heard, infinity when never."""
+        link = self._link_by_name.get(peer_name)
+        if link is None:
+            return float('inf')
+        return self._clock() - link.heard_ms
+
+    def live_peers(self) -> Sequence[InstanceRef]:
+        """Peers heard within the suspicion time that are not leaving."""
+        return [
+            link.ref
+            for link in self._link_by_name.values()
+            if not link.leaving
+            and self._clock() - link.heard_ms < SUSPICION_MS
+        ]
+
+    def known_peers(self) -> Sequence[InstanceRef]:
+        """All peers that have a link."""
+        return [link.ref for link in self._link_by_name.values()]
+
+    def learn(self, ref: InstanceRef) -> None:
+        """Opens a link to an instance that has none.
+
+        Only a message of the process itself may replace a known incarnation,
+        since references from the list or from other peers may be stale.
+        """
+        if ref.name == self._me.name or ref.name in self._link_by_name:
+            return
+        if ref.peer_address == self._me.peer_address:
+            return
+        link = PeerLink(
+            self._me,
+            ref,
+            keys=self._keys,
+            counters=self.counters,
+            clock=self._clock,
+            message_limit=self._message_limit,
+        )
+        self._link_by_name[ref.name] = link
+        self._task_by_name[ref.name] = asyncio.create_task(
+            link.run(), name=f'link to {ref.name}'
+        )
+        link.send(link.next_heartbeat(self._heartbeat(whole=True)))
+
+    def announce_leaving(self) -> None:
+        """Says in all later heartbeats that this instance is leaving."""
+        self._leaving = True
+        self._send_heartbeats(list(self._link_by_name.values()))
+
+    async def run(self) -> None:
+        """Listens and sends heartbeats until cancelled."""
+        heartbeats = asyncio.create_task(
+            self._heartbeat_loop(), name='heartbeats'
+        )
+        try:
+            with open_listener(self._me.peer_address) as listener:
+                await self._receive_loop(listener)
+        finally:
+            heartbeats.cancel()
+            for task in self._task_by_name.values():
+                task.cancel()
+
+    async def _receive_loop(self, listener: pynng.Pull0) -> None:
+        while True:
+            sealed = await listener.arecv()
+            encoded = self._keys.open(sealed)
+            if encoded is None:
+                self.counters.count('peer.rejected.mac')
+                continue
+            try:
+                batch = decode_batch(encoded)
+            except (msgspec.DecodeError, msgspec.ValidationError):
+                self.counters.count('peer.rejected.malformed')
+                continue
+            self.counters.count('peer.received_bytes', len(sealed))
+            self._receive_batch(batch)
+
+    def _receive_batch(self, batch: Batch) -> None:
+        if batch.receiver not in {self._me.name, ''}:
+            self.counters.count('peer.rejected.receiver')
+            return
+        link = self._link_of(batch)
+        if link is None:
+            self.counters.count('peer.rejected.incarnation')
+            return
+        if not link.accept_number(batch.number):
+            self.counters.count('peer.rejected.duplicate')
+            return
+        for message in batch.messages:
+            link.heard(message)
+            self._deliver(link, message)
+
+    def _link_of(self, batch: Batch) -> PeerLink | None:
+        """Returns the sender's link; a heartbeat introduces a new process."""
+        link = self._link_by_name.get(batch.sender)
+        if link is not None and link.ref.incarnation == batch.incarnation:
+            return link
+        if link is not None and link.is_retired(batch.incarnation):
+            return None
+        introduced = next(
+            (
+                message.sender
+                for message in batch.messages
+                if isinstance(message, Heartbeat)
+            ),
+            None,
+        )
+        if introduced is None or introduced.name != batch.sender:
+            return None
+        if link is None:
+            self.learn(introduced)
+            link = self._link_by_name[introduced.name]
+        else:
+            link.restart(introduced)
+            link.send(link.next_heartbeat(self._heartbeat(whole=True)))
+        link.send(PeersTell(self._introductions()))
+        return link
+
+    def _introductions(self) -> list[InstanceRef]:
+        return [
+            link.ref
+            for link in self._link_by_name.values()
+            if link.heard_ms > 0 and not link.leaving
+        ][:_INTRODUCTIONS]
+
+    def _deliver(self, link: PeerLink, message: PeerMessage) -> None:
+        if isinstance(message, Heartbeat):
+            for leadership in message.leaderships:
+                self._leaderships.learn(leadership)
+        elif isinstance(message, PeersTell):
+            for ref in message.instances:
+                self.learn(ref)
+        for handler in self._handlers_by_type.get(type(message), ()):
+            try:
+                handler(link.ref, message)
+            except Exception:
+                # A fault in one handler must not end the receive task, or
+                # the whole instance would look dead to its peers.
+                self.counters.count('peer.handler_failed')
+                _log.exception(
+                    'handler failed', message=type(message).__name__
+                )
+
+    def _note_news(self, leadership: Leadership) -> None:
+        now = self._clock()
+        self._news = [
+            (noted_ms, known)
+            for noted_ms, known in self._news
+            if now - noted_ms < _NEWS_MS and known.group != leadership.group
+        ]
+        self._news.append((now, leadership))
+        if leadership.leader.name == self._me.name:
+            self._send_heartbeats(self._heartbeat_set())
+
+    async def _heartbeat_loop(self) -> None:
+        while True:
+            self._forget_dead()
+            self._send_heartbeats(self._heartbeat_set())
+            await asyncio.sleep(seconds(HEARTBEAT_INTERVAL_MS))
+
+    def _send_heartbeats(self, links: list[PeerLink]) -> None:
+        template = self._heartbeat(whole=False)
+        for link in links:
+            link.send(link.next_heartbeat(template))
+
+    def _heartbeat(self, *, whole: bool) -> Heartbeat:
+        now = self._clock()
+        if whole:
+            leaderships = list(self._leaderships.by_group().values())
+        else:
+            leaderships = [
+                leadership
+                for noted_ms, leadership in self._news
+                if now - noted_ms < _NEWS_MS
+            ]
+        return Heartbeat(
+            number=0,
+            echo=0,
+            sender=self._me,
+            revision_by_scope=self.revision_by_scope(),
+            leaderships=leaderships,
+            leaving=self._leaving,
+        )
+
+    def _heartbeat_set(self) -> list[PeerLink]:
+        now = self._clock()
+        ranked = sorted(self._link_by_name.values(), key=self._hash_rank)
+        near = [
+            link
+            for link in ranked
+            if link.ref.data_centre == self._me.data_centre
+        ][:_NEAR_PEERS]
+        far = [link for link in ranked if link not in near][:_FAR_PEERS]
+        in_use = [
+            link
+            for link in ranked
+            if link not in near
+            and link not in far
+            and now - link.used_ms < _RECENT_USE_MS
+        ]
+        return near + far + in_use
+
+    def _hash_rank(self, link: PeerLink) -> int:
+        pair = f'{self._me.name}/{link.ref.name}'
+        return xxhash.xxh3_64_intdigest(pair.encode())
+
+    def _forget_dead(self) -> None:
+        now = self._clock()
+        for name, link in list(self._link_by_name.items()):
+            if now - max(link.heard_ms, link.opened_ms) > _FORGET_MS:
+                self._link_by_name.pop(name)
+                self._task_by_name.pop(name).cancel()
+                _log.info('forgot silent peer', peer=name)
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_transport.py
@@ -0,0 +1,53 @@
+"""pynng sockets for links between instances.
+
+``Push0`` and ``Pull0`` send nothing twice by themselves, unlike ``Req0``,
+which repeats a request after a lost connection.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import pynng
+
+# pynng starts about 30 threads on 10 cores by default. One link message
+# costs far more in Python than in these threads, so the minimum is enough.
+_THREADS_BY_PARAMETER = (
+    ('NNG_INIT_NUM_TASK_THREADS', 2),
+    ('NNG_INIT_MAX_TASK_THREADS', 2),
+    ('NNG_INIT_NUM_EXPIRE_THREADS', 1),
+    ('NNG_INIT_MAX_EXPIRE_THREADS', 1),
+    ('NNG_INIT_NUM_POLLER_THREADS', 1),
+    ('NNG_INIT_MAX_POLLER_THREADS', 1),
+    ('NNG_INIT_NUM_RESOLVER_THREADS', 1),
+)
+_RECONNECT_MIN_MS = 50
+_RECONNECT_MAX_MS = 500
+_MAX_MESSAGE_BYTES = 4 << 20
+
+
+def limit_threads() -> None:
+    """Bounds the library's threads; works only before the first socket."""
+    for parameter, threads in _THREADS_BY_PARAMETER:
+        pynng.lib.nng_init_set_parameter(
+            getattr(pynng.lib, parameter), threads
+        )
+
+
+@contextmanager
+def open_listener(address: str) -> Iterator[pynng.Pull0]:
+    """Listens for batches of all peers on ``host:port``."""
+    with pynng.Pull0(
+        listen=f'tcp://{address}', recv_max_size=_MAX_MESSAGE_BYTES
+    ) as listener:
+        yield listener
+
+
+@contextmanager
+def open_dialer(address: str) -> Iterator[pynng.Push0]:
+    """Dials one peer; connecting goes on in the background."""
+    with pynng.Push0(
+        reconnect_time_min=_RECONNECT_MIN_MS,
+        reconnect_time_max=_RECONNECT_MAX_MS,
+    ) as dialer:
+        dialer.dial(f'tcp://{address}', block=False)
+        yield dialer
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/peer_directory.py
@@ -0,0 +1,62 @@
+"""Finds peers: the platform's list, seeds from the settings, other peers."""
+
+import asyncio
+import random
+
+import structlog
+
+from yuccadale_core.counters import Counters
+from yuccadale_core.instances import InstanceRef
+from yuccadale_core.platform import InstanceList, ListedInstance
+
+from yuccadale_router._internal.network.peer_links import PeerLinks
+
+_log = structlog.get_logger()
+_READ_INTERVAL_S = 5.0
+# Spreads the readers after an outage of the platform.
+_JITTER_SHARE = 0.5
+_RETRY_INTERVAL_S = 1.0
+
+
+def listed_reference(listed: ListedInstance) -> InstanceRef:
+    """Makes a reference whose incarnation the first heartbeat will tell."""
+    return InstanceRef(
+        name=listed.name,
+        incarnation='',
+        data_centre=listed.data_centre,
+        rack=listed.rack,
+        peer_address=listed.address,
+    )
+
+
+def seed_reference(address: str) -> InstanceRef:
+    """Makes a reference to an instance of which only the address is known."""
+    return InstanceRef(
+        name=address,
+        incarnation='',
+        data_centre='',
+        rack='',
+        peer_address=address,
+    )
+
+
+async def follow_instance_list(
+    instance_list: InstanceList,
+    links: PeerLinks,
+    counters: Counters,
+    seed_addresses: list[str],
+) -> None:
+    """Opens links to listed entry instances until cancelled."""
+    for address in seed_addresses:
+        links.learn(seed_reference(address))
+    while True:
+        fetched = await instance_list.fetch()
+        interval_s = _READ_INTERVAL_S
+        if fetched.is_ok():
+            for listed in fetched.ok:
+                if listed.kind == 'entry' and listed.state == 'live':
+                    links.learn(listed_reference(listed))
+        else:
+            counters.count('platform.list_failed')
+            interval_s = _RETRY_INTERVAL_S
+        await asyncio.sleep(interval_s * random.uniform(1, 1 + _JITTER_SHARE))
--- /dev/null
+++ b/tests/builders/peers.py
@@ -0,0 +1,56 @@
+"""Builds peer links on loopback for tests."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from yuccadale_core.counters import Counters
+from yuccadale_core.instances import InstanceRef
+from yuccadale_core.peer_keys import PeerKeys
+from yuccadale_router._internal.clock import monotonic_ms
+from yuccadale_router._internal.contracts import LeadershipTable
+from yuccadale_router._internal.network.peer_links import PeerLinks
+
+
+def write_peer_keys(directory: Path, *keys: str) -> PeerKeys:
+    """Writes a key file and reads it."""
+    path = directory / f'keys-{"-".join(keys)}'
+    path.write_text('\n'.join(keys))
+    return PeerKeys(path)
+
+
+def free_address() -> str:
+    """Returns a loopback address whose port was free a moment ago."""
+    with socket.socket() as bound:
+        bound.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{bound.getsockname()[1]}'
+
+
+def instance(
+    name: str, address: str, *, incarnation: str = 'first'
+) -> InstanceRef:
+    """Returns a reference to an entry instance in data centre ``east``."""
+    return InstanceRef(name, incarnation, 'east', 'rack-0', address)
+
+
+@asynccontextmanager
+async def running_links(
+    me: InstanceRef, keys: PeerKeys, *, message_limit: int = 1000
+) -> AsyncIterator[PeerLinks]:
+    """Runs the links of one instance until the block ends."""
+    links = PeerLinks(
+        me,
+        keys=keys,
+        leaderships=LeadershipTable(),
+        counters=Counters(),
+        clock=monotonic_ms,
+        message_limit=message_limit,
+    )
+    task = asyncio.create_task(links.run())
+    try:
+        yield links
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/tests/router/network/test_peer_links.py
@@ -0,0 +1,109 @@
+"""Links deliver to the right peer, and refuse strangers and old processes."""
+
+import asyncio
+from pathlib import Path
+
+from tests.builders.peers import (
+    free_address,
+    instance,
+    running_links,
+    write_peer_keys,
+)
+from yuccadale_core.instances import InstanceRef
+from yuccadale_core.messages import Cancel, PeerMessage
+from yuccadale_router._internal.network.peer_links import PeerLinks
+
+_PATIENCE_S = 20
+
+
+async def _receive_one(links: PeerLinks) -> asyncio.Future[int]:
+    received: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+    def note(_: InstanceRef, message: PeerMessage) -> None:
+        if isinstance(message, Cancel) and not received.done():
+            received.set_result(message.forward_id)
+
+    links.handle(Cancel, note)
+    return received
+
+
+async def _until_heard(links: PeerLinks, name: str) -> None:
+    async with asyncio.timeout(_PATIENCE_S):
+        while links.silence_ms(name) == float('inf'):
+            await asyncio.sleep(0.01)
+
+
+async def test_message_reaches_the_peer(tmp_path: Path) -> None:
+    """Guards against a link that connects but delivers nothing."""
+    keys = write_peer_keys(tmp_path, 'secret')
+    east = instance('east-0', free_address())
+    west = instance('west-0', free_address())
+    async with running_links(east, keys) as sender:
+        async with running_links(west, keys) as receiver:
+            received = await _receive_one(receiver)
+            sender.learn(west)
+            assert sender.send('west-0', Cancel(7))
+            assert await asyncio.wait_for(received, _PATIENCE_S) == 7
+            await _until_heard(sender, 'west-0')
+            assert [ref.name for ref in sender.live_peers()] == ['west-0']
+
+
+async def test_stranger_without_the_key_is_refused(tmp_path: Path) -> None:
+    """Guards against a process without a peer key that acts as a peer."""
+    east = instance('east-0', free_address())
+    west = instance('west-0', free_address())
+    stranger_keys = write_peer_keys(tmp_path, 'guessed')
+    async with running_links(east, stranger_keys) as stranger:
+        keys = write_peer_keys(tmp_path, 'secret')
+        async with running_links(west, keys) as receiver:
+            received = await _receive_one(receiver)
+            stranger.learn(west)
+            stranger.send('west-0', Cancel(7))
+            async with asyncio.timeout(_PATIENCE_S):
+                while not receiver.counters.snapshot().get(
+                    'peer.rejected.mac'
+                ):
+                    await asyncio.sleep(0.01)
+            assert not received.done()
+            assert not receiver.known_peers()
+
+
+async def test_key_is_replaced_without_a_stop(tmp_path: Path) -> None:
+    """Guards against a peer that is locked out while keys are replaced."""
+    old = write_peer_keys(tmp_path, 'old')
+    both = write_peer_keys(tmp_path, 'new', 'old')
+    sealed_by_old = old.seal(b'batch')
+    sealed_by_new = both.seal(b'batch')
+    assert both.open(sealed_by_old) == b'batch'
+    assert both.open(sealed_by_new) == b'batch'
+    assert old.open(sealed_by_new) is None
+
+
+async def test_restarted_peer_replaces_its_earlier_process(
+    tmp_path: Path,
+) -> None:
+    """Guards against taking a restarted process for the one before it."""
+    keys = write_peer_keys(tmp_path, 'secret')
+    west_address = free_address()
+    east = instance('east-0', free_address())
+    async with running_links(east, keys) as links:
+        for incarnation in ('first', 'second'):
+            west = instance('west-0', west_address, incarnation=incarnation)
+            async with running_links(west, keys) as other:
+                other.learn(east)
+                async with asyncio.timeout(_PATIENCE_S):
+                    while incarnation not in {
+                        ref.incarnation for ref in links.known_peers()
+                    }:
+                        await asyncio.sleep(0.01)
+        assert len(links.known_peers()) == 1
+
+
+def test_altered_batch_is_refused(tmp_path: Path) -> None:
+    """Guards against bytes that were changed on the way."""
+    keys = write_peer_keys(tmp_path, 'secret')
+    sealed = bytearray(keys.seal(b'batch of messages'))
+    for position in range(len(sealed)):
+        altered = bytearray(sealed)
+        altered[position] ^= 1
+        assert keys.open(bytes(altered)) is None
