--- /dev/null
+++ b/tests/router/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of placement."""
