Read and write declarations as INI files, one for each scope

A file is read whole or refused with all of its errors, each with file, line, section, key, found and allowed. configparser stops at the first malformed line and keeps no line numbers, so a small scanner splits the text; pydantic models hold keys, ranges and defaults. Fields that are fixed once in force and references between scopes are checked separately, because scopes are submitted one by one.

--- a/packages/core/src/yuccadale_core/_internal/declaration.py
+++ b/packages/core/src/yuccadale_core/_internal/declaration.py
@@ -1,6 +1,7 @@
 """The declaration in force, as data classes (no parsing here)."""
 
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,3 +88,92 @@
     region_link_bytes_per_s: float = 3_750_000
     lost_instances: frozenset[str] = frozenset()
     revision_by_scope: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceScope:
+    """Scope ``service.<name>``: one service."""
+
+    customer: str
+    service: Service
+
+    @property
+    def scope(self) -> str:
+        """Name of the scope."""
+        return f'service.{self.service.name}'
+
+
+@dataclass(frozen=True, slots=True)
+class PlacesScope:
+    """Scope ``places``: regions, data centres and the link between regions."""
+
+    customer: str
+    region_names: tuple[str, ...] = ()
+    data_centre_by_name: dict[str, DataCentre] = field(default_factory=dict)
+    region_link_bytes_per_s: float = 3_750_000
+    lost_instances: frozenset[str] = frozenset()
+
+    @property
+    def scope(self) -> str:
+        """Name of the scope."""
+        return 'places'
+
+
+@dataclass(frozen=True, slots=True)
+class IntentScope:
+    """Scope ``intent``: what the customer minds more, or less."""
+
+    customer: str
+    weights: Weights = field(default_factory=Weights)
+    weights_by_service: dict[str, Weights] = field(default_factory=dict)
+
+    @property
+    def scope(self) -> str:
+        """Name of the scope."""
+        return 'intent'
+
+
+ScopeDeclaration = ServiceScope | PlacesScope | IntentScope
+
+
+def assemble(
+    scopes: Iterable[ScopeDeclaration], revision_by_scope: dict[str, int]
+) -> Declaration:
+    """Puts scopes together; any subset of scopes gives a declaration.
+
+    Scopes arrive one by one at an instance, so references to a service that
+    has not arrived yet are kept and take effect once it has.
+    """
+    declaration = Declaration(revision_by_scope=dict(revision_by_scope))
+    for scope in scopes:
+        declaration = _with_scope(declaration, scope)
+    return declaration
+
+
+def _with_scope(
+    declaration: Declaration, scope: ScopeDeclaration
+) -> Declaration:
+    if isinstance(scope, ServiceScope):
+        return replace(
+            declaration,
+            customer=scope.customer,
+            service_by_name={
+                **declaration.service_by_name,
+                scope.service.name: scope.service,
+            },
+        )
+    if isinstance(scope, PlacesScope):
+        return replace(
+            declaration,
+            customer=scope.customer,
+            region_names=scope.region_names,
+            data_centre_by_name=scope.data_centre_by_name,
+            region_link_bytes_per_s=scope.region_link_bytes_per_s,
+            lost_instances=scope.lost_instances,
+        )
+    return replace(
+        declaration,
+        customer=scope.customer,
+        weights=scope.weights,
+        weights_by_service=scope.weights_by_service,
+    )
--- /dev/null
+++ b/packages/core/src/yuccadale_core/_internal/declaration_checks.py
@@ -0,0 +1,204 @@
+"""Checks of a scope against the other scopes and against what is in force."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from yuccadale_core._internal.declaration import (
+    IntentScope,
+    PlacesScope,
+    ScopeDeclaration,
+    ServiceScope,
+)
+from yuccadale_core._internal.declaration_ini import (
+    ScopeFile,
+    values_by_section,
+)
+from yuccadale_core._internal.ini_lines import DeclarationError
+
+_LOST = 'lost'
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A key whose value differs; an empty text means that it is absent."""
+
+    section: str
+    key: str
+    old: str
+    new: str
+
+
+def check_together(
+    candidate: ScopeFile, others: Iterable[ScopeDeclaration]
+) -> list[DeclarationError]:
+    """Checks the references of one scope to all others."""
+    declaration = candidate.declaration
+    kept = [scope for scope in others if scope.scope != declaration.scope]
+    errors = _check_customer(candidate, kept)
+    service_names = {
+        scope.service.name for scope in kept if isinstance(scope, ServiceScope)
+    }
+    if isinstance(declaration, PlacesScope):
+        errors += _check_capacities(candidate, declaration, service_names)
+    if isinstance(declaration, IntentScope):
+        errors += [
+            _unknown_service(candidate, f'weights.{name}', '', service_names)
+            for name in declaration.weights_by_service
+            if name not in service_names
+        ]
+    return errors
+
+
+def check_succession(
+    candidate: ScopeFile,
+    in_force: ScopeDeclaration | None,
+    *,
+    lost_confirmed: bool,
+) -> list[DeclarationError]:
+    """Checks what may not change, or not without a confirmation."""
+    declaration = candidate.declaration
+    errors: list[DeclarationError] = []
+    if in_force is not None and in_force.customer != declaration.customer:
+        errors.append(
+            candidate.error_at(
+                'declaration',
+                'customer',
+                declaration.customer,
+                f'{in_force.customer}, which is in force and fixed',
+            )
+        )
+    if isinstance(declaration, ServiceScope):
+        errors += _check_slot_count(candidate, declaration, in_force)
+    if isinstance(declaration, PlacesScope):
+        before = in_force if isinstance(in_force, PlacesScope) else None
+        errors += _check_regions(candidate, declaration, before)
+        if not lost_confirmed:
+            errors += _check_lost(candidate, declaration, before)
+    return errors
+
+
+def newly_lost(
+    declaration: ScopeDeclaration, in_force: ScopeDeclaration | None
+) -> list[str]:
+    """Names data centres and instances that are now declared lost."""
+    if not isinstance(declaration, PlacesScope):
+        return []
+    before = in_force if isinstance(in_force, PlacesScope) else None
+    lost_before = _lost_names(before) if before else set()
+    return sorted(_lost_names(declaration) - lost_before)
+
+
+def difference(
+    old: ScopeDeclaration | None, new: ScopeDeclaration
+) -> list[Change]:
+    """Returns what differs, defaults included, in the order of the file."""
+    old_texts = _flat(old) if old is not None else {}
+    new_texts = _flat(new)
+    places = [
+        *new_texts,
+        *(place for place in old_texts if place not in new_texts),
+    ]
+    return [
+        Change(*place, old_texts.get(place, ''), new_texts.get(place, ''))
+        for place in places
+        if old_texts.get(place) != new_texts.get(place)
+    ]
+
+
+def _flat(declaration: ScopeDeclaration) -> dict[tuple[str, str], str]:
+    texts: dict[tuple[str, str], str] = {}
+    for section, text_by_key in values_by_section(declaration).items():
+        if not text_by_key:
+            texts[section, ''] = 'declared'
+        for key, text in text_by_key.items():
+            texts[section, key] = text
+    return texts
+
+
+def _check_customer(
+    candidate: ScopeFile, others: list[ScopeDeclaration]
+) -> list[DeclarationError]:
+    customer = candidate.declaration.customer
+    customers = sorted({scope.customer for scope in others})
+    if not customers or customer in customers:
+        return []
+    return [
+        candidate.error_at(
+            'declaration', 'customer', customer, ', '.join(customers)
+        )
+    ]
+
+
+def _check_capacities(
+    candidate: ScopeFile, places: PlacesScope, service_names: set[str]
+) -> list[DeclarationError]:
+    return [
+        _unknown_service(
+            candidate, f'capacity.{centre.name}', service, service_names
+        )
+        for centre in places.data_centre_by_name.values()
+        for service in centre.capacity_by_service
+        if service not in service_names
+    ]
+
+
+def _unknown_service(
+    candidate: ScopeFile, section: str, key: str, service_names: set[str]
+) -> DeclarationError:
+    found = key or section.partition('.')[-1]
+    allowed = ', '.join(sorted(service_names)) or 'a declared service'
+    return candidate.error_at(section, key, found, allowed)
+
+
+def _check_slot_count(
+    candidate: ScopeFile,
+    declaration: ServiceScope,
+    in_force: ScopeDeclaration | None,
+) -> list[DeclarationError]:
+    if not isinstance(in_force, ServiceScope):
+        return []
+    fixed = in_force.service.slot_count
+    found = declaration.service.slot_count
+    if found == fixed:
+        return []
+    allowed = f'{fixed}, which is in force and fixed'
+    return [candidate.error_at('service', 'slot_count', str(found), allowed)]
+
+
+def _check_regions(
+    candidate: ScopeFile, places: PlacesScope, before: PlacesScope | None
+) -> list[DeclarationError]:
+    known = before.data_centre_by_name if before else {}
+    return [
+        candidate.error_at(
+            f'data_centre.{centre.name}',
+            'region',
+            centre.region,
+            f'{known[centre.name].region}, which is in force and fixed',
+        )
+        for centre in places.data_centre_by_name.values()
+        if centre.name in known and known[centre.name].region != centre.region
+    ]
+
+
+def _check_lost(
+    candidate: ScopeFile, places: PlacesScope, before: PlacesScope | None
+) -> list[DeclarationError]:
+    allowed = 'lost only with a confirmation that all processes are stopped'
+    errors = []
+    for name in newly_lost(places, before):
+        if name in places.data_centre_by_name:
+            section, key = f'data_centre.{name}', 'state'
+        else:
+            section, key = 'lost_instances', 'names'
+        errors.append(candidate.error_at(section, key, name, allowed))
+    return errors
+
+
+def _lost_names(places: PlacesScope) -> set[str]:
+    lost_centres = {
+        centre.name
+        for centre in places.data_centre_by_name.values()
+        if centre.state == _LOST
+    }
+    return lost_centres | places.lost_instances
--- /dev/null
+++ b/packages/core/src/yuccadale_core/declaration_ini.py
@@ -0,0 +1,29 @@
+"""Declarations as INI files: reading, writing, checks and differences."""
+
+from yuccadale_core._internal.declaration_checks import (
+    Change,
+    check_succession,
+    check_together,
+    difference,
+    newly_lost,
+)
+from yuccadale_core._internal.declaration_ini import (
+    ScopeFile,
+    read_scope,
+    values_by_section,
+    write_scope,
+)
+from yuccadale_core._internal.ini_lines import DeclarationError
+
+__all__ = [
+    'Change',
+    'DeclarationError',
+    'ScopeFile',
+    'check_succession',
+    'check_together',
+    'difference',
+    'newly_lost',
+    'read_scope',
+    'values_by_section',
+    'write_scope',
+]
--- /dev/null
+++ b/packages/core/src/yuccadale_core/declaration_models.py
@@ -0,0 +1,9 @@
+"""Border models of the declaration, for the reference page."""
+
+from yuccadale_core._internal.declaration_models import (
+    RULES_BY_SCOPE_KIND,
+    SectionRule,
+    allowed_text,
+)
+
+__all__ = ['RULES_BY_SCOPE_KIND', 'SectionRule', 'allowed_text']
