--- /dev/null
+++ b/packages/bench/src/yuccadale_bench/_internal/callers.py
@@ -0,0 +1,182 @@
+"""Callers for demonstrations: a bounded closed loop that checks its answers."""
+
+import asyncio
+import itertools
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiohttp
+
+_CONNECT_ATTEMPTS = 20
+_PAUSE_S = 0.02
+_RETRY_LIMIT_S = 8.0
+_SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class CallerKind:
+    """What one kind of caller sends.
+
+    Attributes:
+        service: first part of the path.
+        kind: declared kind.
+        repeatable: whether the caller may send it again under another id.
+    """
+
+    service: str
+    kind: str
+    repeatable: bool
+
+
+@dataclass(slots=True)
+class CallerReport:
+    """What the callers saw.
+
+    Attributes:
+        answered: requests that a server answered.
+        refused_by_code: refusals by result code name.
+        retried: further attempts after a refusal with ``not run``.
+        unknown: non-repeatable requests whose outcome stayed unknown.
+        wrong: answers that belong to another request; must stay 0.
+        latencies_ms: time of each answered attempt.
+        longest_gap_by_key_s: longest time from a refusal to an answer.
+    """
+
+    answered: int = 0
+    refused_by_code: Counter[str] = field(default_factory=Counter)
+    retried: int = 0
+    unknown: int = 0
+    unreachable: int = 0
+    wrong: int = 0
+    latencies_ms: list[float] = field(default_factory=list)
+    longest_gap_by_key_s: dict[str, float] = field(default_factory=dict)
+
+    def note_gap(self, key: str, gap_s: float) -> None:
+        """Keeps the longest time that a key was not served."""
+        known = self.longest_gap_by_key_s.get(key, 0)
+        self.longest_gap_by_key_s[key] = max(known, gap_s)
+
+
+class Balancer:
+    """Stands for the platform's balancer: round robin, skips dead ones."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._addresses = itertools.cycle(addresses)
+
+    def next_address(self) -> str:
+        """Returns the address of the next entry instance."""
+        return next(self._addresses)
+
+
+class Callers:
+    """A number of callers that send one request after the other.
+
+    Args:
+        seconds: how long the callers send; what is under way may finish.
+    """
+
+    def __init__(
+        self,
+        balancer: Balancer,
+        kinds: list[CallerKind],
+        *,
+        callers: int,
+        seconds: float,
+        seed: int,
+    ) -> None:
+        self.report = CallerReport()
+        self._balancer = balancer
+        self._kinds = kinds
+        self._callers = callers
+        self._ends_at = time.monotonic() + seconds
+        self._random = random.Random(seed)
+        self._ids = itertools.count()
+
+    async def run(self) -> CallerReport:
+        """Sends until the time is over and returns what was seen."""
+        connector = aiohttp.TCPConnector(limit=self._callers * 2)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            await asyncio.gather(
+                *(self._call_repeatedly(session) for _ in range(self._callers))
+            )
+        return self.report
+
+    async def _call_repeatedly(self, session: aiohttp.ClientSession) -> None:
+        while time.monotonic() < self._ends_at:
+            kind = self._random.choice(self._kinds)
+            key = f'key-{self._random.randrange(2000)}'
+            await self._complete(session, kind, key, f'id-{next(self._ids)}')
+            await asyncio.sleep(_PAUSE_S)
+
+    async def _complete(
+        self,
+        session: aiohttp.ClientSession,
+        kind: CallerKind,
+        key: str,
+        request_id: str,
+    ) -> None:
+        """Sends one piece of work until it is answered or given up."""
+        first_sent = time.monotonic()
+        outcome = 'none'
+        while time.monotonic() - first_sent < _RETRY_LIMIT_S:
+            outcome = await self._attempt(
+                session, kind, key, request_id, time.monotonic() - first_sent
+            )
+            if outcome == 'done':
+                gap_s = time.monotonic() - first_sent
+                self.report.note_gap(f'{kind.service}/{key}', gap_s)
+                return
+            self.report.retried += 1
+            await asyncio.sleep(_PAUSE_S * self._random.uniform(1, 5))
+        if outcome == 'unknown':
+            self.report.unknown += 1
+
+    async def _attempt(
+        self,
+        session: aiohttp.ClientSession,
+        kind: CallerKind,
+        key: str,
+        request_id: str,
+        age_s: float,
+    ) -> str:
+        address = self._balancer.next_address()
+        headers = {
+            'Yuccadale-Key': key,
+            'Yuccadale-Kind': kind.kind,
+            'Idempotency-Key': request_id,
+            'Yuccadale-First-Sent-Ago-Ms': str(round(age_s * 1000)),
+        }
+        sent = time.monotonic()
+        try:
+            async with session.post(
+                f'http://{address}/{kind.service}/work',
+                data=request_id.encode(),
+                headers=headers,
+            ) as answer:
+                body = await answer.read()
+        except aiohttp.ClientConnectorError:
+            self.report.unreachable += 1
+            return 'not run'
+        except aiohttp.ClientError:
+            self.report.unreachable += 1
+            return 'unknown'
+        return self._note(answer, body, request_id, sent)
+
+    def _note(
+        self,
+        answer: aiohttp.ClientResponse,
+        body: bytes,
+        request_id: str,
+        sent: float,
+    ) -> str:
+        outcome = answer.headers.get('Yuccadale-Outcome', 'none')
+        if outcome == 'done' and answer.status < _SERVER_ERROR:
+            self.report.answered += 1
+            self.report.latencies_ms.append((time.monotonic() - sent) * 1000)
+            self.report.wrong += request_id.encode() not in body
+        else:
+            code = answer.headers.get('Yuccadale-Code', str(answer.status))
+            self.report.refused_by_code[code] += 1
+        return outcome
--- a/packages/router/src/yuccadale_router/_internal/network/http_app.py
+++ b/packages/router/src/yuccadale_router/_internal/network/http_app.py
@@ -42,9 +42,14 @@
     try:
         yield server
     finally:
-        await server.before_stop()
-        server.close()
-        await server.wait_closed()
-        for connection in tuple(server.connections):
-            connection.close_if_idle()
-        await server.after_stop()
+        await _close(server)
+
+
+async def _close(server: AsyncioServer) -> None:
+    """Stops listening and closes idle connections."""
+    await server.before_stop()
+    server.close()
+    await server.wait_closed()
+    for connection in tuple(server.connections):
+        connection.close_if_idle()
+    await server.after_stop()
--- a/packages/router/src/yuccadale_router/_internal/peer_directory.py
+++ b/packages/router/src/yuccadale_router/_internal/peer_directory.py
@@ -50,13 +50,19 @@
     for address in seed_addresses:
         links.learn(seed_reference(address))
     while True:
-        fetched = await instance_list.fetch()
-        interval_s = _READ_INTERVAL_S
-        if fetched.is_ok():
-            for listed in fetched.ok:
-                if listed.kind == 'entry' and listed.state == 'live':
-                    links.learn(listed_reference(listed))
-        else:
-            counters.count('platform.list_failed')
-            interval_s = _RETRY_INTERVAL_S
+        interval_s = await _read_once(instance_list, links, counters)
         await asyncio.sleep(interval_s * random.uniform(1, 1 + _JITTER_SHARE))
+
+
+async def _read_once(
+    instance_list: InstanceList, links: PeerLinks, counters: Counters
+) -> float:
+    """Reads the list and returns the seconds until the next read."""
+    fetched = await instance_list.fetch()
+    if fetched.is_error():
+        counters.count('platform.list_failed')
+        return _RETRY_INTERVAL_S
+    for listed in fetched.ok:
+        if listed.kind == 'entry' and listed.state == 'live':
+            links.learn(listed_reference(listed))
+    return _READ_INTERVAL_S
--- a/tests/router/network/test_peer_links.py
+++ b/tests/router/network/test_peer_links.py
@@ -79,6 +79,16 @@
     assert old.open(sealed_by_new) is None
 
 
+async def _until_known(links: PeerLinks, incarnation: str) -> None:
+    async with asyncio.timeout(_PATIENCE_S):
+        while incarnation not in _incarnations(links):
+            await asyncio.sleep(0.01)
+
+
+def _incarnations(links: PeerLinks) -> set[str]:
+    return {ref.incarnation for ref in links.known_peers()}
+
+
 async def test_restarted_peer_replaces_its_earlier_process(
     tmp_path: Path,
 ) -> None:
@@ -91,19 +101,15 @@
             west = instance('west-0', west_address, incarnation=incarnation)
             async with running_links(west, keys) as other:
                 other.learn(east)
-                async with asyncio.timeout(_PATIENCE_S):
-                    while incarnation not in {
-                        ref.incarnation for ref in links.known_peers()
-                    }:
-                        await asyncio.sleep(0.01)
-        assert len(links.known_peers()) == 1
+                await _until_known(links, incarnation)
+        assert _incarnations(links) == {'second'}
 
 
 def test_altered_batch_is_refused(tmp_path: Path) -> None:
     """Guards against bytes that were changed on the way."""
     keys = write_peer_keys(tmp_path, 'secret')
-    sealed = bytearray(keys.seal(b'batch of messages'))
-    for position in range(len(sealed)):
+    sealed = keys.seal(b'batch of messages')
+    for position, byte in enumerate(sealed):
         altered = bytearray(sealed)
-        altered[position] ^= 1
+        altered[position] = byte ^ 1
         assert keys.open(bytes(altered)) is None
