--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/placement/view.py
@@ -0,0 +1,116 @@
+"""What one decision sees: arrays over the slots and servers of a group."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import numpy as np
+from numpy.typing import NDArray
+
+from yuccadale_core.declaration import Weights
+from yuccadale_router._internal.contracts import Candidate
+from yuccadale_router._internal.placement.policy import (
+    IMBALANCE_PERIOD_S,
+    PlacementPolicy,
+)
+
+Floats = NDArray[np.float64]
+Indices = NDArray[np.int64]
+
+_MILLISECONDS = 1000.0
+
+
+@dataclass(slots=True)
+class GroupView:
+    """Loads and owners, as indices into ``servers``; -1 is another server.
+
+    Attributes:
+        load: busy milliseconds per second, by slot.
+        key_share: share of all keys, by slot.
+        capacity: by server, ramped up while it is new.
+        factor: correction of the observed load, by server.
+        cold: whether a server has just started.
+    """
+
+    slots: Indices
+    owner: Indices
+    load: Floats
+    key_share: Floats
+    servers: Sequence[Candidate]
+    capacity: Floats
+    factor: Floats
+    cold: NDArray[np.bool_]
+
+    def relative_loads(self) -> Floats:
+        """Returns each server's load over its capacity, with a mean of 1."""
+        return self.server_loads() * self.relative_step()
+
+    def relative_step(self) -> Floats:
+        """Returns what one unit of load adds to each relative load."""
+        return self.factor / (self.capacity * self.mean_load())
+
+    def server_loads(self) -> Floats:
+        """Returns the observed load of each server."""
+        owned = self.owner >= 0
+        counted = np.bincount(
+            self.owner[owned],
+            weights=self.load[owned],
+            minlength=len(self.servers),
+        )
+        return counted.astype(np.float64)
+
+    def mean_load(self) -> float:
+        """Returns the load per unit of capacity; never 0."""
+        return max(float(self.load.sum() / self.capacity.sum()), 1e-9)
+
+
+@dataclass(frozen=True, slots=True)
+class Prices:
+    """Turns measures into the customer's weighted sum."""
+
+    weights: Weights
+    policy: PlacementPolicy
+    mean_service_ms: float
+    horizon_s: float
+
+    def gain(self, variation_before: float, variation_after: Floats) -> Floats:
+        """Returns the worth of a lower coefficient of variation."""
+        lasting = self.horizon_s / IMBALANCE_PERIOD_S
+        worth = self.weights.imbalance * lasting
+        return worth * (variation_before - variation_after)
+
+    def pause_s(self, load: Floats, cold: NDArray[np.bool_]) -> Floats:
+        """Returns how long a moving slot is not served.
+
+        The wait for the requests in progress grows with their number: the
+        longest of n exponential service times is about log(1 + n) of them.
+        """
+        in_progress = load / _MILLISECONDS
+        wait_ms = self.mean_service_ms * np.log1p(in_progress)
+        start_ms = np.where(cold, self.policy.cold_start_ms, 0)
+        return (self.policy.handover_ms + wait_ms + start_ms) / _MILLISECONDS
+
+    def price(
+        self,
+        view: GroupView,
+        moving: Indices,
+        servers: Indices,
+    ) -> Floats:
+        """Returns prices with a row per slot and a column per server."""
+        load = np.expand_dims(view.load[moving], 1)
+        churn = np.expand_dims(view.key_share[moving], 1)
+        pause = self.pause_s(load, view.cold[servers])
+        unavailable = pause * load / max(float(view.load.sum()), 1e-9)
+        price = self.weights.unavailable_time * unavailable
+        return price + self.weights.churn * churn
+
+
+def owner_indices(
+    owner_by_slot: Mapping[int, str], servers: Sequence[Candidate]
+) -> Indices:
+    """Returns the index of each slot's owner, -1 for any other server."""
+    index_by_name = {server.name: index for index, server in enumerate(servers)}
+    get_index = index_by_name.get
+    return np.array(
+        [get_index(owner, -1) for owner in owner_by_slot.values()],
+        dtype=np.int64,
+    )
