--- /dev/null
+++ b/packages/core/src/yuccadale_core/_internal/http_attempts.py
@@ -0,0 +1,70 @@
+"""One attempt per request on an aiohttp session.
+
+aiohttp sends GET, PUT, DELETE and some other methods a second time when a
+kept-alive connection is lost before the answer, although the server may have
+read the first copy. It repeats only after ``ClientOSError`` and
+``ServerDisconnectedError``, so a client middleware turns both into
+``AttemptLostError``, which the library hands to its caller.
+"""
+
+from types import SimpleNamespace
+
+import aiohttp
+
+
+class AttemptLostError(aiohttp.ClientError):
+    """The connection was lost after the request may have been sent."""
+
+
+class Attempt:
+    """What is known about one request on its way out.
+
+    Attributes:
+        connected: whether a connection was handed to the request, so that
+            bytes of it may have left the process.
+    """
+
+    def __init__(self) -> None:
+        self.connected = False
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        # No connection was made; aiohttp does not repeat these.
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise AttemptLostError(str(error) or type(error).__name__) from error
+
+
+async def _mark_connected(
+    _session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    _params: object,
+) -> None:
+    attempt = context.trace_request_ctx
+    if attempt is not None:
+        attempt.connected = True
+
+
+def single_attempt_session(
+    connector: aiohttp.BaseConnector,
+) -> aiohttp.ClientSession:
+    """Returns a session that never sends a request twice.
+
+    Pass an ``Attempt`` as ``trace_request_ctx`` to learn whether a failed
+    request may have left the process.
+    """
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_mark_connected)
+    trace.on_connection_reuseconn.append(_mark_connected)
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        middlewares=(_send_once,),
+        trace_configs=[trace],
+    )
--- /dev/null
+++ b/packages/core/src/yuccadale_core/_internal/targets_http.py
@@ -0,0 +1,361 @@
+"""HTTP adapter to servers.
+
+A server that refuses a request names the reason in ``Yuccadale-Refused``;
+that header is its statement that the request had no effect. Every other
+complete answer is the answer of the work itself.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import TypeVar
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+import yarl
+from expression import Result
+
+from yuccadale_core._internal.http_attempts import (
+    Attempt,
+    AttemptLostError,
+    single_attempt_session,
+)
+from yuccadale_core._internal.instances import ServerRef
+from yuccadale_core._internal.targets import (
+    Grant,
+    GrantAnswer,
+    LoadReport,
+    OutcomeAnswer,
+    ServerOutcome,
+    TargetAnswer,
+    TargetFailure,
+    TargetFailureKind,
+    TargetRequest,
+)
+from yuccadale_core._internal.timing import SUSPICION_MS, seconds
+
+REFUSED_HEADER = 'Yuccadale-Refused'
+HIGHEST_TOKEN_HEADER = 'Yuccadale-Highest-Token'
+TOKEN_HEADER = 'Yuccadale-Token'
+SLOT_HEADER = 'Yuccadale-Slot'
+KEY_HEADER = 'Yuccadale-Key'
+REQUEST_ID_HEADER = 'Yuccadale-Request-Id'
+DEADLINE_HEADER = 'Yuccadale-Deadline-Ms'
+
+_OK = 200
+_NOT_FOUND = 404
+# Idle connections are closed here well before a server closes them, so that
+# requests rarely meet a connection that the server is closing.
+_KEEP_ALIVE_S = 5.0
+_CONTROL_BODY_LIMIT_BYTES = 1 << 20
+_HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+_OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        TOKEN_HEADER,
+        SLOT_HEADER,
+        KEY_HEADER,
+        REQUEST_ID_HEADER,
+        DEADLINE_HEADER,
+    )
+)
+_NO_AUTOMATIC_HEADERS = (
+    'Accept',
+    'Accept-Encoding',
+    'Content-Type',
+    'User-Agent',
+)
+_KIND_BY_REASON: Mapping[str, TargetFailureKind] = MappingProxyType(
+    {
+        'shedding': TargetFailureKind.shedding,
+        'draining': TargetFailureKind.draining,
+    }
+)
+_CALL_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, ValueError)
+_LOST_ERRORS = (
+    AttemptLostError,
+    aiohttp.ClientPayloadError,
+    aiohttp.ClientConnectionError,
+    asyncio.TimeoutError,
+)
+
+_Decoded = TypeVar('_Decoded')
+
+
+class _MalformedAnswerError(ValueError):
+    """The answer's length or content breaks the protocol."""
+
+
+class HttpTarget:
+    """One server over HTTP/1.1; each call is sent at most once."""
+
+    def __init__(
+        self,
+        server: ServerRef,
+        *,
+        connections: int,
+        body_limit_bytes: int,
+        control_timeout_ms: float,
+    ) -> None:
+        self._server = server
+        self._connections = connections
+        self._body_limit_bytes = body_limit_bytes
+        self._control_timeout_ms = control_timeout_ms
+        self._session: aiohttp.ClientSession | None = None
+
+    async def hello(self) -> Result[GrantAnswer, TargetFailure]:
+        """Asks for a ticket and the server's last grant."""
+        return _decoded(await self._control('GET', '/hello'), GrantAnswer)
+
+    async def grant(self, grant: Grant) -> Result[GrantAnswer, TargetFailure]:
+        """Offers a grant."""
+        body = msgspec.json.encode(grant)
+        return _decoded(
+            await self._control('POST', '/grant', body), GrantAnswer
+        )
+
+    async def run(
+        self, request: TargetRequest
+    ) -> Result[TargetAnswer, TargetFailure]:
+        """Sends a request once and waits for its complete answer."""
+        called = await self._call(
+            request.method,
+            f'/run/{request.path.lstrip("/")}',
+            headers=_request_headers(request),
+            body=request.body,
+            timeout_ms=request.remaining_ms,
+            body_limit_bytes=self._body_limit_bytes,
+        )
+        if called.is_error():
+            return called
+        return _checked(request, called.ok)
+
+    async def cancel(self, request_id: str) -> None:
+        """Asks the server to give a request up; a failure is not reported."""
+        await self._control('DELETE', f'/requests/{quote(request_id, safe="")}')
+
+    async def outcome(
+        self, request_id: str
+    ) -> Result[OutcomeAnswer, TargetFailure]:
+        """Asks what became of a request id."""
+        called = await self._control(
+            'GET', f'/outcome/{quote(request_id, safe="")}'
+        )
+        if called.is_ok() and called.ok.status == _NOT_FOUND:
+            return Result.Ok(OutcomeAnswer(ServerOutcome.not_offered))
+        return _decoded(called, OutcomeAnswer)
+
+    async def load(self) -> Result[LoadReport, TargetFailure]:
+        """Reads the server's load report."""
+        return _decoded(await self._control('GET', '/load'), LoadReport)
+
+    async def close(self) -> None:
+        """Closes all connections; calls under way end as lost."""
+        session = self._session
+        if session is not None:
+            await session.close()
+
+    async def _control(
+        self, method: str, path: str, body: bytes = b''
+    ) -> Result[TargetAnswer, TargetFailure]:
+        return await self._call(
+            method,
+            path,
+            headers={'Content-Type': 'application/json'},
+            body=body,
+            timeout_ms=self._control_timeout_ms,
+            body_limit_bytes=_CONTROL_BODY_LIMIT_BYTES,
+        )
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout_ms: float,
+        body_limit_bytes: int,
+    ) -> Result[TargetAnswer, TargetFailure]:
+        session = self._opened_session()
+        if timeout_ms <= 0 or session.closed:
+            return Result.Error(
+                TargetFailure(
+                    TargetFailureKind.not_sent, 'no time left, or closed'
+                )
+            )
+        attempt = Attempt()
+        try:
+            async with session.request(
+                method,
+                yarl.URL(f'http://{self._server.address}{path}', encoded=True),
+                data=body or None,
+                headers=headers,
+                skip_auto_headers=_NO_AUTOMATIC_HEADERS,
+                timeout=aiohttp.ClientTimeout(total=seconds(timeout_ms)),
+                allow_redirects=False,
+                trace_request_ctx=attempt,
+            ) as response:
+                answer = await _complete_answer(response, body_limit_bytes)
+        except _CALL_ERRORS as error:
+            return Result.Error(_failure(attempt, error))
+        return Result.Ok(answer)
+
+    def _opened_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = single_attempt_session(
+                aiohttp.TCPConnector(
+                    limit=self._connections, keepalive_timeout=_KEEP_ALIVE_S
+                )
+            )
+        return self._session
+
+
+def target_factory(
+    *,
+    connections: int,
+    body_limit_bytes: int,
+    control_timeout_ms: float = SUSPICION_MS,
+) -> Callable[[ServerRef], HttpTarget]:
+    """Returns a factory of targets for the servers of one service.
+
+    Args:
+        connections: most connections open to one server at a time.
+        body_limit_bytes: largest body of an answer.
+        control_timeout_ms: time limit of every call but ``run``.
+    """
+
+    def make_target(server: ServerRef) -> HttpTarget:
+        return HttpTarget(
+            server,
+            connections=connections,
+            body_limit_bytes=body_limit_bytes,
+            control_timeout_ms=control_timeout_ms,
+        )
+
+    return make_target
+
+
+def _request_headers(request: TargetRequest) -> dict[str, str]:
+    headers = {
+        name: header
+        for name, header in request.headers.items()
+        if name.lower() not in _HOP_HEADERS and name.lower() not in _OWN_HEADERS
+    }
+    headers[TOKEN_HEADER] = str(request.token)
+    headers[SLOT_HEADER] = str(request.slot)
+    headers[KEY_HEADER] = request.key
+    headers[REQUEST_ID_HEADER] = request.request_id
+    headers[DEADLINE_HEADER] = str(int(request.remaining_ms))
+    return headers
+
+
+async def _complete_answer(
+    response: aiohttp.ClientResponse, body_limit_bytes: int
+) -> TargetAnswer:
+    if _is_unbounded(response):
+        # Nothing tells a complete body from one that was cut short.
+        raise _MalformedAnswerError('the answer states no length')
+    pieces = []
+    size = 0
+    async for piece in response.content.iter_any():
+        size += len(piece)
+        if size > body_limit_bytes:
+            raise _MalformedAnswerError(f'body above {body_limit_bytes} bytes')
+        pieces.append(piece)
+    return TargetAnswer(
+        response.status, _end_to_end_headers(response), b''.join(pieces)
+    )
+
+
+def _end_to_end_headers(response: aiohttp.ClientResponse) -> dict[str, str]:
+    headers: dict[str, str] = {}
+    for name, header in response.headers.items():
+        if name.lower() not in _HOP_HEADERS:
+            known = headers.get(name)
+            headers[name] = header if known is None else f'{known}, {header}'
+    return headers
+
+
+def _is_unbounded(response: aiohttp.ClientResponse) -> bool:
+    if response.method == 'HEAD' or response.status in {204, 304}:
+        return False
+    chunked = 'chunked' in response.headers.get('Transfer-Encoding', '')
+    return response.content_length is None and not chunked
+
+
+def _failure(attempt: Attempt, error: Exception) -> TargetFailure:
+    detail = str(error) or type(error).__name__
+    if not attempt.connected:
+        return TargetFailure(TargetFailureKind.not_sent, detail)
+    if isinstance(error, _LOST_ERRORS):
+        return TargetFailure(TargetFailureKind.lost, detail)
+    return TargetFailure(TargetFailureKind.malformed, detail)
+
+
+def _checked(
+    request: TargetRequest, answer: TargetAnswer
+) -> Result[TargetAnswer, TargetFailure]:
+    answered_id = _header(answer, REQUEST_ID_HEADER)
+    if answered_id is not None and answered_id != request.request_id:
+        return Result.Error(
+            TargetFailure(
+                TargetFailureKind.malformed, 'the answer has another id'
+            )
+        )
+    reason = _header(answer, REFUSED_HEADER)
+    if reason is not None:
+        return Result.Error(_refusal(reason, answer))
+    return Result.Ok(answer)
+
+
+def _header(answer: TargetAnswer, name: str) -> str | None:
+    for given_name, header in answer.headers.items():
+        if given_name.lower() == name.lower():
+            return header
+    return None
+
+
+def _refusal(reason: str, answer: TargetAnswer) -> TargetFailure:
+    token = _header(answer, HIGHEST_TOKEN_HEADER) or ''
+    retry_after = _header(answer, 'Retry-After') or ''
+    return TargetFailure(
+        _KIND_BY_REASON.get(reason, TargetFailureKind.refused),
+        reason,
+        highest_token=int(token) if token.isdecimal() else None,
+        retry_after_s=float(retry_after) if retry_after.isdecimal() else None,
+    )
+
+
+def _decoded(
+    called: Result[TargetAnswer, TargetFailure], shape: type[_Decoded]
+) -> Result[_Decoded, TargetFailure]:
+    if called.is_error():
+        return Result.Error(called.error)
+    answer = called.ok
+    if answer.status != _OK:
+        return Result.Error(
+            TargetFailure(
+                TargetFailureKind.malformed, f'status {answer.status}'
+            )
+        )
+    try:
+        return Result.Ok(msgspec.json.decode(answer.body, type=shape))
+    except msgspec.DecodeError as error:
+        return Result.Error(
+            TargetFailure(TargetFailureKind.malformed, str(error))
+        )
--- /dev/null
+++ b/packages/core/src/yuccadale_core/platform_http.py
@@ -0,0 +1,19 @@
+"""HTTP adapter to the platform: table, objects and list on one session."""
+
+from yuccadale_core._internal.platform_http import (
+    DATA_CENTRE_HEADER,
+    HttpInstanceList,
+    HttpObjects,
+    HttpPlatform,
+    HttpTable,
+    open_platform,
+)
+
+__all__ = [
+    'DATA_CENTRE_HEADER',
+    'HttpInstanceList',
+    'HttpObjects',
+    'HttpPlatform',
+    'HttpTable',
+    'open_platform',
+]
--- /dev/null
+++ b/tests/builders/raw_server.py
@@ -0,0 +1,58 @@
+"""A TCP server that misbehaves at a chosen point of one exchange."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass
+class RawServer:
+    """What a raw server has seen.
+
+    Attributes:
+        heads: request heads, in the order of arrival over all connections.
+        connections: connections that were opened.
+    """
+
+    address: str = ''
+    heads: list[bytes] = field(default_factory=list)
+    connections: int = 0
+
+    async def read_request(self, reader: asyncio.StreamReader) -> None:
+        """Reads a request with its body and keeps the head."""
+        head = await reader.readuntil(b'\r\n\r\n')
+        self.heads.append(head)
+        for line in head.lower().split(b'\r\n'):
+            if line.startswith(b'content-length:'):
+                await reader.readexactly(int(line.partition(b':')[2]))
+
+
+@asynccontextmanager
+async def run_raw_server(
+    make_script: Callable[[RawServer], Script],
+) -> AsyncIterator[RawServer]:
+    """Runs the script on each connection and aborts it at the end."""
+    raw = RawServer()
+    script = make_script(raw)
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        raw.connections += 1
+        try:
+            await script(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.transport.abort()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    raw.address = f'{host}:{port}'
+    try:
+        yield raw
+    finally:
+        server.close()
