--- a/packages/core/src/yuccadale_core/_internal/instances.py
+++ b/packages/core/src/yuccadale_core/_internal/instances.py
@@ -46,6 +46,7 @@
     name: str
     address: str
     rack: str
+    service: str = ''
 
 
 class Leadership(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/daemon.py
@@ -0,0 +1,254 @@
+"""Puts the parts of an entry instance together and runs them."""
+
+import asyncio
+import contextlib
+import random
+import secrets
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import structlog
+
+from yuccadale_core.authority import OperatorKeys
+from yuccadale_core.counters import Counters, statsd_sink
+from yuccadale_core.declaration import Declaration
+from yuccadale_core.instances import InstanceRef
+from yuccadale_core.peer_keys import PeerKeys
+from yuccadale_core.platform_http import HttpPlatform, open_platform
+from yuccadale_core.settings import Settings, split_address
+
+from yuccadale_router._internal.clock import monotonic_ms
+from yuccadale_router._internal.configuration import ConfigurationService
+from yuccadale_router._internal.contracts import LeadershipTable
+from yuccadale_router._internal.network.caller_api import CallerApi
+from yuccadale_router._internal.network.http_app import make_app, serve_app
+from yuccadale_router._internal.network.operator_api import (
+    register_operator_api,
+)
+from yuccadale_router._internal.network.peer_links import PeerLinks
+from yuccadale_router._internal.network.peer_transport import limit_threads
+from yuccadale_router._internal.ownership.service import OwnershipService
+from yuccadale_router._internal.peer_directory import follow_instance_list
+from yuccadale_router._internal.placements import Placements
+from yuccadale_router._internal.requests.delivery import DispatcherParts
+from yuccadale_router._internal.requests.dispatchers import Dispatchers
+from yuccadale_router._internal.requests.entry import RequestEntry
+from yuccadale_router._internal.target_pool import TargetPool
+
+_log = structlog.get_logger()
+_BODY_LIMIT_BYTES = 16 << 20
+_INCARNATION_BYTES = 8
+_UPKEEP_INTERVAL_S = 1.0
+# Callers that the balancer still sends here after the health page says
+# draining are answered for this long before listening ends.
+_LAME_DUCK_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """The running parts of one instance."""
+
+    me: InstanceRef
+    counters: Counters
+    peer_keys: PeerKeys
+    operator_keys: OperatorKeys
+    leaderships: LeadershipTable
+    links: PeerLinks
+    targets: TargetPool
+    placements: Placements
+    dispatchers: Dispatchers
+    entry: RequestEntry
+    ownership: OwnershipService
+    configuration: ConfigurationService
+    caller_api: CallerApi
+
+
+def make_instance_ref(settings: Settings) -> InstanceRef:
+    """Names this process with a new incarnation."""
+    instance = settings.instance
+    return InstanceRef(
+        name=instance.name,
+        incarnation=secrets.token_hex(_INCARNATION_BYTES),
+        data_centre=instance.data_centre,
+        rack=instance.rack,
+        peer_address=instance.peer_address,
+        operator_address=instance.operator_address,
+    )
+
+
+def make_parts(settings: Settings, platform: HttpPlatform) -> Parts:
+    """Makes all parts; nothing runs yet."""
+    me = make_instance_ref(settings)
+    statsd = settings.statsd
+    counters = Counters(statsd_sink(statsd.host, statsd.port) if statsd else None)
+    peer_keys = PeerKeys(settings.keys.peer_keys)
+    operator_keys = OperatorKeys(settings.keys.operator_keys)
+    leaderships = LeadershipTable()
+    links = PeerLinks(
+        me,
+        keys=peer_keys,
+        leaderships=leaderships,
+        counters=counters,
+        clock=monotonic_ms,
+        message_limit=settings.limits.peer_queue_messages,
+    )
+    targets = TargetPool(monotonic_ms)
+    placements = Placements(monotonic_ms)
+    dispatchers = Dispatchers(
+        DispatcherParts(
+            where=f'leader {me.name}',
+            clock=monotonic_ms,
+            counters=counters,
+            targets=targets,
+            random_unit=random.random,
+        ),
+        placements.of_group,
+    )
+    entry = RequestEntry(
+        me,
+        leaderships,
+        links,
+        counters,
+        monotonic_ms,
+        dispatchers=dispatchers,
+        random_unit=random.random,
+        slow_limit=settings.limits.slow_records,
+    )
+    ownership = OwnershipService(
+        me,
+        platform.table,
+        platform.instances,
+        links,
+        targets,
+        dispatchers,
+        placements.of_group,
+        leaderships,
+        counters,
+        monotonic_ms,
+    )
+
+    def declaration_changed(declaration: Declaration) -> None:
+        targets.declaration_changed(declaration)
+        placements.declaration_changed(declaration)
+        entry.declaration_changed(declaration)
+        ownership.declaration_changed(declaration)
+
+    configuration = ConfigurationService(
+        me,
+        platform.table,
+        platform.objects,
+        links,
+        counters,
+        monotonic_ms,
+        declaration_changed,
+        operator_keys=operator_keys,
+    )
+    links.revision_by_scope = configuration.revision_by_scope
+    return Parts(
+        me=me,
+        counters=counters,
+        peer_keys=peer_keys,
+        operator_keys=operator_keys,
+        leaderships=leaderships,
+        links=links,
+        targets=targets,
+        placements=placements,
+        dispatchers=dispatchers,
+        entry=entry,
+        ownership=ownership,
+        configuration=configuration,
+        caller_api=CallerApi(f'entry {me.name}', entry.handle, counters),
+    )
+
+
+async def run_daemon(settings: Settings) -> None:
+    """Runs an entry instance until SIGTERM or SIGINT, then drains it.
+
+    A task that fails ends the process: an instance that has lost one of its
+    parts must not look alive to its peers.
+    """
+    limit_threads()
+    stopping = _stop_signal()
+    async with (
+        open_platform(
+            settings.platform.url, settings.instance.data_centre
+        ) as platform,
+        asyncio.TaskGroup() as tasks,
+    ):
+        parts = make_parts(settings, platform)
+        running = [
+            tasks.create_task(work)
+            for work in (
+                parts.links.run(),
+                follow_instance_list(
+                    platform.instances,
+                    parts.links,
+                    parts.counters,
+                    settings.instance.seed_addresses,
+                ),
+                _upkeep(parts),
+            )
+        ]
+        async with _serving(settings, parts):
+            await parts.configuration.start()
+            running.append(tasks.create_task(parts.ownership.run()))
+            _log.info('started', instance=parts.me.name)
+            await stopping.wait()
+            await _drain(parts, settings.limits.drain_s)
+        for task in running:
+            task.cancel()
+        await parts.configuration.stop()
+        await parts.targets.close()
+    _log.info('stopped', instance=settings.instance.name)
+
+
+@asynccontextmanager
+async def _serving(settings: Settings, parts: Parts) -> AsyncIterator[None]:
+    """Listens for callers and operators until the block ends."""
+    caller_app = make_app('yuccadale-callers', _BODY_LIMIT_BYTES)
+    parts.caller_api.register(caller_app)
+    operator_app = make_app('yuccadale-operators', _BODY_LIMIT_BYTES)
+    register_operator_api(operator_app, operator_views(parts))
+    instance = settings.instance
+    caller_host, caller_port = split_address(instance.caller_address)
+    operator_host, operator_port = split_address(instance.operator_address)
+    async with (
+        serve_app(caller_app, caller_host, caller_port),
+        serve_app(operator_app, operator_host, operator_port),
+    ):
+        yield
+
+
+async def _drain(parts: Parts, limit_s: float) -> None:
+    """Ends without cutting off a request: hand over, answer, stop."""
+    _log.info('draining', instance=parts.me.name)
+    parts.links.announce_leaving()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            await parts.ownership.hand_over()
+            await asyncio.sleep(_LAME_DUCK_S)
+            parts.caller_api.admitting = False
+            await parts.caller_api.wait_until_answered()
+
+
+async def _upkeep(parts: Parts) -> None:
+    """Follows replaced key files and closes what is idle."""
+    while True:
+        await asyncio.sleep(_UPKEEP_INTERVAL_S)
+        try:
+            if parts.peer_keys.reload():
+                _log.info('peer keys replaced', instance=parts.me.name)
+        except (OSError, ValueError) as error:
+            parts.counters.count('keys.reload_failed')
+            _log.warning('peer keys not replaced', error=str(error))
+        await parts.targets.close_idle()
+
+
+def _stop_signal() -> asyncio.Event:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    return stopping
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/target_pool.py
@@ -0,0 +1,75 @@
+"""One target object per server process, shared by control and requests."""
+
+from dataclasses import dataclass
+
+from yuccadale_core.declaration import Declaration
+from yuccadale_core.instances import ServerRef
+from yuccadale_core.targets import Target
+from yuccadale_core.targets_http import HttpTarget, target_factory
+
+from yuccadale_router._internal.clock import Clock
+
+_UNDECLARED_CONNECTIONS = 4
+_UNDECLARED_BODY_BYTES = 1 << 20
+# Targets that nobody asked for in this time are closed.
+_IDLE_MS = 60_000
+
+
+@dataclass(slots=True)
+class _Pooled:
+    target: HttpTarget
+    used_ms: float
+
+
+class TargetPool:
+    """Implements ``TargetFactory``.
+
+    Control calls and requests share one object per server, so that their
+    connections together stay within the declared number.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._declaration = Declaration()
+        self._pooled_by_address: dict[str, _Pooled] = {}
+
+    def declaration_changed(self, declaration: Declaration) -> None:
+        """Uses the declared limits for targets made from now on."""
+        self._declaration = declaration
+
+    def __call__(self, server: ServerRef) -> Target:
+        """Returns the target of a server."""
+        pooled = self._pooled_by_address.get(server.address)
+        if pooled is None:
+            pooled = _Pooled(self._make(server), self._clock())
+            self._pooled_by_address[server.address] = pooled
+        pooled.used_ms = self._clock()
+        return pooled.target
+
+    async def close_idle(self) -> None:
+        """Closes the targets that were not asked for lately."""
+        now = self._clock()
+        for address, pooled in list(self._pooled_by_address.items()):
+            if now - pooled.used_ms > _IDLE_MS:
+                self._pooled_by_address.pop(address)
+                await pooled.target.close()
+
+    async def close(self) -> None:
+        """Closes all targets."""
+        for pooled in self._pooled_by_address.values():
+            await pooled.target.close()
+        self._pooled_by_address.clear()
+
+    def _make(self, server: ServerRef) -> HttpTarget:
+        service = self._declaration.service_by_name.get(server.service)
+        if service is None:
+            factory = target_factory(
+                connections=_UNDECLARED_CONNECTIONS,
+                body_limit_bytes=_UNDECLARED_BODY_BYTES,
+            )
+        else:
+            factory = target_factory(
+                connections=service.connections,
+                body_limit_bytes=service.body_limit_bytes,
+            )
+        return factory(server)
