--- a/packages/standins/src/yuccadale_standins/_internal/records.py
+++ b/packages/standins/src/yuccadale_standins/_internal/records.py
@@ -121,22 +121,27 @@
 def double_ownership(grants: Iterable[GrantRecord]) -> list[DoubleOwnership]:
     """Returns the overlaps of times in which servers served one slot."""
     intervals_by_slot: dict[int, list[_Interval]] = defaultdict(list)
-    grants_by_process: dict[str, list[GrantRecord]] = defaultdict(list)
-    for grant in grants:
-        if grant.accepted:
-            process = f'{grant.server} {grant.incarnation}'
-            grants_by_process[process].append(grant)
-    for accepted in grants_by_process.values():
-        accepted.sort(key=lambda grant: grant.at_ms)
+    for accepted in _accepted_by_process(grants).values():
         for slot, interval in _served_intervals(accepted):
             intervals_by_slot[slot].append(interval)
     return [
         overlap
-        for slot, intervals in intervals_by_slot.items()
-        for overlap in _overlaps(slot, intervals)
+        for overlapped_slot, intervals in intervals_by_slot.items()
+        for overlap in _overlaps(overlapped_slot, intervals)
     ]
 
 
+def _accepted_by_process(
+    grants: Iterable[GrantRecord],
+) -> dict[str, list[GrantRecord]]:
+    grants_by_process: dict[str, list[GrantRecord]] = defaultdict(list)
+    for grant in sorted(grants, key=lambda record: record.at_ms):
+        if grant.accepted:
+            process = f'{grant.server} {grant.incarnation}'
+            grants_by_process[process].append(grant)
+    return grants_by_process
+
+
 def _served_intervals(
     accepted: list[GrantRecord],
 ) -> list[tuple[int, _Interval]]:
