Test the platform and target adapters against faults

A raw server that reads a request and closes guards against aiohttp's own repetition: without the middleware, GET, PUT, DELETE and HEAD were read twice.

--- a/tests/core/test_platform_contract.py
+++ b/tests/core/test_platform_contract.py
@@ -17,6 +17,7 @@
     write_resolved,
 )
 from yuccadale_core.platform_http import open_platform
+from yuccadale_standins.clock import monotonic_ms
 from yuccadale_standins.platform import (
     ListChange,
     PlatformState,
@@ -40,7 +41,7 @@
 
 @asynccontextmanager
 async def _memory() -> AsyncIterator[Platform]:
-    state = PlatformState(lambda: 0, [_SERVER])
+    state = PlatformState(monotonic_ms, [_SERVER])
     memory = MemoryPlatform(state, 'lodz-a')
     yield Platform(memory, memory, memory, state)
 
--- /dev/null
+++ b/tests/core/test_single_attempt.py
@@ -0,0 +1,80 @@
+"""No request may leave the process twice, whatever its method."""
+
+import asyncio
+
+import pytest
+
+from tests.builders.raw_server import RawServer, Script, run_raw_server
+from tests.builders.requests_to_servers import build_request
+from yuccadale_core.instances import ServerRef
+from yuccadale_core.targets import TargetFailureKind
+from yuccadale_core.targets_http import HttpTarget, target_factory
+
+_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+
+
+def build_target(address: str, *, connections: int = 4) -> HttpTarget:
+    """Returns a target with a small limit on answers."""
+    make_target = target_factory(
+        connections=connections, body_limit_bytes=1000, control_timeout_ms=300
+    )
+    return make_target(ServerRef('s1', address, 'rack-1'))
+
+
+def _answer_once_then_close(raw: RawServer) -> Script:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await raw.read_request(reader)
+        if len(raw.heads) == 1:
+            writer.write(_ANSWER)
+            await raw.read_request(reader)
+
+    return script
+
+
+@pytest.mark.parametrize('method', ['GET', 'PUT', 'DELETE', 'POST', 'HEAD'])
+async def test_lost_kept_alive_connection_sends_once(method: str) -> None:
+    """Guards against aiohttp's own repetition on a kept-alive connection."""
+    async with run_raw_server(_answer_once_then_close) as raw:
+        target = build_target(raw.address)
+        warmed = await target.run(build_request('id-1', method='GET'))
+        lost = await target.run(build_request('id-2', method=method))
+        await target.close()
+    assert warmed.is_ok()
+    assert lost.error.kind == TargetFailureKind.lost
+    assert len(raw.heads) == 2
+    assert raw.connections == 1
+
+
+def _hold(raw: RawServer) -> Script:
+    async def script(
+        reader: asyncio.StreamReader, _writer: asyncio.StreamWriter
+    ) -> None:
+        await raw.read_request(reader)
+        await reader.read()
+
+    return script
+
+
+async def test_connections_stay_at_the_declared_number() -> None:
+    """Guards against more connections than a server accepts."""
+    async with run_raw_server(_hold) as raw:
+        target = build_target(raw.address, connections=3)
+        holding = [
+            asyncio.create_task(target.run(build_request(f'id-{number}')))
+            for number in range(3)
+        ]
+        waiting = [
+            target.run(build_request(f'id-{number}', remaining_ms=200))
+            for number in range(3, 8)
+        ]
+        answers = await asyncio.gather(*waiting)
+        connections = raw.connections
+        await target.close()
+        await asyncio.gather(*holding)
+    # They waited for a connection until their deadline and were never sent.
+    assert {answer.error.kind for answer in answers} == {
+        TargetFailureKind.not_sent
+    }
+    assert connections == 3
