--- a/packages/core/src/yuccadale_core/_internal/messages.py
+++ b/packages/core/src/yuccadale_core/_internal/messages.py
@@ -26,6 +26,8 @@
         revision_by_scope: declaration revisions in force at the sender.
         leaderships: groups that the sender leads, and recent changes.
         leaving: whether the sender is shutting down.
+        configuration_age_ms: time since the revisions were known to be the
+            newest in the table; negative when that was never known.
     """
 
     number: int
@@ -34,6 +36,7 @@
     revision_by_scope: dict[str, int]
     leaderships: list[Leadership]
     leaving: bool = False
+    configuration_age_ms: float = -1
 
 
 class PromiseRequest(PeerMessage, frozen=True, tag=2):
--- a/packages/core/src/yuccadale_core/platform.py
+++ b/packages/core/src/yuccadale_core/platform.py
@@ -8,6 +8,7 @@
     Table,
     TableFailure,
     TableFailureKind,
+    write_resolved,
 )
 
 __all__ = [
@@ -18,4 +19,5 @@
     'Table',
     'TableFailure',
     'TableFailureKind',
+    'write_resolved',
 ]
--- a/packages/router/src/yuccadale_router/_internal/network/peer_links.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -74,6 +74,7 @@
         self._news: list[tuple[float, Leadership]] = []
         self._leaving = False
         self.revision_by_scope: Callable[[], dict[str, int]] = dict
+        self.configuration_age_ms: Callable[[], float] = lambda: -1
         leaderships.listen(self._note_news)
 
     def send(self, peer_name: str, message: AnyMessage) -> bool:
@@ -102,8 +103,7 @@
         return [
             link.ref
             for link in self._link_by_name.values()
-            if not link.leaving
-            and self._clock() - link.heard_ms < SUSPICION_MS
+            if not link.leaving and self._clock() - link.heard_ms < SUSPICION_MS
         ]
 
     def known_peers(self) -> Sequence[InstanceRef]:
@@ -229,9 +229,7 @@
                 # A fault in one handler must not end the receive task, or
                 # the whole instance would look dead to its peers.
                 self.counters.count('peer.handler_failed')
-                _log.exception(
-                    'handler failed', message=type(message).__name__
-                )
+                _log.exception('handler failed', message=type(message).__name__)
 
     def _note_news(self, leadership: Leadership) -> None:
         now = self._clock()
@@ -272,6 +270,7 @@
             revision_by_scope=self.revision_by_scope(),
             leaderships=leaderships,
             leaving=self._leaving,
+            configuration_age_ms=self.configuration_age_ms(),
         )
 
     def _heartbeat_set(self) -> list[PeerLink]:
