--- a/packages/bench/src/yuccadale_bench/_internal/callers.py
+++ b/packages/bench/src/yuccadale_bench/_internal/callers.py
@@ -156,13 +156,13 @@
                 headers=headers,
             ) as answer:
                 body = await answer.read()
+                return self._note(answer, body, request_id, sent)
         except aiohttp.ClientConnectorError:
             self.report.unreachable += 1
             return 'not run'
         except aiohttp.ClientError:
             self.report.unreachable += 1
             return 'unknown'
-        return self._note(answer, body, request_id, sent)
 
     def _note(
         self,
--- a/packages/bench/src/yuccadale_bench/_internal/cluster.py
+++ b/packages/bench/src/yuccadale_bench/_internal/cluster.py
@@ -170,20 +170,23 @@
     address = node.addresses.get('operator') or node.addresses['serve']
     host, _, port = address.rpartition(':')
     give_up = time.monotonic() + _START_TIMEOUT_S
-    while time.monotonic() < give_up:
-        if node.process is not None and node.process.returncode is not None:
-            break
-        try:
-            _, writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            await asyncio.sleep(_POLL_S)
-            continue
-        writer.close()
-        return
+    while node.running and time.monotonic() < give_up:
+        if await _accepts(host, int(port)):
+            return
+        await asyncio.sleep(_POLL_S)
     tail = log_path.read_text(errors='replace')[-2000:]
     raise RuntimeError(f'{node.name} did not start:\n{tail}')
 
 
+async def _accepts(host: str, port: int) -> bool:
+    try:
+        _, writer = await asyncio.open_connection(host, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 @contextmanager
 def reserved_ports(count: int) -> Iterator[list[int]]:
     """Finds free ports by binding port 0; frees them when the block ends."""
--- a/packages/router/src/yuccadale_router/_internal/daemon.py
+++ b/packages/router/src/yuccadale_router/_internal/daemon.py
@@ -1,12 +1,11 @@
 """Puts the parts of an entry instance together and runs them."""
 
 import asyncio
-import contextlib
 import random
 import secrets
 import signal
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 
 import structlog
@@ -82,7 +81,9 @@
     """Makes all parts; nothing runs yet."""
     me = make_instance_ref(settings)
     statsd = settings.statsd
-    counters = Counters(statsd_sink(statsd.host, statsd.port) if statsd else None)
+    counters = Counters(
+        statsd_sink(statsd.host, statsd.port) if statsd else None
+    )
     peer_keys = PeerKeys(settings.keys.peer_keys)
     operator_keys = OperatorKeys(settings.keys.operator_keys)
     leaderships = LeadershipTable()
@@ -225,7 +226,7 @@
     """Ends without cutting off a request: hand over, answer, stop."""
     _log.info('draining', instance=parts.me.name)
     parts.links.announce_leaving()
-    with contextlib.suppress(TimeoutError):
+    with suppress(TimeoutError):
         async with asyncio.timeout(limit_s):
             await parts.ownership.hand_over()
             await asyncio.sleep(_LAME_DUCK_S)
--- a/packages/router/src/yuccadale_router/_internal/target_pool.py
+++ b/packages/router/src/yuccadale_router/_internal/target_pool.py
@@ -33,10 +33,6 @@
         self._declaration = Declaration()
         self._pooled_by_address: dict[str, _Pooled] = {}
 
-    def declaration_changed(self, declaration: Declaration) -> None:
-        """Uses the declared limits for targets made from now on."""
-        self._declaration = declaration
-
     def __call__(self, server: ServerRef) -> Target:
         """Returns the target of a server."""
         pooled = self._pooled_by_address.get(server.address)
@@ -46,6 +42,10 @@
         pooled.used_ms = self._clock()
         return pooled.target
 
+    def declaration_changed(self, declaration: Declaration) -> None:
+        """Uses the declared limits for targets made from now on."""
+        self._declaration = declaration
+
     async def close_idle(self) -> None:
         """Closes the targets that were not asked for lately."""
         now = self._clock()
