--- /dev/null
+++ b/packages/bench/src/yuccadale_bench/_internal/command_line.py
@@ -0,0 +1,43 @@
+"""Finds the command by its name; each command is one module."""
+
+import os
+from collections.abc import Callable, Mapping, Sequence
+from importlib import import_module
+from types import MappingProxyType
+
+Command = Callable[[Sequence[str]], int]
+Loader = Callable[[], Command]
+
+_USAGE_STATUS = 2
+
+
+def _module(name: str) -> Loader:
+    """Returns a loader, so that only the chosen command is imported."""
+
+    def load() -> Command:
+        return import_module(f'yuccadale_bench._internal.{name}').run_command
+
+    return load
+
+
+LOADER_BY_NAME: Mapping[str, Loader] = MappingProxyType(
+    {
+        'demo': _module('demo'),
+        'failover': _module('failover'),
+        'load': _module('load'),
+        'path': _module('path'),
+        'silent-link': _module('silent_link'),
+    }
+)
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Runs the command that the first argument names."""
+    # Without this, uvloop opens an io_uring ring when the loop is made.
+    os.environ['UV_USE_IO_URING'] = '0'
+    loader = LOADER_BY_NAME.get(arguments[0]) if arguments else None
+    if loader is None:
+        names = ', '.join(sorted(LOADER_BY_NAME))
+        print(f'usage: yuccadale_bench COMMAND; one of {names}')
+        return _USAGE_STATUS
+    return loader()(arguments[1:])
--- /dev/null
+++ b/packages/bench/src/yuccadale_bench/_internal/load_run.py
@@ -0,0 +1,293 @@
+"""A caller load, bounded in count and time, that checks every answer."""
+
+import asyncio
+import itertools
+import random
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Mapping
+from dataclasses import dataclass, field
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from yuccadale_bench._internal.work_items import (
+    AttemptOutcome,
+    AttemptResult,
+    WorkItem,
+    judge_answer,
+)
+from yuccadale_core.http_attempts import Attempt, single_attempt_session
+
+_MICROSECONDS = 1_000_000
+_MILLISECONDS = 1000
+_HIGHEST_US = 120_000_000
+_PERCENTILES = (50, 90, 99, 99.9)
+
+Destination = tuple[str, Mapping[str, str]]
+Endpoint = Callable[[WorkItem, str, float, float], Destination]
+Observer = Callable[[WorkItem, AttemptResult], None]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """What to send.
+
+    Attributes:
+        addresses: entry addresses, used in turn.
+        workers: requests in flight (closed loop), or their most (open loop).
+        rate: arrivals a second; 0 means a closed loop.
+        requests: most pieces of work; the run ends at the first bound.
+        seconds: most time in which work starts.
+        once_share: share of non-repeatable work.
+        deadline_ms: deadline that each attempt states.
+        item_limit_s: time after which an item is given up.
+        pause_s: mean pause before another attempt with the same id.
+    """
+
+    addresses: tuple[str, ...]
+    service: str
+    workers: int = 20
+    rate: float = 0
+    requests: int = 100_000
+    seconds: float = 10
+    once_share: float = 0.5
+    keys: int = 1000
+    deadline_ms: float = 2000
+    item_limit_s: float = 10
+    pause_s: float = 0.05
+    seed: int = 1
+    name: str = 'load'
+    once_kind: str = ''
+    repeatable_kind: str = ''
+    body: bytes = b''
+
+
+@dataclass(slots=True)
+class LoadReport:
+    """What the callers saw.
+
+    Attributes:
+        items_by_end: pieces of work by how they ended.
+        refusals_by_code: refused or failed attempts by code.
+        not_started: arrivals above the bound of an open loop.
+        unknown_ids: non-repeatable work whose outcome stayed unknown.
+        done_ids: non-repeatable work that was answered.
+    """
+
+    started_s: float = field(default_factory=time.monotonic)
+    elapsed_s: float = 0
+    attempts: int = 0
+    not_started: int = 0
+    items_by_end: Counter[str] = field(default_factory=Counter)
+    refusals_by_code: Counter[str] = field(default_factory=Counter)
+    unknown_ids: list[str] = field(default_factory=list)
+    done_ids: list[str] = field(default_factory=list)
+    latency: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, _HIGHEST_US, 3)
+    )
+
+    def summary(self) -> dict[str, object]:
+        """Returns the report as JSON types; latencies in milliseconds."""
+        done = self.items_by_end['done']
+        latency = {
+            f'p{percentile:g}': round(
+                self.latency.get_value_at_percentile(percentile)
+                / _MILLISECONDS,
+                3,
+            )
+            for percentile in _PERCENTILES
+        }
+        latency['max'] = round(self.latency.get_max_value() / _MILLISECONDS, 3)
+        return {
+            'elapsed_s': round(self.elapsed_s, 3),
+            'attempts': self.attempts,
+            'not_started': self.not_started,
+            'items': dict(self.items_by_end),
+            'refusals': dict(self.refusals_by_code),
+            'unknown': len(self.unknown_ids),
+            'done_per_s': round(done / self.elapsed_s, 1),
+            'latency_ms': latency,
+        }
+
+
+def through_entry(
+    item: WorkItem, address: str, first_sent_ago_ms: float, deadline_ms: float
+) -> Destination:
+    """Returns URL and headers of an attempt through an entry instance."""
+    headers = item.headers(
+        first_sent_ago_ms=first_sent_ago_ms, deadline_ms=deadline_ms
+    )
+    return f'http://{address}/{item.service}{item.path}', headers
+
+
+def direct_to_server(
+    item: WorkItem, address: str, _first_sent_ago_ms: float, deadline_ms: float
+) -> Destination:
+    """Returns URL and headers of an attempt at a server that checks none."""
+    headers = {
+        'Yuccadale-Token': '0',
+        'Yuccadale-Slot': '0',
+        'Yuccadale-Key': item.key,
+        'Yuccadale-Request-Id': item.request_id,
+        'Yuccadale-Deadline-Ms': str(int(deadline_ms)),
+    }
+    return f'http://{address}/run{item.path}', headers
+
+
+class _Load:
+    def __init__(
+        self,
+        plan: LoadPlan,
+        endpoint: Endpoint,
+        observe: Observer | None,
+    ) -> None:
+        self.report = LoadReport()
+        self._plan = plan
+        self._endpoint = endpoint
+        self._observe = observe
+        self._random = random.Random(plan.seed)
+        self._addresses = itertools.cycle(plan.addresses)
+        self._numbers = iter(range(plan.requests))
+        self._ends_at_s = self.report.started_s + plan.seconds
+
+    async def run_closed(self, session: aiohttp.ClientSession) -> None:
+        """Keeps a fixed number of requests in flight."""
+        await asyncio.gather(
+            *(self._work(session) for _ in range(self._plan.workers))
+        )
+
+    async def run_open(self, session: aiohttp.ClientSession) -> None:
+        """Starts work at a fixed mean rate, whatever the answers do."""
+        tasks: set[asyncio.Task[None]] = set()
+        async for due_s in self._arrivals():
+            item = self._next_item()
+            if item is None:
+                break
+            if len(tasks) >= self._plan.workers:
+                self.report.not_started += 1
+                continue
+            task = asyncio.create_task(self._complete(session, item, due_s))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        await asyncio.gather(*tasks)
+
+    async def _arrivals(self) -> AsyncIterator[float]:
+        due_s = time.monotonic()
+        while due_s < self._ends_at_s:
+            delay_s = due_s - time.monotonic()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            yield due_s
+            due_s += self._random.expovariate(self._plan.rate)
+
+    async def _work(self, session: aiohttp.ClientSession) -> None:
+        while time.monotonic() < self._ends_at_s:
+            item = self._next_item()
+            if item is None:
+                return
+            await self._complete(session, item, time.monotonic())
+
+    def _next_item(self) -> WorkItem | None:
+        number = next(self._numbers, None)
+        if number is None:
+            return None
+        plan = self._plan
+        repeatable = self._random.random() >= plan.once_share
+        return WorkItem(
+            number=number,
+            request_id=f'{plan.name}-{number}',
+            service=plan.service,
+            key=f'key-{self._random.randrange(plan.keys)}',
+            repeatable=repeatable,
+            kind=plan.repeatable_kind if repeatable else plan.once_kind,
+            body=b'' if repeatable else plan.body,
+        )
+
+    async def _complete(
+        self, session: aiohttp.ClientSession, item: WorkItem, due_s: float
+    ) -> None:
+        """Sends an item until it is answered, wrong, or given up."""
+        outcome = AttemptOutcome.not_run
+        give_up_at_s = due_s + self._plan.item_limit_s
+        while time.monotonic() < give_up_at_s:
+            ended = await self._attempt(session, item, due_s)
+            outcome = ended.outcome
+            if self._observe is not None:
+                self._observe(item, ended)
+            if outcome in {AttemptOutcome.done, AttemptOutcome.wrong}:
+                break
+            self.report.refusals_by_code[ended.code] += 1
+            pause_s = self._random.uniform(0, 2 * self._plan.pause_s)
+            await asyncio.sleep(pause_s)
+        self._end(item, outcome, due_s)
+
+    def _end(
+        self, item: WorkItem, outcome: AttemptOutcome, due_s: float
+    ) -> None:
+        report = self.report
+        if outcome == AttemptOutcome.done:
+            elapsed_us = int((time.monotonic() - due_s) * _MICROSECONDS)
+            report.latency.record_value(min(elapsed_us, _HIGHEST_US))
+        kind = 'repeatable' if item.repeatable else 'once'
+        report.items_by_end[outcome.value] += 1
+        report.items_by_end[f'{kind} {outcome.value}'] += 1
+        if item.repeatable:
+            return
+        if outcome == AttemptOutcome.done:
+            report.done_ids.append(item.request_id)
+        elif outcome == AttemptOutcome.unknown:
+            report.unknown_ids.append(item.request_id)
+
+    async def _attempt(
+        self, session: aiohttp.ClientSession, item: WorkItem, due_s: float
+    ) -> AttemptResult:
+        self.report.attempts += 1
+        url, headers = self._endpoint(
+            item,
+            next(self._addresses),
+            (time.monotonic() - due_s) * _MILLISECONDS,
+            self._plan.deadline_ms,
+        )
+        sent = Attempt()
+        try:
+            async with session.request(
+                item.method,
+                url,
+                data=item.body or None,
+                headers=headers,
+                trace_request_ctx=sent,
+            ) as response:
+                body = await response.read()
+                return judge_answer(
+                    item, response.status, response.headers, body
+                )
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            outcome = (
+                AttemptOutcome.unknown
+                if sent.connected
+                else AttemptOutcome.not_run
+            )
+            return AttemptResult(outcome, type(error).__name__)
+
+
+async def run_load(
+    plan: LoadPlan,
+    *,
+    endpoint: Endpoint = through_entry,
+    observe: Observer | None = None,
+) -> LoadReport:
+    """Sends the plan's work and returns what the callers saw."""
+    load = _Load(plan, endpoint, observe)
+    connector = aiohttp.TCPConnector(limit=plan.workers)
+    # A caller waits a little longer than its deadline for the refusal.
+    timeout_s = plan.deadline_ms / _MILLISECONDS + 1
+    async with single_attempt_session(
+        connector, timeout_s=timeout_s
+    ) as session:
+        if plan.rate:
+            await load.run_open(session)
+        else:
+            await load.run_closed(session)
+    load.report.elapsed_s = time.monotonic() - load.report.started_s
+    return load.report
--- a/packages/core/src/yuccadale_core/_internal/http_attempts.py
+++ b/packages/core/src/yuccadale_core/_internal/http_attempts.py
@@ -51,10 +51,13 @@
 
 
 def single_attempt_session(
-    connector: aiohttp.BaseConnector,
+    connector: aiohttp.BaseConnector, *, timeout_s: float | None = None
 ) -> aiohttp.ClientSession:
     """Returns a session that never sends a request twice.
 
+    Args:
+        timeout_s: time limit of a whole call that states none itself.
+
     Pass an ``Attempt`` as ``trace_request_ctx`` to learn whether a failed
     request may have left the process.
     """
@@ -65,6 +68,7 @@
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(total=timeout_s),
         middlewares=(_send_once,),
         trace_configs=[trace],
     )
--- /dev/null
+++ b/packages/core/src/yuccadale_core/http_attempts.py
@@ -0,0 +1,13 @@
+"""One attempt per request on an aiohttp session."""
+
+from yuccadale_core._internal.http_attempts import (
+    Attempt,
+    AttemptLostError,
+    single_attempt_session,
+)
+
+__all__ = [
+    'Attempt',
+    'AttemptLostError',
+    'single_attempt_session',
+]
