--- a/packages/router/src/yuccadale_router/_internal/network/peer_links.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -74,6 +74,7 @@
         self._news: list[tuple[float, Leadership]] = []
         self._leaving = False
         self.revision_by_scope: Callable[[], dict[str, int]] = dict
+        self.configuration_age_ms: Callable[[], float] = lambda: -1
         leaderships.listen(self._note_news)
 
     def send(self, peer_name: str, message: AnyMessage) -> bool:
@@ -269,6 +270,7 @@
             revision_by_scope=self.revision_by_scope(),
             leaderships=leaderships,
             leaving=self._leaving,
+            configuration_age_ms=self.configuration_age_ms(),
         )
 
     def _heartbeat_set(self) -> list[PeerLink]:
