--- a/packages/router/src/yuccadale_router/_internal/daemon.py
+++ b/packages/router/src/yuccadale_router/_internal/daemon.py
@@ -24,10 +24,16 @@
 from yuccadale_router._internal.network.caller_api import CallerApi
 from yuccadale_router._internal.network.http_app import make_app, serve_app
 from yuccadale_router._internal.network.operator_api import (
+    OperatorServices,
     register_operator_api,
 )
 from yuccadale_router._internal.network.peer_links import PeerLinks
 from yuccadale_router._internal.network.peer_transport import limit_threads
+from yuccadale_router._internal.operator_views import (
+    OwnerFinder,
+    group_documents,
+    slow_documents,
+)
 from yuccadale_router._internal.ownership.service import OwnershipService
 from yuccadale_router._internal.peer_directory import follow_instance_list
 from yuccadale_router._internal.placements import Placements
@@ -61,6 +67,7 @@
     entry: RequestEntry
     ownership: OwnershipService
     configuration: ConfigurationService
+    owner_finder: OwnerFinder
     caller_api: CallerApi
 
 
@@ -130,7 +137,10 @@
         monotonic_ms,
     )
 
+    owner_finder = OwnerFinder(me, ownership, leaderships)
+
     def declaration_changed(declaration: Declaration) -> None:
+        owner_finder.declaration_changed(declaration)
         targets.declaration_changed(declaration)
         placements.declaration_changed(declaration)
         entry.declaration_changed(declaration)
@@ -160,6 +170,7 @@
         entry=entry,
         ownership=ownership,
         configuration=configuration,
+        owner_finder=owner_finder,
         caller_api=CallerApi(f'entry {me.name}', entry.handle, counters),
     )
 
@@ -211,7 +222,7 @@
     caller_app = make_app('yuccadale-callers', _BODY_LIMIT_BYTES)
     parts.caller_api.register(caller_app)
     operator_app = make_app('yuccadale-operators', _BODY_LIMIT_BYTES)
-    register_operator_api(operator_app, operator_views(parts))
+    register_operator_api(operator_app, _operator_services(parts))
     instance = settings.instance
     caller_host, caller_port = split_address(instance.caller_address)
     operator_host, operator_port = split_address(instance.operator_address)
@@ -222,6 +233,21 @@
         yield
 
 
+def _operator_services(parts: Parts) -> OperatorServices:
+    return OperatorServices(
+        me=parts.me,
+        configuration=parts.configuration,
+        counters=parts.counters,
+        live_peers=parts.links.live_peers,
+        groups=lambda: group_documents(parts.ownership),
+        find_owner=parts.owner_finder.find,
+        slow_requests=lambda service_name: slow_documents(
+            parts.entry.slow_requests, service_name
+        ),
+        is_draining=lambda: parts.links.leaving,
+    )
+
+
 async def _drain(parts: Parts, limit_s: float) -> None:
     """Ends without cutting off a request: hand over, answer, stop."""
     _log.info('draining', instance=parts.me.name)
--- a/packages/router/src/yuccadale_router/_internal/network/peer_links.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -72,7 +72,7 @@
             type[PeerMessage], list[MessageHandler]
         ] = {}
         self._news: list[tuple[float, Leadership]] = []
-        self._leaving = False
+        self.leaving = False
         self.revision_by_scope: Callable[[], dict[str, int]] = dict
         self.configuration_age_ms: Callable[[], float] = lambda: -1
         leaderships.listen(self._note_news)
@@ -136,7 +136,7 @@
 
     def announce_leaving(self) -> None:
         """Says in all later heartbeats that this instance is leaving."""
-        self._leaving = True
+        self.leaving = True
         self._send_heartbeats(list(self._link_by_name.values()))
 
     async def run(self) -> None:
@@ -269,7 +269,7 @@
             sender=self._me,
             revision_by_scope=self.revision_by_scope(),
             leaderships=leaderships,
-            leaving=self._leaving,
+            leaving=self.leaving,
             configuration_age_ms=self.configuration_age_ms(),
         )
 
