--- a/packages/router/src/yuccadale_router/_internal/requests/delivery.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/delivery.py
@@ -81,7 +81,6 @@
     clock: Clock
     counters: Counters
     targets: TargetFactory
-    observer: LoadObserver
     random_unit: Callable[[], float]
     record_limit: int = 500_000
     record_body_limit_bytes: int = 32 << 20
@@ -139,6 +138,7 @@
         ownership: GroupOwnership,
         service: Service,
         parts: DispatcherParts,
+        observer: LoadObserver,
         tasks: Tasks,
         record_steps: RecordSteps,
     ) -> None:
@@ -147,6 +147,7 @@
         self._ownership = ownership
         self._service = service
         self._parts = parts
+        self._observer = observer
         self._clock = parts.clock
         self._tasks = tasks
         self._record_steps = record_steps
@@ -361,7 +362,7 @@
         queue.service_time.add(service_ms)
         queue.pacer.answered()
         self._ownership.report_sight(server_name, ServerSight(reached=True))
-        self._parts.observer.observe(
+        self._observer.observe(
             LoadSample(
                 slot=job.slot,
                 key=job.forward.key,
@@ -434,7 +435,7 @@
     def _observe_shedding(
         self, job: Job, queue: ServerQueue, service_ms: float
     ) -> None:
-        self._parts.observer.observe(
+        self._observer.observe(
             LoadSample(
                 slot=job.slot,
                 key=job.forward.key,
--- a/packages/router/src/yuccadale_router/_internal/requests/dispatcher.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/dispatcher.py
@@ -6,7 +6,7 @@
 from yuccadale_core.declaration import Service
 from yuccadale_core.instances import GroupId, ServerRef
 from yuccadale_core.messages import Forward, RecordChange
-from yuccadale_router._internal.contracts import GroupOwnership
+from yuccadale_router._internal.contracts import GroupOwnership, LoadObserver
 from yuccadale_router._internal.requests.answers import (
     DispatchAnswer,
     refused_answer,
@@ -28,11 +28,14 @@
         ownership: GroupOwnership,
         service: Service,
         parts: DispatcherParts,
+        observer: LoadObserver,
     ) -> None:
         self.group = group
         self._parts = parts
         self._tasks = Tasks(self._report_drained)
-        self._once = AtMostOnce(ownership, service, parts, self._tasks)
+        self._once = AtMostOnce(
+            ownership, service, parts, observer, self._tasks
+        )
         self._delivery = self._once.delivery
         self._open = 0
         self._draining = False
--- a/packages/router/src/yuccadale_router/_internal/requests/dispatchers.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/dispatchers.py
@@ -1,8 +1,10 @@
 """The dispatchers of the groups that this instance leads."""
 
+from collections.abc import Callable
+
 from yuccadale_core.declaration import Declaration
 from yuccadale_core.instances import GroupId
-from yuccadale_router._internal.contracts import GroupOwnership
+from yuccadale_router._internal.contracts import GroupOwnership, LoadObserver
 from yuccadale_router._internal.requests.delivery import DispatcherParts
 from yuccadale_router._internal.requests.dispatcher import GroupDispatcher
 
@@ -10,8 +12,13 @@
 class Dispatchers:
     """Makes dispatchers for ownership and finds them for requests."""
 
-    def __init__(self, parts: DispatcherParts) -> None:
+    def __init__(
+        self,
+        parts: DispatcherParts,
+        observer_of_group: Callable[[GroupId], LoadObserver],
+    ) -> None:
         self._parts = parts
+        self._observer_of_group = observer_of_group
         self._declaration = Declaration()
         self._dispatcher_by_group: dict[GroupId, GroupDispatcher] = {}
 
@@ -27,6 +34,7 @@
             ownership,
             self._declaration.service_by_name[group.service],
             self._parts,
+            self._observer_of_group(group),
         )
         self._dispatcher_by_group[group] = dispatcher
         return dispatcher
--- a/packages/router/src/yuccadale_router/_internal/requests/once.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/once.py
@@ -10,7 +10,11 @@
 from yuccadale_core.refusals import Refusal
 from yuccadale_core.targets import TargetAnswer
 from yuccadale_core.timing import seconds
-from yuccadale_router._internal.contracts import GroupOwnership, Tenure
+from yuccadale_router._internal.contracts import (
+    GroupOwnership,
+    LoadObserver,
+    Tenure,
+)
 from yuccadale_router._internal.requests import counter_names
 from yuccadale_router._internal.requests.answers import (
     DispatchAnswer,
@@ -51,6 +55,7 @@
         ownership: GroupOwnership,
         service: Service,
         parts: DispatcherParts,
+        observer: LoadObserver,
         tasks: Tasks,
     ) -> None:
         self.records = RecordStore(
@@ -63,6 +68,7 @@
             ownership,
             service,
             parts,
+            observer,
             tasks,
             RecordSteps(
                 self._replicate_started, self._tenure_code, self._finish
--- a/packages/router/src/yuccadale_router/_internal/requests/server_timing.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/server_timing.py
@@ -5,7 +5,7 @@
 from yuccadale_core.messages import Hop
 
 
-def server_timing(hops: Iterable[Hop]) -> str:
+def format_server_timing(hops: Iterable[Hop]) -> str:
     """Returns entries such as ``queue;dur=1.25;desc="leader lodz-a-1"``."""
     return ', '.join(
         f'{hop.name};dur={hop.duration_ms:.2f};desc="{_quoted(hop.where)}"'
--- a/tests/builders/request_world.py
+++ b/tests/builders/request_world.py
@@ -183,9 +183,9 @@
                 clock=virtual_ms,
                 counters=self.counters,
                 targets=world.target,
-                observer=self,
                 random_unit=world.random.random,
-            )
+            ),
+            lambda _group: self,
         )
         self.entry = RequestEntry(
             me,
