--- a/packages/router/src/yuccadale_router/_internal/ownership/context.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/context.py
@@ -77,7 +77,12 @@
             return {}
         return {
             instance.name: ListedServer(
-                ServerRef(instance.name, instance.address, instance.rack),
+                ServerRef(
+                    instance.name,
+                    instance.address,
+                    instance.rack,
+                    instance.service,
+                ),
                 leaving=instance.state == 'leaving',
             )
             for instance in self.listed.values()
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
@@ -128,7 +128,6 @@
         self.returning_pins: dict[int, str] = {}
         self.members_changed = asyncio.Event()
         self.row_token_before = (start.row.term - 1) * 2
-        self._target_by_server: dict[str, tuple[str, Target]] = {}
         self._poke_by_server: dict[str, asyncio.Event] = {}
         self._write_number = 0
         self._own_write_ids: set[str] = set()
@@ -202,12 +201,7 @@
 
     def target(self, server_name: str) -> Target:
         """Returns the connection to a server of the row."""
-        server = self.row.server_by_name[server_name]
-        address, target = self._target_by_server.get(server_name, ('', None))
-        if target is None or address != server.address:
-            target = self.context.target_factory(server)
-            self._target_by_server[server_name] = (server.address, target)
-        return target
+        return self.context.target_factory(self.row.server_by_name[server_name])
 
     def listed_servers(self) -> dict[str, ListedServer]:
         """Returns the servers that the platform lists for the group."""
--- a/packages/router/src/yuccadale_router/_internal/ownership/moving.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/moving.py
@@ -1,7 +1,7 @@
 """Forced and planned moves, successors and the members of a group."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from yuccadale_core.instances import ServerRef
@@ -215,11 +215,8 @@
         return
     for slot, name in changes.items():
         state.other_successors.setdefault(slot, set()).add(name)
-    since = state.context.clock()
     restricted = await wait_until(
-        lambda: all(_is_restricted(state, slot, since) for slot in changes),
-        state,
-        SUCCESSOR_WAIT_MS,
+        _all_restricted(state, changes), state, SUCCESSOR_WAIT_MS
     )
     if restricted and await record(
         state,
@@ -448,6 +445,14 @@
     return predecessor is not None and state.context.is_gone(predecessor)
 
 
+def _all_restricted(
+    state: LeaderState, slots: Iterable[int]
+) -> Callable[[], bool]:
+    """Returns a check of all grants sent before now."""
+    since = state.context.clock()
+    return lambda: all(_is_restricted(state, slot, since) for slot in slots)
+
+
 def _is_restricted(state: LeaderState, slot: int, since: float) -> bool:
     """Whether the owner's grants already heed the new successor (R3 b)."""
     owner = state.row.owner_by_slot[slot]
--- a/packages/router/src/yuccadale_router/_internal/ownership/service.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/service.py
@@ -221,7 +221,9 @@
             self._tasks.start(self._probe(sender, message))
 
     async def _probe(self, sender: InstanceRef, message: ProbeRequest) -> None:
-        server = ServerRef(message.server, message.address, '')
+        server = ServerRef(
+            message.server, message.address, '', message.group.service
+        )
         target = self._context.target_factory(server)
         greeted = await call_server(target.hello())
         self._context.peers.send(
