--- a/packages/router/src/yuccadale_router/_internal/daemon.py
+++ b/packages/router/src/yuccadale_router/_internal/daemon.py
@@ -19,7 +19,9 @@
 from yuccadale_core.settings import Settings, split_address
 
 from yuccadale_router._internal.clock import monotonic_ms
-from yuccadale_router._internal.configuration import ConfigurationService
+from yuccadale_router._internal.configuration.service import (
+    ConfigurationService,
+)
 from yuccadale_router._internal.contracts import LeadershipTable
 from yuccadale_router._internal.network.caller_api import CallerApi
 from yuccadale_router._internal.network.http_app import make_app, serve_app
