--- /dev/null
+++ b/packages/client/src/yuccadale/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one in each module."""
