--- a/packages/router/src/yuccadale_router/_internal/configuration/service.py
+++ b/packages/router/src/yuccadale_router/_internal/configuration/service.py
@@ -260,7 +260,13 @@
     def _start_task(self, work: Coroutine[None, None, object]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task[object]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._counters.count('configuration.task_failed')
+            _log.error('configuration task failed', exc_info=task.exception())
 
 
 def _utc_now() -> str:
--- a/packages/router/src/yuccadale_router/_internal/daemon.py
+++ b/packages/router/src/yuccadale_router/_internal/daemon.py
@@ -157,6 +157,7 @@
         operator_keys=operator_keys,
     )
     links.revision_by_scope = configuration.revision_by_scope
+    links.configuration_age_ms = configuration.confirmed_age_ms
     return Parts(
         me=me,
         counters=counters,
