Add ownership of slots: leases, grants, takeover and moves

The router had no part that decides which instance may send to a server. This adds the group row, the leader's lease by the standby's promise, the grant ledger with the lifetimes of R3, forced and planned moves, the standby's takeover with and without the table, handover, replication with full copies, pins and the status page's data.

Replicate now carries the row: a standby that takes over while the table is down must know the committed successors, which the leader may have changed.

--- a/packages/core/src/yuccadale_core/_internal/messages.py
+++ b/packages/core/src/yuccadale_core/_internal/messages.py
@@ -98,6 +98,9 @@
     Attributes:
         number: rises by one with each message of this token.
         full_copy: whether the standby drops what it had before.
+        row_text: the group's row as the leader has it or is about to write
+            it; empty when it did not change.
+        row_committed: whether the table is known to hold that row.
     """
 
     group: GroupId
@@ -106,6 +109,8 @@
     full_copy: bool
     records: list[RecordChange]
     moves: list[SlotMove]
+    row_text: str = ''
+    row_committed: bool = False
 
 
 class ReplicateAck(PeerMessage, frozen=True, tag=5):
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/ownership/granting.py
@@ -0,0 +1,139 @@
+"""Grants to one server: one task for each server of the group."""
+
+import asyncio
+import contextlib
+import math
+
+from expression import Result
+
+from yuccadale_core.targets import (
+    Grant,
+    GrantAnswer,
+    TargetFailure,
+    TargetFailureKind,
+)
+from yuccadale_core.timing import GRANT_INTERVAL_MS, seconds
+from yuccadale_router._internal.ownership.activation import take_report
+from yuccadale_router._internal.ownership.grants import latest_ends
+from yuccadale_router._internal.ownership.leader_state import (
+    LeaderState,
+    call_server,
+)
+
+# The pause after an answer that asks for another grant at once.
+REPEAT_MS = 10
+_REACHED_KINDS = frozenset(
+    (
+        TargetFailureKind.refused,
+        TargetFailureKind.shedding,
+        TargetFailureKind.draining,
+        TargetFailureKind.malformed,
+    )
+)
+
+
+async def run_server(state: LeaderState, server_name: str) -> None:
+    """Keeps a server's grant alive until it leaves the group."""
+    poke = state.poke_event(server_name)
+    while not state.ended.is_set():
+        if server_name not in state.row.server_by_name:
+            return
+        pause_ms = GRANT_INTERVAL_MS
+        poke.clear()
+        if not state.handing_over and await contact(state, server_name):
+            pause_ms = REPEAT_MS
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(poke.wait(), seconds(pause_ms))
+
+
+async def contact(state: LeaderState, server_name: str) -> bool:
+    """Sends one grant, or asks for a ticket; true to go on at once."""
+    if not state.checks_grants:
+        _take_result(state, server_name, await _say_hello(state, server_name))
+        return False
+    if state.ledger.of_server(server_name).ticket is None:
+        greeted = await _say_hello(state, server_name)
+        _take_result(state, server_name, greeted)
+        if greeted.is_error():
+            return False
+        state.ledger.note_answer(server_name, greeted.ok)
+        take_report(state, server_name, greeted.ok)
+    return await _offer_grant(state, server_name)
+
+
+def prepare_grant(state: LeaderState, server_name: str) -> Grant | None:
+    """Makes the next grant with the lifetimes that R3 allows."""
+    slots = [
+        slot
+        for slot in state.row.slots_of(server_name)
+        if not state.book.is_held(slot)
+    ]
+    lease_end = -math.inf if state.is_odd else state.lease.valid_until
+    answered_by_slot = {slot: _answered_at(state, slot) for slot in slots}
+    return state.ledger.prepare(
+        server_name, latest_ends(slots, lease_end, answered_by_slot)
+    )
+
+
+async def _offer_grant(state: LeaderState, server_name: str) -> bool:
+    grant = prepare_grant(state, server_name)
+    if grant is None:
+        return True
+    answered = await call_server(state.target(server_name).grant(grant))
+    _take_result(state, server_name, answered)
+    if answered.is_error() or state.ended.is_set():
+        return False
+    answer = answered.ok
+    take_report(state, server_name, answer)
+    if not answer.accepted:
+        state.ledger.note_answer(server_name, answer)
+        return True
+    state.ledger.note_accepted(server_name, grant, answer)
+    _release_ready(state, server_name)
+    return grant.ttl_ms <= 0 and bool(grant.slots)
+
+
+async def _say_hello(
+    state: LeaderState, server_name: str
+) -> Result[GrantAnswer, TargetFailure]:
+    return await call_server(state.target(server_name).hello())
+
+
+def _take_result(
+    state: LeaderState,
+    server_name: str,
+    answered: Result[GrantAnswer, TargetFailure],
+) -> None:
+    highest_token = 0
+    if answered.is_ok():
+        state.membership.heard(server_name)
+        highest_token = answered.ok.highest_token
+    elif answered.error.kind in _REACHED_KINDS:
+        state.membership.heard(
+            server_name,
+            draining=answered.error.kind == TargetFailureKind.draining or None,
+        )
+        highest_token = answered.error.highest_token or 0
+    if highest_token > state.token:
+        state.end(f'{server_name} has accepted token {highest_token}')
+
+
+def _answered_at(state: LeaderState, slot: int) -> float:
+    """Returns the oldest of the successors' answers, R3 (b)."""
+    return min(
+        (
+            state.ledger.of_server(name).answered_call_at
+            for name in state.successors(slot)
+        ),
+        default=-math.inf,
+    )
+
+
+def _release_ready(state: LeaderState, server_name: str) -> None:
+    """Lets the dispatcher send what waited for slots that became usable."""
+    for slot in state.row.slots_of(server_name):
+        if not state.ledger.may_use(server_name, slot):
+            state.released.discard(slot)
+        elif slot not in state.released:
+            state.released.add(slot)
+            state.dispatcher.release_slot(slot)
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/ownership/grants.py
@@ -0,0 +1,252 @@
+"""The ledger of grants: what each server may own, and until when at most.
+
+All times are on the leader's clock. A grant that carries a ticket is over at
+the server at (arrival of the ticket) + lifetime, times the clock margin.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from yuccadale_core.targets import Grant, GrantAnswer, LastGrant, Ticket
+from yuccadale_core.timing import CLOCK_RATE_MARGIN, GRANT_TTL_MS
+from yuccadale_router._internal.clock import Clock
+
+MINIMUM_TTL_MS = 50
+FOREIGN_TTL_MS = GRANT_TTL_MS * CLOCK_RATE_MARGIN
+
+
+@dataclass(frozen=True, slots=True)
+class SentGrant:
+    """A grant that the server may hold."""
+
+    sequence: int
+    slots: frozenset[int]
+    sent_at: float
+    usable_until: float
+    over_at: float
+    gap: bool
+
+
+@dataclass(slots=True)
+class ServerGrants:
+    """What one server was granted under this leader.
+
+    Attributes:
+        answered_call_at: time before the newest call was sent that the server
+            accepted with this leader's token as its highest.
+        first_accepted_at: first acceptance of the present token.
+        incarnation_seen_at: first answer of the server's present process.
+        previous_grant: what the server reported of an earlier leader.
+    """
+
+    ticket: Ticket | None = None
+    ticket_arrived_at: float = -math.inf
+    sent: list[SentGrant] = field(default_factory=list)
+    accepted: SentGrant | None = None
+    answered_call_at: float = -math.inf
+    first_accepted_at: float = math.inf
+    incarnation_seen_at: float = math.inf
+    ready_at: float = math.inf
+    previous_grant: LastGrant | None = None
+    reported: bool = False
+
+    def slot_over_at(self, slot: int) -> float:
+        """Returns when no grant with the slot can be live any more."""
+        return max(
+            (grant.over_at for grant in self.sent if slot in grant.slots),
+            default=-math.inf,
+        )
+
+
+class GrantLedger:
+    """All grants of one leader, with the lifetimes that rule R3 allows."""
+
+    def __init__(self, clock: Clock, holder: str, token: int) -> None:
+        self._clock = clock
+        self._holder = holder
+        self._sequence = 0
+        self._grants_by_server: dict[str, ServerGrants] = {}
+        self._gap_servers: set[str] = set()
+        self.token = token
+
+    def of_server(self, server_name: str) -> ServerGrants:
+        """Returns the entry of a server, making an empty one if needed."""
+        return self._grants_by_server.setdefault(server_name, ServerGrants())
+
+    def change_token(self, token: int) -> None:
+        """Takes a higher token of the same leader.
+
+        Earlier answers still bound the wait of a successor (R3 b), because
+        the holder stays the same; acknowledgements of the token (R6) start
+        anew.
+        """
+        self.token = token
+        for grants in self._grants_by_server.values():
+            grants.first_accepted_at = math.inf
+
+    def mark_gap(self, server_name: str) -> None:
+        """Sets the gap mark in the server's next grants."""
+        self._gap_servers.add(server_name)
+
+    def clear_gaps(self) -> None:
+        """Leaves the gap mark out of the next grants."""
+        self._gap_servers.clear()
+
+    def gap_accepted(self, server_name: str) -> bool:
+        """Says whether the server has accepted the gap mark for certain."""
+        grants = self.of_server(server_name)
+        accepted = grants.accepted
+        if accepted is None or server_name not in self._gap_servers:
+            return False
+        # A later grant without the mark may still be accepted.
+        return all(
+            sent.gap
+            for sent in grants.sent
+            if sent.sequence >= accepted.sequence
+        )
+
+    def gap_server_names(self) -> frozenset[str]:
+        """Returns the servers whose grants carry the gap mark."""
+        return frozenset(self._gap_servers)
+
+    def note_answer(self, server_name: str, answer: GrantAnswer) -> None:
+        """Takes the ticket of any answer, hello included."""
+        grants = self.of_server(server_name)
+        now = self._clock()
+        known = grants.ticket
+        if known is None or known.incarnation != answer.ticket.incarnation:
+            grants.incarnation_seen_at = now
+            grants.ready_at = math.inf
+            grants.accepted = None
+        grants.ticket = answer.ticket
+        grants.ticket_arrived_at = now
+        last_grant = answer.last_grant
+        if last_grant is None or last_grant.holder != self._holder:
+            grants.previous_grant = last_grant
+        grants.reported = True
+
+    def prepare(
+        self, server_name: str, limit_by_slot: Mapping[int, float]
+    ) -> Grant | None:
+        """Makes the next grant of a server; None without a ticket.
+
+        ``limit_by_slot`` holds the latest end that R3 allows each slot. A
+        server that has not accepted the token yet is offered all its slots,
+        with a lifetime of 0 when nothing more is allowed: it then knows the
+        token and keeps the slots as its own.
+        """
+        grants = self.of_server(server_name)
+        if grants.ticket is None:
+            return None
+        arrived_at = grants.ticket_arrived_at
+        ttl_by_slot = {
+            slot: min(GRANT_TTL_MS, limit - arrived_at)
+            for slot, limit in limit_by_slot.items()
+        }
+        slots = _worthwhile_slots(ttl_by_slot)
+        ttl_ms = min((ttl_by_slot[slot] for slot in slots), default=0)
+        if math.isinf(grants.first_accepted_at) and len(slots) < len(
+            ttl_by_slot
+        ):
+            slots = list(ttl_by_slot)
+            ttl_ms = 0
+        self._sequence += 1
+        grant = Grant(
+            holder=self._holder,
+            token=self.token,
+            ticket=grants.ticket,
+            ttl_ms=ttl_ms,
+            slots=tuple(slots),
+            sequence=self._sequence,
+            gap=server_name in self._gap_servers,
+        )
+        self._note_sent(grants, grant)
+        return grant
+
+    def note_accepted(
+        self, server_name: str, grant: Grant, answer: GrantAnswer
+    ) -> None:
+        """Takes the acceptance of a grant; older ones are replaced by it."""
+        grants = self.of_server(server_name)
+        self.note_answer(server_name, answer)
+        if answer.ticket.incarnation != grant.ticket.incarnation:
+            return
+        grants.sent = [
+            sent for sent in grants.sent if sent.sequence >= grant.sequence
+        ]
+        for sent in grants.sent:
+            if sent.sequence == grant.sequence:
+                self._accept(grants, sent, answer)
+
+    def may_use(self, server_name: str, slot: int) -> bool:
+        """Says whether the server serves the slot by a grant in force."""
+        grants = self.of_server(server_name)
+        accepted = grants.accepted
+        now = self._clock()
+        return (
+            accepted is not None
+            and slot in accepted.slots
+            and now < accepted.usable_until
+            and now >= grants.ready_at
+        )
+
+    def _accept(
+        self, grants: ServerGrants, sent: SentGrant, answer: GrantAnswer
+    ) -> None:
+        if answer.highest_token == self.token:
+            grants.answered_call_at = max(grants.answered_call_at, sent.sent_at)
+            grants.first_accepted_at = min(
+                grants.first_accepted_at, self._clock()
+            )
+        grants.accepted = sent
+        grants.ready_at = self._clock() + answer.ready_in_ms
+
+    def _note_sent(self, grants: ServerGrants, grant: Grant) -> None:
+        now = self._clock()
+        arrived_at = grants.ticket_arrived_at
+        grants.sent = [
+            sent
+            for sent in grants.sent
+            if sent.over_at > now or sent is grants.accepted
+        ]
+        grants.sent.append(
+            SentGrant(
+                sequence=grant.sequence,
+                slots=frozenset(grant.slots),
+                sent_at=now,
+                usable_until=arrived_at + grant.ttl_ms,
+                over_at=arrived_at + grant.ttl_ms * CLOCK_RATE_MARGIN,
+                gap=grant.gap,
+            )
+        )
+
+
+def _worthwhile_slots(ttl_by_slot: Mapping[int, float]) -> list[int]:
+    """Leaves out slots whose short lifetime would cut that of the others.
+
+    All slots of a grant share its lifetime. A slot below half of the longest
+    lifetime would interrupt every slot of the server between two grants.
+    """
+    longest = max(ttl_by_slot.values(), default=0)
+    least = max(MINIMUM_TTL_MS, longest / 2)
+    return [slot for slot, ttl_ms in ttl_by_slot.items() if ttl_ms >= least]
+
+
+def latest_ends(
+    slots: Iterable[int],
+    lease_end: float,
+    answered_by_slot: Mapping[int, float],
+) -> dict[int, float]:
+    """Returns the latest end of a grant for each slot by rule R3.
+
+    ``answered_by_slot`` holds the time before the call that the committed
+    successor answered last, minus infinity when there is none.
+    """
+    return {
+        slot: max(
+            lease_end,
+            answered_by_slot.get(slot, -math.inf) + GRANT_TTL_MS,
+        )
+        for slot in slots
+    }
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
@@ -0,0 +1,301 @@
+"""State of one leadership of one group, shared by the leader's tasks."""
+
+import asyncio
+import enum
+from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any, TypeVar
+
+from expression import Result
+
+from yuccadale_core.instances import GroupId, InstanceRef, Leadership
+from yuccadale_core.messages import RecordChange, SlotMove
+from yuccadale_core.platform import Row, TableFailure
+from yuccadale_core.targets import (
+    LastGrant,
+    Target,
+    TargetFailure,
+    TargetFailureKind,
+)
+from yuccadale_core.timing import seconds
+from yuccadale_router._internal.contracts import GroupRequests, Placement
+from yuccadale_router._internal.ownership.context import (
+    InstanceContext,
+    ListedServer,
+    Signal,
+    TaskSet,
+)
+from yuccadale_router._internal.ownership.grants import GrantLedger
+from yuccadale_router._internal.ownership.lease import LeaderLease
+from yuccadale_router._internal.ownership.membership import ServerMembership
+from yuccadale_router._internal.ownership.replication import ReplicationLog
+from yuccadale_router._internal.ownership.rows import GroupRow, encode_row
+from yuccadale_router._internal.ownership.slots import SlotBook
+
+# Below the suspicion time, so that a frozen server is asked again twice.
+SERVER_CALL_TIMEOUT_MS = 300
+WAIT_STEP_MS = 20
+
+_Answer = TypeVar('_Answer')
+
+
+class Origin(enum.Enum):
+    """How the leadership began; decides what is known about the slots."""
+
+    created = 'created'
+    handed_over = 'handed over'
+    replicated = 'taken over with replicated state'
+    unknown = 'taken over without state'
+
+
+@dataclass(frozen=True, slots=True)
+class Inheritance:
+    """What a leader starts with.
+
+    Attributes:
+        row: the row to act by.
+        version: version in the table, None while the table is down.
+        token: the row's token, or an odd one.
+        predecessor: the earlier leader, None for a new row.
+        records: idempotency records of the earlier leader.
+        silent_servers: since when servers did not answer this standby.
+        other_rows: rows that the table may hold instead.
+        moves: moves of the earlier leader, for the history.
+    """
+
+    origin: Origin
+    row: GroupRow
+    version: int | None
+    token: int
+    predecessor: InstanceRef | None = None
+    records: list[RecordChange] = field(default_factory=list)
+    silent_servers: Mapping[str, float] = field(default_factory=dict)
+    other_rows: tuple[GroupRow, ...] = ()
+    moves: tuple[SlotMove, ...] = ()
+
+
+class LeaderState:
+    """Aggregates of one leadership.
+
+    Attributes:
+        version: version of the row in the table, None when not known.
+        dirty: whether the table lacks the newest row.
+        other_successors: servers that bind as successors besides the
+            committed ones (R3), while a change of them is under way.
+    """
+
+    def __init__(
+        self, context: InstanceContext, group: GroupId, start: Inheritance
+    ) -> None:
+        clock = context.clock
+        self.context = context
+        self.group = group
+        self.start = start
+        self.row = start.row
+        self.version = start.version
+        self.token = start.token
+        self.dirty = start.version is None
+        self.lease = LeaderLease(clock)
+        self.ledger = GrantLedger(clock, context.holder, start.token)
+        self.membership = ServerMembership(clock)
+        self.book = SlotBook(clock)
+        self.placement: Placement = context.placement_factory(group)
+        self.log = self._new_log()
+        self.lock = asyncio.Lock()
+        self.tasks = TaskSet()
+        self.ended = asyncio.Event()
+        self.end_reason = ''
+        self.started_at = clock()
+        self.standby_resigned = False
+        self.other_successors: dict[int, set[str]] = {}
+        self.replication_wanted = asyncio.Event()
+        self.replication_acknowledged = Signal()
+        # Above the row's term while a standby change is in doubt.
+        self.highest_term = start.row.term
+        self.requests: GroupRequests | None = None
+        self.handing_over = False
+        # What servers reported at first contact, and the token of the row
+        # that an instance without replicated state took over.
+        self.reports: dict[str, LastGrant | None] = {}
+        self.released: set[int] = set()
+        self.lost_servers: set[str] = set()
+        # Slots with a planned move, from the hold until the record.
+        self.moving: set[int] = set()
+        # Slots whose forced move has begun and is not recorded yet.
+        self.forced_slots: set[int] = set()
+        self.idle_rounds_by_pin: dict[str, int] = {}
+        # Pins to be moved back to the server of their base slot.
+        self.returning_pins: dict[int, str] = {}
+        self.members_changed = asyncio.Event()
+        self.row_token_before = (start.row.term - 1) * 2
+        self._poke_by_server: dict[str, asyncio.Event] = {}
+        self._write_number = 0
+        self._own_write_ids: set[str] = set()
+
+    @property
+    def is_odd(self) -> bool:
+        """Whether this is a takeover without the table."""
+        return self.token % 2 == 1
+
+    @property
+    def checks_grants(self) -> bool:
+        """Whether the group's servers check who sends to them."""
+        return self.context.checks_grants(self.group)
+
+    @property
+    def where(self) -> str:
+        """Name of this hop in refusals."""
+        return f'leader {self.context.me.name}'
+
+    @property
+    def dispatcher(self) -> GroupRequests:
+        """The group's dispatcher."""
+        if self.requests is None:
+            raise RuntimeError('the dispatcher was not created yet')
+        return self.requests
+
+    def end(self, reason: str) -> None:
+        """Ends the leadership; nothing is sent from now on."""
+        if not self.ended.is_set():
+            self.end_reason = reason
+            self.context.counters.count('ownership.leader_ended')
+            self.ended.set()
+
+    def may_move(self) -> bool:
+        """R2 and R4: moves need a valid lease and an even token."""
+        return (
+            not self.ended.is_set()
+            and not self.is_odd
+            and self.lease.is_valid()
+        )
+
+    def standby_change_in_doubt(self) -> bool:
+        """Whether the table may hold a later term than the one in use.
+
+        Writing the row of the present term over it would take its token back.
+        """
+        return self.highest_term > self.row.term
+
+    def take_row(self, row: GroupRow) -> None:
+        """Acts by a committed row with a new term, under its token."""
+        self.row = row
+        self.highest_term = row.term
+        self.token = row.token
+        self.ledger.change_token(row.token)
+        self.other_successors.clear()
+        self.lease.end()
+        self.log = self._new_log()
+        self.standby_resigned = False
+        self.announce()
+        self.replication_wanted.set()
+        self.replication_acknowledged.notify()
+        self.poke_all()
+
+    def announce(self) -> None:
+        """Enters the leadership into the table that peers are told from."""
+        self.context.leaderships.learn(
+            Leadership(
+                self.group, self.token, self.context.me, self.row.standby
+            )
+        )
+
+    def target(self, server_name: str) -> Target:
+        """Returns the connection to a server of the row."""
+        return self.context.target_factory(self.row.server_by_name[server_name])
+
+    def listed_servers(self) -> dict[str, ListedServer]:
+        """Returns the servers that the platform lists for the group."""
+        return self.context.listed_servers(self.group)
+
+    def poke(self, server_name: str) -> None:
+        """Makes the server's grant loop run at once."""
+        self.poke_event(server_name).set()
+
+    def poke_all(self) -> None:
+        """Makes all grant loops run at once."""
+        for server_name in self.row.server_by_name:
+            self.poke(server_name)
+
+    def poke_event(self, server_name: str) -> asyncio.Event:
+        """Returns the event that the server's grant loop waits on."""
+        return self._poke_by_server.setdefault(server_name, asyncio.Event())
+
+    def successors(self, slot: int) -> set[str]:
+        """Returns every server that may be the slot's committed successor."""
+        names = set(self.other_successors.get(slot, ()))
+        committed = self.row.successor_by_slot.get(slot)
+        if committed is not None:
+            names.add(committed)
+        return names
+
+    async def write_row(self, row: GroupRow) -> Result[Row, TableFailure]:
+        """Writes the row on the known version; resolves own earlier writes."""
+        if self.version is None:
+            raise RuntimeError('the version of the row is not known')
+        while True:
+            written = await self._write_once(row, self.version)
+            winner = written.error.row if written.is_error() else None
+            if winner is None or winner.write_id not in self._own_write_ids:
+                break
+            # An earlier write of ours took effect after its answer was lost.
+            self.version = winner.version
+        if written.is_ok():
+            self.version = written.ok.version
+            self._own_write_ids.clear()
+        return written
+
+    async def _write_once(
+        self, row: GroupRow, version: int
+    ) -> Result[Row, TableFailure]:
+        self._write_number += 1
+        write_id = (
+            f'{self.context.holder}/{self.token}/'
+            f'{self._write_number}/{self.context.chooser.getrandbits(32):x}'
+        )
+        self._own_write_ids.add(write_id)
+        return await self.context.table.write(
+            self.group.row_name, encode_row(row), version, write_id
+        )
+
+    def _new_log(self) -> ReplicationLog:
+        return ReplicationLog(self.group, self.token, encode_row(self.row))
+
+
+def with_standby(
+    row: GroupRow,
+    leader: InstanceRef,
+    standby: InstanceRef | None,
+    term: int,
+) -> GroupRow:
+    """Returns the row of a later term."""
+    return replace(row, term=term, leader=leader, standby=standby)
+
+
+async def call_server(
+    call: Coroutine[Any, Any, Result[_Answer, TargetFailure]],
+) -> Result[_Answer, TargetFailure]:
+    """Calls a server with the control protocol's timeout."""
+    try:
+        return await asyncio.wait_for(call, seconds(SERVER_CALL_TIMEOUT_MS))
+    except TimeoutError:
+        return Result.Error(TargetFailure(TargetFailureKind.lost, 'timeout'))
+
+
+async def wait_out(state: LeaderState, duration_ms: float) -> None:
+    """Waits on the leader's own clock, which may differ from the timers."""
+    ends_at = state.context.clock() + duration_ms
+    await wait_until(
+        lambda: state.context.clock() >= ends_at, state, duration_ms
+    )
+
+
+async def wait_until(
+    condition: Callable[[], bool], state: LeaderState, limit_ms: float
+) -> bool:
+    """Polls a condition of the leader's own clock; false after the limit."""
+    deadline = state.context.clock() + limit_ms
+    while not condition():
+        if state.ended.is_set() or state.context.clock() >= deadline:
+            return False
+        await asyncio.sleep(seconds(WAIT_STEP_MS))
+    return True
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/ownership/moving.py
@@ -0,0 +1,489 @@
+"""Forced and planned moves, successors and the members of a group."""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from yuccadale_core.instances import ServerRef
+from yuccadale_core.messages import ProbeRequest, SlotMove
+from yuccadale_router._internal.contracts import (
+    Assignment,
+    Candidate,
+    MoveProposal,
+    ServerState,
+)
+from yuccadale_router._internal.ownership.activation import (
+    decide_waiting_slots,
+    with_decisions,
+)
+from yuccadale_router._internal.ownership.grants import FOREIGN_TTL_MS
+from yuccadale_router._internal.ownership.leader_state import (
+    LeaderState,
+    Origin,
+    wait_out,
+    wait_until,
+)
+from yuccadale_router._internal.ownership.recording import record
+from yuccadale_router._internal.ownership.rows import (
+    MAX_SERVERS,
+    GroupRow,
+    move_slot,
+)
+
+PLANNED_MOVES_AT_ONCE = 4
+SUCCESSOR_WAIT_MS = 3000
+REVOKE_WAIT_MS = 3000
+RECORD_PAUSE_MS = 200
+_REASON_LOST = 'server lost'
+_REASON_QUERY = 'found at the successor'
+
+
+def candidates(state: LeaderState) -> list[Candidate]:
+    """Returns the group's servers as placement sees them."""
+    return [
+        Candidate(server.name, server.rack, server_state(state, server.name))
+        for server in state.row.server_by_name.values()
+    ]
+
+
+def server_state(state: LeaderState, server_name: str) -> ServerState:
+    """Returns the state of a server."""
+    listed = state.listed_servers().get(server_name)
+    if state.membership.is_suspected(server_name):
+        return ServerState.lost
+    if (
+        state.membership.of_server(server_name).draining
+        or (listed is not None and listed.leaving)
+        or (listed is None and state.context.listed is not None)
+    ):
+        return ServerState.draining
+    if not accepts_slots(state, server_name):
+        return ServerState.joining
+    return ServerState.live
+
+
+def accepts_slots(state: LeaderState, server_name: str) -> bool:
+    """Says whether a server may be given slots of another one now.
+
+    A process that never saw an earlier leader's grant cannot know how long
+    that leader relied on its answers (R3 b), so it gets no new slots until
+    one lifetime after it was first seen.
+    """
+    if state.membership.is_suspected(server_name):
+        return False
+    if not state.checks_grants:
+        return True
+    grants = state.ledger.of_server(server_name)
+    if math.isinf(grants.first_accepted_at):
+        return False
+    if state.start.origin == Origin.created or grants.previous_grant:
+        return True
+    return state.context.clock() >= grants.incarnation_seen_at + FOREIGN_TTL_MS
+
+
+def ask_for_probes(state: LeaderState) -> None:
+    """Asks the standby to confirm the silence of servers."""
+    standby = state.row.standby
+    if standby is None:
+        return
+    for server in state.row.server_by_name.values():
+        number = state.membership.next_probe(server.name)
+        if number is not None:
+            state.context.peers.send(
+                standby.name,
+                ProbeRequest(state.group, server.name, server.address, number),
+            )
+
+
+async def settle_waiting_slots(state: LeaderState) -> None:
+    """Activates the slots whose owners the reports settle (R7)."""
+    if not state.book.waiting or not state.may_move():
+        return
+    decided = decide_waiting_slots(state)
+    changed = {
+        slot: owner
+        for slot, owner in decided.items()
+        if state.row.owner_by_slot[slot] != owner
+    }
+    if changed and not await record(
+        state,
+        lambda row: with_decisions(row, changed),
+        _move_records(state, changed, _REASON_QUERY),
+        needs_table=True,
+    ):
+        return
+    for moved_slot, new_owner in changed.items():
+        state.book.record(moved_slot, new_owner, state.token, _REASON_QUERY)
+    state.book.waiting.difference_update(decided)
+    state.poke_all()
+
+
+async def move_lost_slots(state: LeaderState) -> None:
+    """Moves the slots of lost servers to their committed successors."""
+    if not state.may_move() or not _foreign_rights_over(state):
+        return
+    needs_probe = state.row.standby is not None
+    for server_name in list(state.row.server_by_name):
+        lost = state.membership.is_lost(
+            server_name, confirmed_by_standby=needs_probe
+        )
+        if lost:
+            await _move_slots_of_lost(state, server_name)
+        elif not state.membership.is_suspected(server_name):
+            state.lost_servers.discard(server_name)
+
+
+async def move_planned(state: LeaderState, proposal: MoveProposal) -> None:
+    """Moves one slot between servers that respond."""
+    slot = proposal.slot
+    old_owner = state.row.owner_by_slot[slot]
+    await state.dispatcher.hold_slot(slot)
+    if state.ended.is_set() or not _is_still_wanted(state, proposal, old_owner):
+        state.dispatcher.release_slot(slot)
+        return
+    state.book.target_by_slot[slot] = proposal.new_owner
+    state.poke(old_owner)
+    await _until_revoked(state, old_owner, slot)
+    while not state.ended.is_set():
+        target = _reachable_target(state, slot)
+        if await _record_moves(state, {slot: target}, proposal.reason):
+            return
+        await wait_out(state, RECORD_PAUSE_MS)
+
+
+async def finish_interrupted_moves(state: LeaderState) -> None:
+    """Repeats records of forced moves that failed halfway.
+
+    The standby may have the move already, so that the slot must not go back
+    to the old owner without another record.
+    """
+    if not state.may_move():
+        return
+    unfinished = {
+        slot: target
+        for slot, target in state.book.target_by_slot.items()
+        if slot in state.forced_slots and _is_over(state, slot)
+    }
+    if unfinished:
+        await _record_moves(state, unfinished, _REASON_LOST)
+
+
+def planned_moves(state: LeaderState) -> list[MoveProposal]:
+    """Returns the moves that may start now."""
+    if (
+        not state.may_move()
+        or state.handing_over
+        or state.book.waiting
+        or state.context.table.is_down()
+    ):
+        return []
+    room = PLANNED_MOVES_AT_ONCE - len(state.moving)
+    if room <= 0:
+        return []
+    assignment = Assignment(
+        state.row.owner_by_slot, state.row.successor_by_slot
+    )
+    returning = [
+        MoveProposal(slot, owner, 'pin ends', 0)
+        for slot, owner in state.returning_pins.items()
+    ]
+    proposals = state.placement.propose(assignment, candidates(state))
+    return [
+        proposal
+        for proposal in (*returning, *proposals)
+        if proposal.slot not in state.moving
+        and not state.book.is_held(proposal.slot)
+        and _is_allowed(state, proposal)
+    ][:room]
+
+
+async def renew_successors(state: LeaderState) -> None:
+    """Replaces successors that placement wants elsewhere (R6)."""
+    if not state.may_move() or state.context.table.is_down():
+        return
+    wanted = state.placement.successors(
+        state.row.owner_by_slot,
+        state.row.successor_by_slot,
+        candidates(state),
+    )
+    changes = {
+        slot: name
+        for slot, name in wanted.items()
+        if _may_replace_successor(state, slot, name)
+    }
+    if not changes:
+        return
+    for slot, name in changes.items():
+        state.other_successors.setdefault(slot, set()).add(name)
+    restricted = await wait_until(
+        _all_restricted(state, changes), state, SUCCESSOR_WAIT_MS
+    )
+    if restricted and await record(
+        state,
+        lambda row: _with_successors(row, changes),
+        [],
+        needs_table=True,
+    ):
+        state.context.counters.count('ownership.successors_changed')
+        state.other_successors.clear()
+
+
+async def renew_members(state: LeaderState) -> None:
+    """Adds new servers, takes over new addresses, drops servers that left."""
+    listed = state.listed_servers()
+    if not listed or not state.may_move() or state.context.table.is_down():
+        return
+    in_use = {
+        *state.row.owner_by_slot.values(),
+        *state.row.successor_by_slot.values(),
+    }
+    server_by_name = {
+        name: server
+        for name, server in state.row.server_by_name.items()
+        if name in listed or name in in_use
+    }
+    for name, entry in listed.items():
+        known = server_by_name.get(name)
+        if known is not None or not entry.leaving:
+            server_by_name[name] = entry.ref
+    if server_by_name == state.row.server_by_name:
+        return
+    if len(server_by_name) <= MAX_SERVERS:
+        await _record_members(state, server_by_name)
+
+
+async def _record_members(
+    state: LeaderState, server_by_name: dict[str, ServerRef]
+) -> None:
+    added = server_by_name.keys() - state.row.server_by_name.keys()
+    if not await record(
+        state,
+        lambda row: replace(row, server_by_name=server_by_name),
+        [],
+        needs_table=True,
+    ):
+        return
+    for name in added:
+        state.dispatcher.server_added(server_by_name[name], cold=True)
+    state.members_changed.set()
+
+
+async def _move_slots_of_lost(state: LeaderState, server_name: str) -> None:
+    if server_name not in state.lost_servers:
+        state.lost_servers.add(server_name)
+        state.dispatcher.server_lost(server_name)
+        state.context.counters.count('ownership.server_lost')
+    targets = _forced_targets(state, server_name)
+    state.book.target_by_slot.update(targets)
+    state.forced_slots.update(targets)
+    if not state.checks_grants:
+        await _hold_all(state, targets)
+    ready = {
+        slot: successor
+        for slot, successor in targets.items()
+        if _is_over(state, slot)
+    }
+    if ready:
+        await _record_moves(state, ready, _REASON_LOST)
+
+
+def _forced_targets(state: LeaderState, server_name: str) -> dict[int, str]:
+    """R5: a slot of a lost server goes only to its committed successor."""
+    return {
+        slot: state.row.successor_by_slot[slot]
+        for slot in state.row.slots_of(server_name)
+        if slot in state.row.successor_by_slot
+        and slot not in state.moving
+        and slot not in state.book.waiting
+        and accepts_slots(state, state.row.successor_by_slot[slot])
+    }
+
+
+async def _hold_all(state: LeaderState, slots: Iterable[int]) -> None:
+    for slot in slots:
+        await state.dispatcher.hold_slot(slot)
+
+
+async def _record_moves(
+    state: LeaderState, target_by_slot: dict[int, str], reason: str
+) -> bool:
+    """Records moves, then gives the slots to their new owners."""
+    old_owner_by_slot = {
+        slot: state.row.owner_by_slot[slot] for slot in target_by_slot
+    }
+    needs_table = any(
+        state.row.successor_by_slot.get(slot) != target
+        for slot, target in target_by_slot.items()
+    )
+    recorded = await record(
+        state,
+        lambda row: _with_moves(row, target_by_slot),
+        _move_records(state, target_by_slot, reason),
+        needs_table=needs_table,
+    )
+    if not recorded:
+        return False
+    for slot, target in target_by_slot.items():
+        state.book.target_by_slot.pop(slot, None)
+        state.forced_slots.discard(slot)
+        state.book.record(slot, target, state.token, reason)
+        state.placement.moved(slot, old_owner_by_slot[slot], target)
+        state.released.discard(slot)
+        if not state.checks_grants:
+            state.dispatcher.release_slot(slot)
+        state.poke(target)
+    state.context.counters.count('ownership.slots_moved', len(target_by_slot))
+    return True
+
+
+def _with_moves(row: GroupRow, target_by_slot: dict[int, str]) -> GroupRow:
+    for slot, target in target_by_slot.items():
+        if row.owner_by_slot[slot] != target:
+            row = move_slot(row, slot, target)
+    return row
+
+
+def _with_successors(row: GroupRow, changes: dict[int, str]) -> GroupRow:
+    allowed = {
+        slot: name
+        for slot, name in changes.items()
+        if row.owner_by_slot[slot] != name
+    }
+    return replace(row, successor_by_slot={**row.successor_by_slot, **allowed})
+
+
+def _move_records(
+    state: LeaderState, target_by_slot: dict[int, str], reason: str
+) -> list[SlotMove]:
+    return [
+        SlotMove(slot, state.row.owner_by_slot[slot], target, reason)
+        for slot, target in target_by_slot.items()
+    ]
+
+
+def _is_over(state: LeaderState, slot: int) -> bool:
+    """Says whether no grant of this leader to the owner has the slot."""
+    owner = state.row.owner_by_slot[slot]
+    over_at = state.ledger.of_server(owner).slot_over_at(slot)
+    return over_at <= state.context.clock()
+
+
+async def _until_revoked(state: LeaderState, old_owner: str, slot: int) -> None:
+    """Waits until the old owner's grant has no such slot or is over.
+
+    The end of the last grant bounds the wait; a paused task waits longer.
+    """
+    grants = state.ledger.of_server(old_owner)
+
+    def is_over() -> bool:
+        return grants.slot_over_at(slot) <= state.context.clock()
+
+    while not (state.ended.is_set() or is_over()):
+        await wait_until(is_over, state, REVOKE_WAIT_MS)
+
+
+def _reachable_target(state: LeaderState, slot: int) -> str:
+    """Returns where a revoked slot goes; R5 while the table is down."""
+    target = state.book.target_by_slot[slot]
+    successor = state.row.successor_by_slot.get(slot)
+    if state.context.table.is_down():
+        choices = [successor]
+    else:
+        choices = [target, state.row.owner_by_slot[slot], successor]
+    for server_name in choices:
+        if server_name is not None and accepts_slots(state, server_name):
+            state.book.target_by_slot[slot] = server_name
+            break
+    return state.book.target_by_slot[slot]
+
+
+def _is_still_wanted(
+    state: LeaderState, proposal: MoveProposal, old_owner: str
+) -> bool:
+    return (
+        state.may_move()
+        and not state.book.is_held(proposal.slot)
+        and state.row.owner_by_slot.get(proposal.slot) == old_owner
+        and _is_allowed(state, proposal)
+    )
+
+
+def _is_allowed(state: LeaderState, proposal: MoveProposal) -> bool:
+    owner = state.row.owner_by_slot.get(proposal.slot)
+    if owner is None or owner == proposal.new_owner:
+        return False
+    return (
+        proposal.new_owner in state.row.server_by_name
+        and accepts_slots(state, proposal.new_owner)
+        and not state.membership.is_suspected(owner)
+    )
+
+
+def _may_replace_successor(state: LeaderState, slot: int, name: str) -> bool:
+    """R6: the old successor knows the token, or no earlier leader lives."""
+    owner = state.row.owner_by_slot.get(slot)
+    old = state.row.successor_by_slot.get(slot)
+    if name in {old, owner} or slot in state.moving:
+        return False
+    if state.book.is_held(slot) or not accepts_slots(state, name):
+        return False
+    if old is None or not state.checks_grants or _predecessor_is_gone(state):
+        return True
+    first_accepted_at = state.ledger.of_server(old).first_accepted_at
+    return state.context.clock() >= first_accepted_at + FOREIGN_TTL_MS
+
+
+def _predecessor_is_gone(state: LeaderState) -> bool:
+    """Whether the earlier leader's grants are over for certain."""
+    if state.start.origin == Origin.created:
+        return True
+    if state.context.clock() < state.started_at + FOREIGN_TTL_MS:
+        return False
+    if state.start.origin == Origin.handed_over:
+        return True
+    predecessor = state.start.predecessor
+    return predecessor is not None and state.context.is_gone(predecessor)
+
+
+def _all_restricted(
+    state: LeaderState, slots: Iterable[int]
+) -> Callable[[], bool]:
+    """Returns a check of all grants sent before now."""
+    since = state.context.clock()
+    return lambda: all(_is_restricted(state, slot, since) for slot in slots)
+
+
+def _is_restricted(state: LeaderState, slot: int, since: float) -> bool:
+    """Whether the owner's grants already heed the new successor (R3 b)."""
+    owner = state.row.owner_by_slot[slot]
+    return all(
+        grant.sent_at > since
+        for grant in state.ledger.of_server(owner).sent
+        if slot in grant.slots and grant.over_at > state.context.clock()
+    )
+
+
+def _foreign_rights_over(state: LeaderState) -> bool:
+    """Whether nothing that an earlier leader allowed can still go on.
+
+    After a handover its grants may run until the end of the lease that it
+    gave up (R3 a). Servers that do not check grants enforce nothing but the
+    deadlines of requests.
+    """
+    if state.start.origin == Origin.created:
+        return True
+    if state.checks_grants:
+        waited_ms = state.context.clock() - state.started_at
+        return (
+            state.start.origin != Origin.handed_over
+            or waited_ms >= FOREIGN_TTL_MS
+        )
+    service = state.context.service(state.group)
+    if service is None:
+        return False
+    kinds = service.kind_by_name.values()
+    longest_ms = max(
+        service.deadline_ms, *(kind.deadline_ms for kind in kinds), 0
+    )
+    waited_ms = state.context.clock() - state.started_at
+    return waited_ms >= longest_ms
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/ownership/recording.py
@@ -0,0 +1,228 @@
+"""Records of changes (R2): the standby's acknowledgement and the row."""
+
+from collections.abc import Callable
+
+from expression import Result
+
+from yuccadale_core.instances import InstanceRef
+from yuccadale_core.messages import RecordChange, SlotMove
+from yuccadale_core.platform import Row, TableFailure, TableFailureKind
+from yuccadale_core.timing import STANDBY_SILENCE_MS
+from yuccadale_router._internal.ownership.leader_state import (
+    LeaderState,
+    with_standby,
+)
+from yuccadale_router._internal.ownership.rows import GroupRow, encode_row
+
+RESEND_MS = 100
+ACKNOWLEDGEMENT_LIMIT_MS = STANDBY_SILENCE_MS
+
+
+async def record(
+    state: LeaderState,
+    change: Callable[[GroupRow], GroupRow],
+    moves: list[SlotMove],
+    *,
+    needs_table: bool,
+) -> bool:
+    """Records a change of the row; true once it may take effect.
+
+    The standby gets the row before the table does, so that it never knows
+    less than the table. After a failure the change may still be recorded:
+    the caller keeps the slots out of all grants and tries again.
+    """
+    async with state.lock:
+        if not state.may_move() or state.standby_change_in_doubt():
+            return False
+        row = change(state.row)
+        if not await _replicate_row(state, row, moves):
+            return False
+        if not needs_table and state.context.table.is_down():
+            written_ok = False
+        else:
+            written = await state.write_row(row)
+            if _is_conflict(written):
+                state.end('another instance wrote the row')
+            written_ok = written.is_ok()
+        standby_suffices = not needs_table and row.standby is not None
+        if not (written_ok or standby_suffices):
+            return False
+        _adopt(state, row, committed=written_ok)
+        return state.may_move()
+
+
+async def write_pending_row(state: LeaderState) -> bool:
+    """Writes moves that only the standby has, once the table is back."""
+    async with state.lock:
+        if not state.dirty or state.ended.is_set():
+            return True
+        if state.standby_change_in_doubt() or state.version is None:
+            return False
+        written = await state.write_row(state.row)
+        if _is_conflict(written):
+            state.end('another instance wrote the row')
+        if written.is_ok():
+            _adopt(state, state.row, committed=True)
+        return written.is_ok()
+
+
+async def renew_by_table(state: LeaderState) -> bool:
+    """Renews the lease of a row without standby by a conditional write."""
+    async with state.lock:
+        if state.ended.is_set() or state.row.standby is not None:
+            return False
+        if state.standby_change_in_doubt():
+            return False
+        sent_at = state.context.clock()
+        written = await state.write_row(state.row)
+        if _is_conflict(written):
+            state.end('another instance wrote the row')
+        if written.is_ok():
+            state.dirty = False
+            state.lease.renew(sent_at)
+        return written.is_ok()
+
+
+async def change_standby(
+    state: LeaderState, standby: InstanceRef | None
+) -> bool:
+    """Writes a row with another standby (term + 1) and takes its token."""
+    async with state.lock:
+        if state.ended.is_set() or state.version is None:
+            return False
+        if not await _table_answers(state):
+            return False
+        state.lease.stop_extending()
+        sent_at = state.context.clock()
+        row = with_standby(
+            state.row, state.context.me, standby, state.highest_term + 1
+        )
+        state.highest_term = row.term
+        written = await state.write_row(row)
+        if written.is_ok():
+            state.dirty = False
+            state.take_row(row)
+            if standby is None:
+                state.lease.renew(sent_at)
+            state.context.counters.count('ownership.standby_changed')
+            return True
+        if _is_conflict(written):
+            state.end('another instance wrote the row')
+        elif written.error.kind == TableFailureKind.unavailable:
+            _forget_standby_change(state)
+        return False
+
+
+async def commit_odd_takeover(
+    state: LeaderState, row: GroupRow, version: int
+) -> bool:
+    """Writes the row of a takeover that was made while the table was down."""
+    async with state.lock:
+        state.version = version
+        written = await state.write_row(row)
+        if written.is_ok():
+            state.dirty = False
+            state.take_row(row)
+        elif _is_conflict(written):
+            state.end('another instance wrote the row')
+        return written.is_ok()
+
+
+async def replicate_records(
+    state: LeaderState, changes: list[RecordChange]
+) -> bool:
+    """Returns true once the standby has the changes."""
+    serial = state.log.queue_records(changes)
+    state.replication_wanted.set()
+    return await _wait_acknowledged(state, serial)
+
+
+async def run_replication(state: LeaderState) -> None:
+    """Sends what waits for the standby, one message at a time.
+
+    A message is repeated until it is acknowledged; the standby applies each
+    number once.
+    """
+    while not state.ended.is_set():
+        standby = state.row.standby
+        message = None
+        if standby is not None:
+            message = state.log.next_message(state.dispatcher.export_records)
+        if standby is None or message is None:
+            _clear_gaps(state)
+            await state.replication_wanted.wait()
+            state.replication_wanted.clear()
+            continue
+        state.context.peers.send(standby.name, message)
+        await state.replication_acknowledged.wait(RESEND_MS)
+
+
+def acknowledged(
+    state: LeaderState, token: int, number: int, *, accepted: bool
+) -> None:
+    """Takes the standby's acknowledgement."""
+    state.log.acknowledge(token, number, accepted=accepted)
+    state.replication_acknowledged.notify()
+    state.replication_wanted.set()
+
+
+def _clear_gaps(state: LeaderState) -> None:
+    if state.log.is_idle() and state.ledger.gap_server_names():
+        state.ledger.clear_gaps()
+
+
+async def _replicate_row(
+    state: LeaderState, row: GroupRow, moves: list[SlotMove]
+) -> bool:
+    if row.standby is None:
+        return True
+    serial = state.log.queue_row(encode_row(row), moves, committed=False)
+    state.replication_wanted.set()
+    return await _wait_acknowledged(state, serial)
+
+
+async def _wait_acknowledged(state: LeaderState, serial: int) -> bool:
+    log = state.log
+    deadline = state.context.clock() + ACKNOWLEDGEMENT_LIMIT_MS
+    while not (log.synced and log.acknowledged >= serial):
+        left_ms = deadline - state.context.clock()
+        if state.ended.is_set() or log is not state.log or left_ms <= 0:
+            return False
+        await state.replication_acknowledged.wait(left_ms)
+    return log is state.log
+
+
+def _adopt(state: LeaderState, row: GroupRow, *, committed: bool) -> None:
+    state.row = row
+    state.dirty = not committed
+    if committed and row.standby is not None:
+        state.log.queue_row(encode_row(row), [], committed=True)
+        state.replication_wanted.set()
+
+
+async def _table_answers(state: LeaderState) -> bool:
+    """Tries a read first during an outage.
+
+    A write with an unknown outcome would end the lease of a leader whose
+    standby only paused.
+    """
+    if not state.context.table.is_down():
+        return True
+    return (await state.context.table.read(state.group.row_name)).is_ok()
+
+
+def _forget_standby_change(state: LeaderState) -> None:
+    """Goes on with the former standby after a write that did not happen.
+
+    An earlier attempt whose outcome is unknown keeps the doubt: its number
+    stays the highest term, and the lease is not extended.
+    """
+    if state.highest_term == state.row.term + 1:
+        state.highest_term = state.row.term
+        state.lease.resume_extending()
+
+
+def _is_conflict(written: Result[Row, TableFailure]) -> bool:
+    return (
+        written.is_error() and written.error.kind == TableFailureKind.conflict
+    )
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/ownership/rows.py
@@ -0,0 +1,176 @@
+"""The group row and its compact text form in the table.
+
+Owners and successors are one byte for each slot (an index into the servers),
+and the slots are differences in LEB128; msgspec writes bytes as base64.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+import msgspec
+
+from yuccadale_core.instances import InstanceRef, ServerRef
+
+MAX_SERVERS = 254
+_NO_SUCCESSOR = 255
+_SEVEN_BITS = 0x7F
+_CONTINUES = 0x80
+
+
+@dataclass(frozen=True, slots=True)
+class GroupRow:
+    """A group as the table records it.
+
+    Attributes:
+        term: rises with each change of leader or standby.
+        server_by_name: all servers that a slot may be placed on.
+        owner_by_slot: server names; the keys are the group's slots.
+        successor_by_slot: committed successors; slots without one are absent.
+        pins: own slot of each pinned key.
+    """
+
+    term: int
+    leader: InstanceRef
+    standby: InstanceRef | None
+    server_by_name: Mapping[str, ServerRef]
+    owner_by_slot: Mapping[int, str]
+    successor_by_slot: Mapping[int, str]
+    pins: Mapping[str, int] = field(default_factory=dict)
+
+    @property
+    def token(self) -> int:
+        """Fencing token of the row's leader."""
+        return self.term * 2
+
+    @property
+    def odd_token(self) -> int:
+        """Fencing token of a standby that takes over without the table."""
+        return self.term * 2 + 1
+
+    def slots_of(self, server_name: str) -> tuple[int, ...]:
+        """Returns the slots that the server owns."""
+        return tuple(
+            slot
+            for slot, owner in self.owner_by_slot.items()
+            if owner == server_name
+        )
+
+
+class _EncodedRow(msgspec.Struct, frozen=True):
+    term: int
+    leader: InstanceRef
+    standby: InstanceRef | None
+    servers: list[ServerRef]
+    slots: bytes
+    owner_by_slot: bytes
+    successor_by_slot: bytes
+    pins: dict[str, int]
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(_EncodedRow)
+
+
+def encode_row(row: GroupRow) -> str:
+    """Returns the text form of a row."""
+    names = sorted(row.server_by_name)
+    index_by_name = {name: index for index, name in enumerate(names)}
+    slots = sorted(row.owner_by_slot)
+    encoded = _EncodedRow(
+        term=row.term,
+        leader=row.leader,
+        standby=row.standby,
+        servers=[row.server_by_name[name] for name in names],
+        slots=_pack_slots(slots),
+        owner_by_slot=bytes(
+            index_by_name[row.owner_by_slot[slot]] for slot in slots
+        ),
+        successor_by_slot=bytes(
+            index_by_name.get(
+                row.successor_by_slot.get(slot, ''), _NO_SUCCESSOR
+            )
+            for slot in slots
+        ),
+        pins=dict(row.pins),
+    )
+    return _encoder.encode(encoded).decode()
+
+
+def decode_row(text: str) -> GroupRow:
+    """Reads the text form; raises ``msgspec.DecodeError`` when malformed."""
+    encoded = _decoder.decode(text)
+    names = [server.name for server in encoded.servers]
+    slots = _unpack_slots(encoded.slots)
+    if (
+        not len(slots)
+        == len(encoded.owner_by_slot)
+        == len(encoded.successor_by_slot)
+    ):
+        raise msgspec.DecodeError('owners, successors and slots differ')
+    return GroupRow(
+        term=encoded.term,
+        leader=encoded.leader,
+        standby=encoded.standby,
+        server_by_name={server.name: server for server in encoded.servers},
+        owner_by_slot=_names_by_slot(slots, encoded.owner_by_slot, names),
+        successor_by_slot=_names_by_slot(
+            slots, encoded.successor_by_slot, names
+        ),
+        pins=encoded.pins,
+    )
+
+
+def move_slot(row: GroupRow, slot: int, new_owner: str) -> GroupRow:
+    """Returns the row with a new owner of the slot.
+
+    A move to the committed successor swaps owner and successor. So the pair
+    of servers that a reader of the older row would query stays the same.
+    """
+    old_owner = row.owner_by_slot[slot]
+    successor_by_slot = dict(row.successor_by_slot)
+    if successor_by_slot.get(slot, new_owner) == new_owner:
+        successor_by_slot[slot] = old_owner
+    return replace(
+        row,
+        owner_by_slot={**row.owner_by_slot, slot: new_owner},
+        successor_by_slot=successor_by_slot,
+    )
+
+
+def _names_by_slot(
+    slots: list[int], indices: bytes, names: list[str]
+) -> dict[int, str]:
+    return {
+        slot: names[index]
+        for slot, index in zip(slots, indices, strict=True)
+        if index < len(names)
+    }
+
+
+def _pack_slots(slots: Iterable[int]) -> bytes:
+    packed = bytearray()
+    previous = -1
+    for slot in slots:
+        difference = slot - previous - 1
+        previous = slot
+        while difference > _SEVEN_BITS:
+            packed.append(difference & _SEVEN_BITS | _CONTINUES)
+            difference >>= 7
+        packed.append(difference)
+    return bytes(packed)
+
+
+def _unpack_slots(packed: bytes) -> list[int]:
+    slots: list[int] = []
+    previous = -1
+    difference = 0
+    shift = 0
+    for byte in packed:
+        difference |= (byte & _SEVEN_BITS) << shift
+        shift += 7
+        if not byte & _CONTINUES:
+            previous += difference + 1
+            slots.append(previous)
+            difference = 0
+            shift = 0
+    return slots
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/ownership/slots.py
@@ -0,0 +1,90 @@
+"""Slot ownership at the leader: tenures, moves under way and their history."""
+
+from collections import defaultdict, deque
+from dataclasses import dataclass
+
+from yuccadale_router._internal.clock import Clock
+from yuccadale_router._internal.contracts import Tenure
+
+HISTORY_LENGTH = 8
+
+
+@dataclass(frozen=True, slots=True)
+class SlotEvent:
+    """One owner of a slot, for operators.
+
+    Attributes:
+        since_ms: age of the event, on the leader's clock.
+        reason: why the slot moved here.
+    """
+
+    owner: str
+    since_ms: float
+    token: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Event:
+    owner: str
+    at: float
+    token: int
+    reason: str
+
+
+class SlotBook:
+    """What the leader keeps for each slot besides the row.
+
+    Attributes:
+        target_by_slot: slots with a move under way; they are in no grant of
+            their old owner and no request is sent for them.
+        waiting: slots whose owner is not yet known to a new leader (R7).
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._tenure_by_slot: dict[int, tuple[bool, float]] = {}
+        self._history_by_slot: dict[int, deque[_Event]] = defaultdict(
+            _empty_history
+        )
+        self.target_by_slot: dict[int, str] = {}
+        self.waiting: set[int] = set()
+
+    def begin_tenure(self, slot: int, *, complete: bool) -> None:
+        """Starts the tenure of a slot."""
+        self._tenure_by_slot[slot] = (complete, self._clock())
+
+    def tenure(self, slot: int) -> Tenure:
+        """Returns the tenure; one that just began when there is none."""
+        complete, began_at = self._tenure_by_slot.get(
+            slot, (False, self._clock())
+        )
+        return Tenure(complete, self._clock() - began_at)
+
+    def copy_tenure(self, slot: int, new_slot: int) -> None:
+        """Gives a new slot the tenure of the slot that it came from."""
+        self._tenure_by_slot[new_slot] = self._tenure_by_slot.get(
+            slot, (False, self._clock())
+        )
+
+    def is_held(self, slot: int) -> bool:
+        """Says whether the slot may not be in any grant now."""
+        return slot in self.target_by_slot or slot in self.waiting
+
+    def record(self, slot: int, owner: str, token: int, reason: str) -> None:
+        """Adds to the history."""
+        self._history_by_slot[slot].append(
+            _Event(owner, self._clock(), token, reason)
+        )
+
+    def history(self, slot: int) -> list[SlotEvent]:
+        """Returns the last owners of a slot, oldest first."""
+        now = self._clock()
+        return [
+            SlotEvent(event.owner, now - event.at, event.token, event.reason)
+            for event in self._history_by_slot.get(slot, ())
+        ]
+
+
+def _empty_history() -> deque[_Event]:
+    return deque(maxlen=HISTORY_LENGTH)
