--- a/packages/router/src/yuccadale_router/_internal/network/peer_link.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_link.py
@@ -130,9 +130,7 @@
             self.used_ms = now
             return
         self.leaving = message.leaving
-        self._heartbeat_received = max(
-            self._heartbeat_received, message.number
-        )
+        self._heartbeat_received = max(self._heartbeat_received, message.number)
         if 0 < message.echo <= self._heartbeat_number:
             self.echoed_ms = now
             self._oldest_unechoed_ms = (
--- a/packages/router/src/yuccadale_router/_internal/network/peer_links.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -102,8 +102,7 @@
         return [
             link.ref
             for link in self._link_by_name.values()
-            if not link.leaving
-            and self._clock() - link.heard_ms < SUSPICION_MS
+            if not link.leaving and self._clock() - link.heard_ms < SUSPICION_MS
         ]
 
     def known_peers(self) -> Sequence[InstanceRef]:
@@ -229,9 +228,7 @@
                 # A fault in one handler must not end the receive task, or
                 # the whole instance would look dead to its peers.
                 self.counters.count('peer.handler_failed')
-                _log.exception(
-                    'handler failed', message=type(message).__name__
-                )
+                _log.exception('handler failed', message=type(message).__name__)
 
     def _note_news(self, leadership: Leadership) -> None:
         now = self._clock()
--- a/packages/router/src/yuccadale_router/_internal/network/peer_transport.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_transport.py
@@ -28,9 +28,7 @@
 def limit_threads() -> None:
     """Bounds the library's threads; works only before the first socket."""
     for parameter, threads in _THREADS_BY_PARAMETER:
-        pynng.lib.nng_init_set_parameter(
-            getattr(pynng.lib, parameter), threads
-        )
+        pynng.lib.nng_init_set_parameter(getattr(pynng.lib, parameter), threads)
 
 
 @contextmanager
--- a/packages/router/src/yuccadale_router/_internal/placement/group.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/group.py
@@ -231,7 +231,8 @@
         if not limit or not sources.any():
             return []
         if relative.min() < self._policy.idle_share:
-            prices = replace(prices, horizon_s=self._policy.idle_horizon_s)
+            horizon_s = self._ages.horizon_s(now)
+            prices = replace(prices, horizon_s=horizon_s)
         resting = np.array(list(self._history.resting_slots(now)), np.int64)
         rebalancing = Rebalancing(
             view,
--- a/packages/router/src/yuccadale_router/_internal/placement/policy.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/policy.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 
 # The customer's weighted sum counts as equally bad, at weight 1: a
-# coefficient of variation of 1 for this long, every key moved once, and all
+# coefficient of variation of 1 for ten minutes, every key moved once, and all
 # demand unavailable for one second.
 IMBALANCE_PERIOD_S = 600.0
+UNAVAILABLE_UNIT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,8 +23,11 @@
         idle_share: load relative to the mean below which a server draws
             slots from all servers above the mean.
         horizon_s: how long the benefit of a move is expected to last.
-        idle_horizon_s: the same when an idle server draws slots: servers stay
-            for hours, while demand shifts within minutes.
+        longest_horizon_s: the same at most, when an idle server draws slots:
+            the longer all servers have stayed, the longer they are expected
+            to stay. Filling each new server at once during a replacement of
+            all servers would move most keys twice.
+        stability_factor: horizon over the time since servers last changed.
         gain_margin: factor by which a gain must exceed its price.
         moves_at_once: load moves proposed at a time.
         moves_per_minute_share: load moves a minute as a share of all slots.
@@ -49,7 +53,8 @@
     stop_excess: float = 0.08
     idle_share: float = 0.7
     horizon_s: float = 300
-    idle_horizon_s: float = 1_800
+    longest_horizon_s: float = 1_800
+    stability_factor: float = 5
     gain_margin: float = 1.2
     moves_at_once: int = 8
     moves_per_minute_share: float = 0.125
--- a/packages/router/src/yuccadale_router/_internal/placement/servers.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/servers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from yuccadale_core.timing import seconds
 from yuccadale_router._internal.contracts import Candidate, ServerState
 from yuccadale_router._internal.placement.policy import PlacementPolicy
 
@@ -14,6 +15,7 @@
     def __init__(self, policy: PlacementPolicy) -> None:
         self._policy = policy
         self._live_since_by_name: dict[str, float] = {}
+        self._changed_ms = _LONG_AGO
         self._started = False
 
     def update(self, candidates: Sequence[Candidate], now: float) -> None:
@@ -24,11 +26,22 @@
             if candidate.state == ServerState.live
         }
         since = now if self._started else _LONG_AGO
+        if self._started and live != set(self._live_since_by_name):
+            self._changed_ms = now
         self._live_since_by_name = {
             name: self._live_since_by_name.get(name, since) for name in live
         }
         self._started = True
 
+    def horizon_s(self, now: float) -> float:
+        """Returns how long the present servers are expected to stay."""
+        stable_s = seconds(now - self._changed_ms)
+        expected_s = stable_s * self._policy.stability_factor
+        return min(
+            max(expected_s, self._policy.horizon_s),
+            self._policy.longest_horizon_s,
+        )
+
     def is_cold(self, name: str, now: float) -> bool:
         """Returns whether slots moved to the server wait for its start."""
         since = self._live_since_by_name.get(name, now)
--- a/packages/router/src/yuccadale_router/_internal/placement/view.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/view.py
@@ -10,6 +10,7 @@
 from yuccadale_router._internal.contracts import Candidate
 from yuccadale_router._internal.placement.policy import (
     IMBALANCE_PERIOD_S,
+    UNAVAILABLE_UNIT_S,
     PlacementPolicy,
 )
 
@@ -100,8 +101,8 @@
         churn = np.expand_dims(view.key_share[moving], 1)
         pause = self.pause_s(load, view.cold[servers])
         unavailable = pause * load / max(float(view.load.sum()), 1e-9)
-        price = self.weights.unavailable_time * unavailable
-        return price + self.weights.churn * churn
+        worth = self.weights.unavailable_time / UNAVAILABLE_UNIT_S
+        return worth * unavailable + self.weights.churn * churn
 
 
 def owner_indices(
--- a/tests/router/network/test_peer_links.py
+++ b/tests/router/network/test_peer_links.py
@@ -60,9 +60,7 @@
             stranger.learn(west)
             stranger.send('west-0', Cancel(7))
             async with asyncio.timeout(_PATIENCE_S):
-                while not receiver.counters.snapshot().get(
-                    'peer.rejected.mac'
-                ):
+                while not receiver.counters.snapshot().get('peer.rejected.mac'):
                     await asyncio.sleep(0.01)
             assert not received.done()
             assert not receiver.known_peers()
