--- a/packages/bench/src/yuccadale_bench/__main__.py
+++ b/packages/bench/src/yuccadale_bench/__main__.py
@@ -1,8 +1,8 @@
-"""Commands for demonstration and measurement: ``python -m yuccadale_bench``."""
+"""Runs a measurement or demonstration: ``python -m yuccadale_bench NAME``."""
 
 import sys
 
-from yuccadale_bench._internal.commands import run_command
+from yuccadale_bench._internal.command_line import main
 
 if __name__ == '__main__':
-    sys.exit(run_command(sys.argv[1:]))
+    sys.exit(main(sys.argv[1:]))
--- a/packages/bench/src/yuccadale_bench/_internal/replay.py
+++ b/packages/bench/src/yuccadale_bench/_internal/replay.py
@@ -65,7 +65,7 @@
     )
 
 
-def main(arguments: Sequence[str]) -> int:
+def run_command(arguments: Sequence[str]) -> int:
     """Prints measures and targets; the status is 1 when one is missed."""
     parser = argparse.ArgumentParser(prog='python -m yuccadale_bench replay')
     parser.add_argument(
--- a/packages/bench/src/yuccadale_bench/_internal/replay_sequences.py
+++ b/packages/bench/src/yuccadale_bench/_internal/replay_sequences.py
@@ -94,11 +94,11 @@
     def shift_ends(self) -> list[tuple[int, int]]:
         """Returns when a shift is complete and when the next change comes."""
         starts = {surge.start for surge in self.surges}
-        falls = {surge.end - SHIFT_S for surge in self.surges}
-        events = {event.second for event in self.events}
-        changes = sorted(starts | falls | events | {self.seconds})
+        changes = starts | {event.second for event in self.events}
+        changes.update(surge.end - SHIFT_S for surge in self.surges)
+        in_order = [*sorted(changes), self.seconds]
         return [
-            (start + SHIFT_S, changes[changes.index(start) + 1])
+            (start + SHIFT_S, in_order[in_order.index(start) + 1])
             for start in sorted(starts)
         ]
 
--- a/packages/bench/src/yuccadale_bench/_internal/replay_strategies.py
+++ b/packages/bench/src/yuccadale_bench/_internal/replay_strategies.py
@@ -31,7 +31,7 @@
     spread_successors,
 )
 
-KEY_NAMES = [f'key{number}' for number in range(KEYS)]
+KEY_NAMES = tuple(f'key{number}' for number in range(KEYS))
 SLOT_BY_KEY = np.array([slot_of_key(name, SLOTS) for name in KEY_NAMES])
 
 _RING_POINTS = 100
--- a/packages/router/src/yuccadale_router/_internal/network/peer_links.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -72,8 +72,9 @@
             type[PeerMessage], list[MessageHandler]
         ] = {}
         self._news: list[tuple[float, Leadership]] = []
-        self._leaving = False
+        self.leaving = False
         self.revision_by_scope: Callable[[], dict[str, int]] = dict
+        self.configuration_age_ms: Callable[[], float] = lambda: -1
         leaderships.listen(self._note_news)
 
     def send(self, peer_name: str, message: AnyMessage) -> bool:
@@ -135,7 +136,7 @@
 
     def announce_leaving(self) -> None:
         """Says in all later heartbeats that this instance is leaving."""
-        self._leaving = True
+        self.leaving = True
         self._send_heartbeats(list(self._link_by_name.values()))
 
     async def run(self) -> None:
@@ -268,7 +269,8 @@
             sender=self._me,
             revision_by_scope=self.revision_by_scope(),
             leaderships=leaderships,
-            leaving=self._leaving,
+            leaving=self.leaving,
+            configuration_age_ms=self.configuration_age_ms(),
         )
 
     def _heartbeat_set(self) -> list[PeerLink]:
