Replace connections to a server that stopped delivering data

After a control call without an answer, later calls use new connections. Once a control call is answered there, the old connections are closed, so that what waits on them ends as lost instead of at its deadline. A server that is only paused keeps them. Both sets together stay within the declared number.

--- a/packages/core/src/yuccadale_core/_internal/http_attempts.py
+++ b/packages/core/src/yuccadale_core/_internal/http_attempts.py
@@ -22,10 +22,12 @@
     Attributes:
         connected: whether a connection was handed to the request, so that
             bytes of it may have left the process.
+        silent: whether the connection stayed open without an answer.
     """
 
     def __init__(self) -> None:
         self.connected = False
+        self.silent = False
 
 
 async def _send_once(
--- a/packages/core/src/yuccadale_core/_internal/targets_http.py
+++ b/packages/core/src/yuccadale_core/_internal/targets_http.py
@@ -6,7 +6,8 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 from types import MappingProxyType
 from typing import TypeVar
 from urllib.parse import quote
@@ -100,8 +101,41 @@
     """The answer's length or content breaks the protocol."""
 
 
+class _Pool:
+    """Connections to one server that are trusted or suspected together.
+
+    Attributes:
+        most_calls: most calls at once; no more connections can be open,
+            because one is opened only when all others are in use.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.session = single_attempt_session(
+            aiohttp.TCPConnector(limit=limit, keepalive_timeout=_KEEP_ALIVE_S)
+        )
+        self.most_calls = 0
+        self._calls = 0
+
+    @contextmanager
+    def calling(self) -> Iterator[aiohttp.ClientSession]:
+        """Counts a call while the block runs."""
+        self._calls += 1
+        self.most_calls = max(self.most_calls, self._calls)
+        try:
+            yield self.session
+        finally:
+            self._calls -= 1
+
+
 class HttpTarget:
-    """One server over HTTP/1.1; each call is sent at most once."""
+    """One server over HTTP/1.1; each call is sent at most once.
+
+    Open connections may stop delivering data while new ones work. After a
+    control call without an answer, all later calls use new connections. Once
+    a control call is answered there, the old connections are closed, and what
+    still waited on them ends as ``lost``. Without such an answer the server
+    itself may be silent, and they stay until the deadlines of their calls.
+    """
 
     def __init__(
         self,
@@ -115,7 +149,9 @@
         self._connections = connections
         self._body_limit_bytes = body_limit_bytes
         self._control_timeout_ms = control_timeout_ms
-        self._session: aiohttp.ClientSession | None = None
+        self._pool: _Pool | None = None
+        self._suspect: _Pool | None = None
+        self._closed = False
 
     async def hello(self) -> Result[GrantAnswer, TargetFailure]:
         """Asks for a ticket and the server's last grant."""
@@ -133,6 +169,8 @@
     ) -> Result[TargetAnswer, TargetFailure]:
         """Sends a request once and waits for its complete answer."""
         called = await self._call(
+            self._opened_pool(),
+            Attempt(),
             request.method,
             f'/run/{request.path.lstrip("/")}',
             headers=_request_headers(request),
@@ -165,14 +203,19 @@
 
     async def close(self) -> None:
         """Closes all connections; calls under way end as lost."""
-        session = self._session
-        if session is not None:
-            await session.close()
+        self._closed = True
+        for pool in (self._suspect, self._pool):
+            if pool is not None:
+                await pool.session.close()
 
     async def _control(
         self, method: str, path: str, body: bytes = b''
     ) -> Result[TargetAnswer, TargetFailure]:
-        return await self._call(
+        pool = self._opened_pool()
+        attempt = Attempt()
+        called = await self._call(
+            pool,
+            attempt,
             method,
             path,
             headers={'Content-Type': 'application/json'},
@@ -180,9 +223,33 @@
             timeout_ms=self._control_timeout_ms,
             body_limit_bytes=_CONTROL_BODY_LIMIT_BYTES,
         )
+        if pool is self._pool:
+            if called.is_ok():
+                await self._close_suspect()
+            elif attempt.silent:
+                await self._replace_pool(pool)
+        return called
+
+    async def _close_suspect(self) -> None:
+        suspect = self._suspect
+        self._suspect = None
+        if suspect is not None:
+            await suspect.session.close()
+
+    async def _replace_pool(self, pool: _Pool) -> None:
+        """Uses new connections from now on, within the declared number."""
+        self._pool = None
+        await self._close_suspect()
+        if pool.most_calls * 2 > self._connections:
+            # Too few would be left for new connections beside the old ones.
+            await pool.session.close()
+        else:
+            self._suspect = pool
 
     async def _call(
         self,
+        pool: _Pool,
+        attempt: Attempt,
         method: str,
         path: str,
         *,
@@ -191,38 +258,37 @@
         timeout_ms: float,
         body_limit_bytes: int,
     ) -> Result[TargetAnswer, TargetFailure]:
-        session = self._opened_session()
-        if timeout_ms <= 0 or session.closed:
+        if timeout_ms <= 0 or self._closed:
             return Result.Error(
                 TargetFailure(
                     TargetFailureKind.not_sent, 'no time left, or closed'
                 )
             )
-        attempt = Attempt()
         try:
-            async with session.request(
-                method,
-                yarl.URL(f'http://{self._server.address}{path}', encoded=True),
-                data=body or None,
-                headers=headers,
-                skip_auto_headers=_NO_AUTOMATIC_HEADERS,
-                timeout=aiohttp.ClientTimeout(total=seconds(timeout_ms)),
-                allow_redirects=False,
-                trace_request_ctx=attempt,
-            ) as response:
-                answer = await _complete_answer(response, body_limit_bytes)
+            with pool.calling() as session:
+                async with session.request(
+                    method,
+                    yarl.URL(
+                        f'http://{self._server.address}{path}', encoded=True
+                    ),
+                    data=body or None,
+                    headers=headers,
+                    skip_auto_headers=_NO_AUTOMATIC_HEADERS,
+                    timeout=aiohttp.ClientTimeout(total=seconds(timeout_ms)),
+                    allow_redirects=False,
+                    trace_request_ctx=attempt,
+                ) as response:
+                    answer = await _complete_answer(response, body_limit_bytes)
         except _CALL_ERRORS as error:
             return Result.Error(_failure(attempt, error))
         return Result.Ok(answer)
 
-    def _opened_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = single_attempt_session(
-                aiohttp.TCPConnector(
-                    limit=self._connections, keepalive_timeout=_KEEP_ALIVE_S
-                )
-            )
-        return self._session
+    def _opened_pool(self) -> _Pool:
+        if self._pool is None:
+            suspect = self._suspect
+            taken = 0 if suspect is None else suspect.most_calls
+            self._pool = _Pool(self._connections - taken)
+        return self._pool
 
 
 def target_factory(
@@ -300,6 +366,9 @@
 
 def _failure(attempt: Attempt, error: Exception) -> TargetFailure:
     detail = str(error) or type(error).__name__
+    attempt.silent = attempt.connected and isinstance(
+        error, asyncio.TimeoutError
+    )
     if not attempt.connected:
         return TargetFailure(TargetFailureKind.not_sent, detail)
     if isinstance(error, _LOST_ERRORS):
--- a/tests/builders/raw_server.py
+++ b/tests/builders/raw_server.py
@@ -15,11 +15,13 @@
     Attributes:
         heads: request heads, in the order of arrival over all connections.
         connections: connections that were opened.
+        open_connections: connections that are open now.
     """
 
     address: str = ''
     heads: list[bytes] = field(default_factory=list)
     connections: int = 0
+    open_connections: int = 0
 
     async def read_request(self, reader: asyncio.StreamReader) -> None:
         """Reads a request with its body and keeps the head."""
@@ -42,11 +44,13 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         raw.connections += 1
+        raw.open_connections += 1
         try:
             await script(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             return
         finally:
+            raw.open_connections -= 1
             writer.transport.abort()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
