Count the full capacity of new servers for drained slots

Cause: the ramp made a new server look full, so the slots of a draining server went to old ones and moved again later. Change: slots that must move see full capacities; the price of a cold start remains.

--- a/packages/bench/src/yuccadale_bench/_internal/replay_sequences.py
+++ b/packages/bench/src/yuccadale_bench/_internal/replay_sequences.py
@@ -128,8 +128,9 @@
     share: float,
 ) -> Surge:
     """One key gets a share of the base demand."""
-    key = _hot_keys(randomness, 1)
-    return Surge(start, end, key, share * float(base.sum() / base[key[0]]))
+    keys = _hot_keys(randomness, 1)
+    own_share = float(base[list(keys)].sum() / base.sum())
+    return Surge(start, end, keys, share / own_share)
 
 
 def _base(randomness: np.random.Generator) -> Floats:
--- a/packages/router/src/yuccadale_router/_internal/placement/group.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/group.py
@@ -216,7 +216,13 @@
         if not draining:
             return []
         leaving = [owner in draining for owner in owner_by_slot.values()]
-        moves = place_homeless(view, prices, np.flatnonzero(leaving))
+        # A drained slot must go somewhere now: the price of a cold start
+        # counts against a new server, the ramp does not.
+        unramped = replace(
+            view,
+            capacity=np.array([server.capacity for server in view.servers]),
+        )
+        moves = place_homeless(unramped, prices, np.flatnonzero(leaving))
         for move in moves:
             view.owner[move.slot_index] = move.server_index
         return _as_proposals(moves, view, 'the owner is draining')
