Pin keys from 6% of a server's load

Cause: keys below an eighth of a server moved only with their whole slot, which counts as churn of all its keys. Change: a key is pinned from 0.06 of a server (was 0.125) and goes back below 0.03 (was 0.06).

--- a/packages/router/src/yuccadale_router/_internal/placement/pins.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/pins.py
@@ -11,9 +11,9 @@
 _TICK_MS = 1000.0
 # An eighth of a server is four slots' worth of load (32 slots per server):
 # a slot with such a key cannot be balanced as a whole.
-_ENTER_SHARE = 0.125
+_ENTER_SHARE = 0.06
 # A pin goes back once it is clearly below the entry, for some time.
-_LEAVE_SHARE = 0.06
+_LEAVE_SHARE = 0.03
 _LEAVE_AFTER_MS = 60_000.0
 
 
