Make a peer outside the heartbeat set answer when it is asked

Cause: heartbeats go to the data centre's peers and three others. A forward to any other leader found its link silent and waited until the deadline; and the answer to a heartbeat counted as unacknowledged, so that links were closed once a second with what waited on them. Ruled out: pynng's thread limits (the same without them). Change: heartbeats can ask for an answer; asking for a peer's silence starts the exchange; only heartbeats that ask count as unacknowledged.

--- a/packages/bench/src/yuccadale_bench/_internal/callers.py
+++ b/packages/bench/src/yuccadale_bench/_internal/callers.py
@@ -10,7 +10,7 @@
 import aiohttp
 import xxhash
 
-_CONNECT_ATTEMPTS = 20
+REPEATABLE_PREFIX = 'again'
 _PAUSE_S = 0.02
 _RETRY_LIMIT_S = 8.0
 _SERVER_ERROR = 500
@@ -108,7 +108,9 @@
         while time.monotonic() < self._ends_at:
             kind = self._random.choice(self._kinds)
             key = f'key-{self._random.randrange(2000)}'
-            await self._complete(session, kind, key, f'id-{next(self._ids)}')
+            prefix = REPEATABLE_PREFIX if kind.repeatable else 'once'
+            request_id = f'{prefix}-{next(self._ids)}'
+            await self._complete(session, kind, key, request_id)
             await asyncio.sleep(_PAUSE_S)
 
     async def _complete(
--- a/packages/core/src/yuccadale_core/_internal/messages.py
+++ b/packages/core/src/yuccadale_core/_internal/messages.py
@@ -37,6 +37,7 @@
     leaderships: list[Leadership]
     leaving: bool = False
     configuration_age_ms: float = -1
+    wants_answer: bool = False
 
 
 class PromiseRequest(PeerMessage, frozen=True, tag=2):
--- a/packages/router/src/yuccadale_router/_internal/commands/run.py
+++ b/packages/router/src/yuccadale_router/_internal/commands/run.py
@@ -4,6 +4,8 @@
 from pathlib import Path
 from typing import ClassVar
 
+import pynng
+import structlog
 from cleo.commands.command import Command
 from cleo.helpers import argument
 from cleo.io.inputs.argument import Argument
@@ -11,6 +13,7 @@
 from yuccadale_core.settings import SettingsError, load_settings
 
 from yuccadale_router._internal.cli import exit_status
+from yuccadale_router._internal.log_lines import configure_logging
 
 
 class RunCommand(Command):
@@ -29,6 +32,7 @@
         except SettingsError as error:
             self.line_error(str(error))
             return exit_status.BAD_SETTINGS
+        configure_logging()
         # uvloop opens an io_uring ring unless this is set before it is loaded.
         os.environ['UV_USE_IO_URING'] = '0'
         import uvloop
@@ -40,4 +44,19 @@
         except OSError as error:
             self.line_error(f'cannot start: {error}')
             return exit_status.CANNOT_LISTEN
+        except ExceptionGroup as failures:
+            return self._report(failures)
         return exit_status.OK
+
+    def _report(self, failures: ExceptionGroup[Exception]) -> int:
+        """Names why a task ended; an address in use gets one clear line."""
+        not_listening, others = failures.split((OSError, pynng.NNGException))
+        if not_listening is not None:
+            for failure in not_listening.exceptions:
+                self.line_error(f'cannot start: {failure}')
+        if others is None:
+            return exit_status.CANNOT_LISTEN
+        structlog.get_logger().error(
+            'a part of the daemon failed', exc_info=others
+        )
+        return exit_status.SOFTWARE
--- a/packages/router/src/yuccadale_router/_internal/network/peer_link.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_link.py
@@ -34,6 +34,7 @@
         heard_ms: when a valid batch of the peer last came.
         echoed_ms: when the peer last acknowledged a new heartbeat.
         leaving: whether the peer said that it is shutting down.
+        asked_ms: when a heartbeat was last sent that wants an answer.
         used_ms: when work was last sent to or received from the peer.
     """
 
@@ -52,6 +53,7 @@
         self.heard_ms = -float('inf')
         self.echoed_ms = -float('inf')
         self.used_ms = -float('inf')
+        self.asked_ms = -float('inf')
         self.leaving = False
         self._me = me
         self._keys = keys
@@ -81,7 +83,7 @@
     def next_heartbeat(self, template: Heartbeat) -> Heartbeat:
         """Numbers a heartbeat for this peer."""
         self._heartbeat_number += 1
-        if self._oldest_unechoed_ms is None:
+        if template.wants_answer and self._oldest_unechoed_ms is None:
             self._oldest_unechoed_ms = self._clock()
         return msgspec.structs.replace(
             template,
@@ -153,9 +155,9 @@
                 self._counters.count('peer.dropped', dropped)
 
     async def _send_until_silent(self) -> str:
-        with open_dialer(self.ref.peer_address) as dialer:
-            incarnation = self.ref.incarnation
-            while incarnation == self.ref.incarnation:
+        address = self.ref.peer_address
+        with open_dialer(address) as dialer:
+            while address == self.ref.peer_address:
                 messages = await self._outbox.take_batch()
                 if self.is_silent():
                     return 'silent'
@@ -169,7 +171,7 @@
                 except pynng.NNGException:
                     return 'failed'
                 self._counters.count('peer.sent_bytes', len(sealed))
-            return 'restarted'
+            return 'moved'
 
     def _sealed(self, messages: list[AnyMessage]) -> bytes:
         self._batch_number += 1
--- a/packages/router/src/yuccadale_router/_internal/network/peer_links.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -60,12 +60,12 @@
         clock: Clock,
         message_limit: int,
     ) -> None:
-        self._me = me
+        self.me = me
         self._keys = keys
         self._leaderships = leaderships
         self.counters = counters
         self._clock = clock
-        self._message_limit = message_limit
+        self.message_limit = message_limit
         self._link_by_name: dict[str, PeerLink] = {}
         self._task_by_name: dict[str, asyncio.Task[None]] = {}
         self._handlers_by_type: dict[
@@ -92,11 +92,20 @@
         self._handlers_by_type.setdefault(message_type, []).append(handler)
 
     def silence_ms(self, peer_name: str) -> float:
-        """Time since the peer was last heard, infinity when never."""
+        """Time since the peer was last heard, infinity when never.
+
+        Asking starts heartbeats with a peer that exchanges none so far.
+        """
         link = self._link_by_name.get(peer_name)
         if link is None:
             return float('inf')
-        return self._clock() - link.heard_ms
+        now = self._clock()
+        silence = now - link.heard_ms
+        if silence > HEARTBEAT_INTERVAL_MS:
+            link.used_ms = now
+            if now - link.asked_ms > HEARTBEAT_INTERVAL_MS:
+                self._send_heartbeats([link])
+        return silence
 
     def live_peers(self) -> Sequence[InstanceRef]:
         """Peers heard within the suspicion time that are not leaving."""
@@ -116,23 +125,25 @@
         Only a message of the process itself may replace a known incarnation,
         since references from the list or from other peers may be stale.
         """
-        if ref.name == self._me.name or ref.name in self._link_by_name:
+        if ref.name == self.me.name or ref.name in self._link_by_name:
             return
-        if ref.peer_address == self._me.peer_address:
+        if ref.peer_address == self.me.peer_address:
             return
         link = PeerLink(
-            self._me,
+            self.me,
             ref,
             keys=self._keys,
             counters=self.counters,
             clock=self._clock,
-            message_limit=self._message_limit,
+            message_limit=self.message_limit,
         )
         self._link_by_name[ref.name] = link
         self._task_by_name[ref.name] = asyncio.create_task(
             link.run(), name=f'link to {ref.name}'
         )
-        link.send(link.next_heartbeat(self._heartbeat(whole=True)))
+        link.send(
+            link.next_heartbeat(self._heartbeat(whole=True, wants_answer=True))
+        )
 
     def announce_leaving(self) -> None:
         """Says in all later heartbeats that this instance is leaving."""
@@ -145,7 +156,7 @@
             self._heartbeat_loop(), name='heartbeats'
         )
         try:
-            with open_listener(self._me.peer_address) as listener:
+            with open_listener(self.me.peer_address) as listener:
                 await self._receive_loop(listener)
         finally:
             heartbeats.cancel()
@@ -168,7 +179,7 @@
             self._receive_batch(batch)
 
     def _receive_batch(self, batch: Batch) -> None:
-        if batch.receiver not in {self._me.name, ''}:
+        if batch.receiver not in {self.me.name, ''}:
             self.counters.count('peer.rejected.receiver')
             return
         link = self._link_of(batch)
@@ -217,8 +228,7 @@
 
     def _deliver(self, link: PeerLink, message: PeerMessage) -> None:
         if isinstance(message, Heartbeat):
-            for leadership in message.leaderships:
-                self._leaderships.learn(leadership)
+            self._take_heartbeat(link, message)
         elif isinstance(message, PeersTell):
             for ref in message.instances:
                 self.learn(ref)
@@ -231,6 +241,12 @@
                 self.counters.count('peer.handler_failed')
                 _log.exception('handler failed', message=type(message).__name__)
 
+    def _take_heartbeat(self, link: PeerLink, heartbeat: Heartbeat) -> None:
+        for leadership in heartbeat.leaderships:
+            self._leaderships.learn(leadership)
+        if heartbeat.wants_answer and link not in self._heartbeat_set():
+            link.send(link.next_heartbeat(self._heartbeat(whole=False)))
+
     def _note_news(self, leadership: Leadership) -> None:
         now = self._clock()
         self._news = [
@@ -239,7 +255,7 @@
             if now - noted_ms < _NEWS_MS and known.group != leadership.group
         ]
         self._news.append((now, leadership))
-        if leadership.leader.name == self._me.name:
+        if leadership.leader.name == self.me.name:
             self._send_heartbeats(self._heartbeat_set())
 
     async def _heartbeat_loop(self) -> None:
@@ -249,11 +265,14 @@
             await asyncio.sleep(seconds(HEARTBEAT_INTERVAL_MS))
 
     def _send_heartbeats(self, links: list[PeerLink]) -> None:
-        template = self._heartbeat(whole=False)
+        template = self._heartbeat(whole=False, wants_answer=True)
         for link in links:
+            link.asked_ms = self._clock()
             link.send(link.next_heartbeat(template))
 
-    def _heartbeat(self, *, whole: bool) -> Heartbeat:
+    def _heartbeat(
+        self, *, whole: bool, wants_answer: bool = False
+    ) -> Heartbeat:
         now = self._clock()
         if whole:
             leaderships = list(self._leaderships.by_group().values())
@@ -266,10 +285,11 @@
         return Heartbeat(
             number=0,
             echo=0,
-            sender=self._me,
+            sender=self.me,
             revision_by_scope=self.revision_by_scope(),
             leaderships=leaderships,
             leaving=self.leaving,
+            wants_answer=wants_answer,
             configuration_age_ms=self.configuration_age_ms(),
         )
 
@@ -279,7 +299,7 @@
         near = [
             link
             for link in ranked
-            if link.ref.data_centre == self._me.data_centre
+            if link.ref.data_centre == self.me.data_centre
         ][:_NEAR_PEERS]
         far = [link for link in ranked if link not in near][:_FAR_PEERS]
         in_use = [
@@ -288,11 +308,13 @@
             if link not in near
             and link not in far
             and now - link.used_ms < _RECENT_USE_MS
+            # Answers and requests show life as well as heartbeats do.
+            and now - link.heard_ms > HEARTBEAT_INTERVAL_MS
         ]
         return near + far + in_use
 
     def _hash_rank(self, link: PeerLink) -> int:
-        pair = f'{self._me.name}/{link.ref.name}'
+        pair = f'{self.me.name}/{link.ref.name}'
         return xxhash.xxh3_64_intdigest(pair.encode())
 
     def _forget_dead(self) -> None:
--- a/tests/router/network/test_peer_links.py
+++ b/tests/router/network/test_peer_links.py
@@ -1,6 +1,8 @@
 """Links deliver to the right peer, and refuse strangers and old processes."""
 
 import asyncio
+import itertools
+from contextlib import AsyncExitStack
 from pathlib import Path
 
 from tests.builders.peers import (
@@ -11,6 +13,7 @@
 )
 from yuccadale_core.instances import InstanceRef
 from yuccadale_core.messages import Cancel, PeerMessage
+from yuccadale_core.timing import SUSPICION_MS
 from yuccadale_router._internal.network.peer_links import PeerLinks
 
 _PATIENCE_S = 20
@@ -111,3 +114,41 @@
         altered = bytearray(sealed)
         altered[position] = byte ^ 1
         assert keys.open(bytes(altered)) is None
+
+
+async def _until_all_heard(all_links: list[PeerLinks]) -> None:
+    """Asks every instance for every other one until all have answered."""
+    names = [links.me.name for links in all_links]
+    async with asyncio.timeout(_PATIENCE_S):
+        while any(
+            links.silence_ms(name) > SUSPICION_MS
+            for links in all_links
+            for name in names
+            if name != links.me.name
+        ):
+            await asyncio.sleep(0.05)
+
+
+async def test_peer_outside_the_heartbeat_set_answers_when_asked(
+    tmp_path: Path,
+) -> None:
+    """Guards against a leader in another data centre that looks dead.
+
+    Heartbeats go to few peers. A forward to any other one waited until its
+    deadline, because nothing made that peer answer.
+    """
+    keys = write_peer_keys(tmp_path, 'secret')
+    references = [
+        instance(f'instance-{number}', free_address(), f'centre-{number % 4}')
+        for number in range(10)
+    ]
+    async with AsyncExitStack() as stack:
+        all_links = [
+            await stack.enter_async_context(running_links(me, keys))
+            for me in references
+        ]
+        for learner, other in itertools.product(all_links, references):
+            learner.learn(other)
+        await _until_all_heard(all_links)
+        counts = [links.counters.snapshot() for links in all_links]
+        assert not any('peer.reconnect.silent' in count for count in counts)
