Fuzz racing operators against an oracle of rows and answers

Sequences of submissions, repetitions, lost and late answers, late writes, restarts, partitions and stale peers; the oracle knows the rows that the table held and what the operators were told.

The client no longer takes a refusal after an uncertain attempt as final, unless another submission took the place: the earlier attempt may still be committed.

--- a/packages/client/src/yuccadale/_internal/submitting.py
+++ b/packages/client/src/yuccadale/_internal/submitting.py
@@ -25,19 +25,35 @@
     for attempt, address in enumerate(instances.addresses * _ROUNDS):
         if attempt >= len(instances.addresses):
             await asyncio.sleep(_PAUSE_S)
-        try:
-            return await instances.post(address, '/declarations', body)
-        except Unreachable as error:
-            reasons.append(str(error))
-        except CommandFailure as failure:
-            _raise_unless_unknown(failure)
-            reasons.extend(failure.lines[:2])
+        answer = await _post(instances, address, body)
+        if not isinstance(answer, CommandFailure):
+            return answer
+        if _is_final(answer, uncertain=bool(reasons)):
+            raise answer
+        reasons.extend(answer.lines[:2])
     raise _unknown(signed, reasons)
 
 
-def _raise_unless_unknown(failure: CommandFailure) -> None:
-    if failure.status != exit_status.OUTCOME_UNKNOWN:
-        raise failure
+async def _post(
+    instances: Instances, address: str, body: bytes
+) -> Document | CommandFailure:
+    try:
+        return await instances.post(address, '/declarations', body)
+    except Unreachable as error:
+        return CommandFailure(exit_status.OUTCOME_UNKNOWN, [str(error)])
+    except CommandFailure as failure:
+        return failure
+
+
+def _is_final(failure: CommandFailure, *, uncertain: bool) -> bool:
+    """Says whether a refusal settles the submission.
+
+    After an attempt without a certain answer, that attempt may still be
+    committed, unless another submission has taken its place.
+    """
+    if failure.status == exit_status.OUTCOME_UNKNOWN:
+        return False
+    return not uncertain or failure.status == exit_status.OUTDATED
 
 
 def _unknown(signed: SignedSubmission, reasons: list[str]) -> CommandFailure:
--- a/tests/builders/configuration.py
+++ b/tests/builders/configuration.py
@@ -45,6 +45,8 @@
     lost = 'lost answer'
     # The answer is lost and the write is applied later, if at all.
     late = 'late write'
+    # Applied; the answer arrives later.
+    delayed = 'delayed answer'
 
 
 @dataclass(slots=True)
@@ -66,6 +68,7 @@
         faults: faults of the next operations when not gated.
         cut: instances that cannot reach the platform.
         late_writes: writes whose answers were lost before they applied.
+        delayed_answers: answers of operations that were applied.
     """
 
     gated: bool = False
@@ -76,6 +79,7 @@
     body_by_name: dict[str, bytes] = field(default_factory=dict)
     waiting: list[Operation] = field(default_factory=list)
     late_writes: list[Callable[[], Any]] = field(default_factory=list)
+    delayed_answers: list[tuple[Operation, Any]] = field(default_factory=list)
 
     async def operate(
         self, instance: str, perform: Callable[[], Any], *, is_write: bool
@@ -94,6 +98,12 @@
         """Lets one waiting operation take effect, or fail."""
         self._finish(self.waiting.pop(index), fault)
 
+    def answer_late(self, index: int) -> None:
+        """Delivers an answer that was delayed."""
+        operation, answer = self.delayed_answers.pop(index)
+        if not operation.answer.done():
+            operation.answer.set_result(answer)
+
     def forget(self, instance: str) -> None:
         """Leaves the operations of a lost process under way."""
         for operation in list(self.waiting):
@@ -126,6 +136,9 @@
         return Result.Ok(None)
 
     def _finish(self, operation: Operation, fault: Fault) -> None:
+        if fault == Fault.delayed and operation.instance not in self.cut:
+            self.delayed_answers.append((operation, operation.perform()))
+            return
         if operation.instance in self.cut or fault == Fault.unavailable:
             answer = _failure(TableFailureKind.unavailable)
         elif fault == Fault.none:
--- /dev/null
+++ b/tests/router/configuration/fuzz.py
@@ -0,0 +1,108 @@
+"""Runs sequences of the machine, also with a rule of the product removed.
+
+``python -m tests.router.configuration.fuzz --sequences 5000 --seed 7`` runs
+the product; ``--removed`` prints the table of removed rules.
+"""
+
+import argparse
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import ClassVar
+from unittest import mock
+
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis.stateful import run_state_machine_as_test
+from structlog.testing import capture_logs
+
+from tests.router.configuration.machine import ConfigurationMachine
+
+CI_SEQUENCES = 300
+_STEPS = 60
+_MODULES = 'yuccadale_router._internal.configuration'
+
+WithoutRule = Callable[[object, int], object]
+
+# For each rule: the function that holds it, and a stand-in without the rule.
+REMOVED_RULES: Mapping[str, tuple[str, WithoutRule]] = MappingProxyType(
+    {
+        'base revision': (
+            f'{_MODULES}.submissions.base_in_table',
+            lambda submission, newest_revision: newest_revision,
+        ),
+        'never go back': (
+            f'{_MODULES}.in_force.is_newer',
+            lambda offered, known: offered != known,
+        ),
+    }
+)
+
+
+class CountedMachine(ConfigurationMachine):
+    """Counts the sequences that were begun."""
+
+    begun: ClassVar[int] = 0
+
+    def __init__(self) -> None:
+        CountedMachine.begun += 1
+        super().__init__()
+
+
+def run_sequences(sequences: int, seed_number: int | None = None) -> int:
+    """Runs sequences; returns how many were begun. Raises a violation.
+
+    Without a seed the sequences are the same on every run.
+    """
+    CountedMachine.begun = 0
+    # A fresh class, since the seed is kept as an attribute of it.
+    machine = type('SeededMachine', (CountedMachine,), {})
+    if seed_number is not None:
+        machine = seed(seed_number)(machine)
+    with capture_logs():
+        run_state_machine_as_test(
+            machine,
+            settings=settings(
+                max_examples=sequences,
+                stateful_step_count=_STEPS,
+                derandomize=seed_number is None,
+                database=None,
+                deadline=None,
+                phases=[Phase.generate],
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+    return CountedMachine.begun
+
+
+def find_removed_rule(
+    rule_name: str, sequences: int, seed_number: int | None = None
+) -> tuple[int, str] | None:
+    """Returns the sequence that found the violation, and the violation."""
+    function_name, without_rule = REMOVED_RULES[rule_name]
+    with mock.patch(function_name, without_rule):
+        try:
+            run_sequences(sequences, seed_number)
+        except AssertionError as violation:
+            return CountedMachine.begun, str(violation)
+    return None
+
+
+def main() -> None:
+    """Runs the sequences that the command line asks for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--sequences', type=int, default=CI_SEQUENCES)
+    parser.add_argument('--seed', type=int)
+    parser.add_argument('--removed', action='store_true')
+    options = parser.parse_args()
+    if not options.removed:
+        begun = run_sequences(options.sequences, options.seed)
+        print(f'{begun} sequences, no violation')
+        return
+    for rule_name in REMOVED_RULES:
+        found = find_removed_rule(rule_name, options.sequences, options.seed)
+        shown_seed = 'none (CI)' if options.seed is None else options.seed
+        number, violation = found or ('not found', '')
+        print(f'| {rule_name} | {shown_seed} | {number} | {violation} |')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/router/configuration/machine.py
@@ -0,0 +1,445 @@
+"""Racing operators against a simple oracle.
+
+Operators submit and repeat submissions at any instance while answers of the
+platform are lost or late, instances restart, and messages between instances
+are lost, repeated and delivered out of order. The oracle knows only the rows
+that the table held and the answers that the operators got.
+"""
+
+import asyncio
+import tempfile
+from dataclasses import dataclass, field
+from functools import lru_cache
+from itertools import permutations
+from pathlib import Path
+
+import msgspec
+from hypothesis import strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tests.builders.configuration import Cluster, Fault
+from tests.builders.declarations import (
+    intent_text,
+    places_text,
+    service_text,
+)
+from yuccadale_core.authority import Submission
+from yuccadale_core.codes import ResultCode
+from yuccadale_core.declaration import ScopeDeclaration, assemble
+from yuccadale_core.declaration_ini import read_scope
+from yuccadale_core.messages import RevisionsTell, ScopeRevision
+from yuccadale_router._internal.configuration.submissions import (
+    Accepted,
+    Answer,
+)
+
+INSTANCES = ('entry-1', 'entry-2', 'entry-3')
+_OPERATORS = ('ana', 'rui')
+# Ticks of the loop that any chain of callbacks between two operations needs.
+_IDLE_TICKS = 8
+_STALE_MESSAGES = 40
+# Another submission took the place after the base for ever. A declaration
+# that names a service which is not declared yet is refused, and accepted if
+# it is repeated when the service is there.
+_FINAL = ResultCode.base_revision_outdated
+_NOT_RUN = frozenset(
+    (ResultCode.platform_unavailable, ResultCode.declaration_invalid)
+)
+
+_indexes = strategies.integers(0, 1 << 16)
+_instances = strategies.sampled_from(INSTANCES)
+_pairs = strategies.sampled_from(list(permutations(INSTANCES, 2)))
+# Rare enough that revisions spread between two losses of an instance.
+_is_rare = strategies.integers(0, 5).map(lambda number: number == 0)
+_faults = strategies.sampled_from(
+    [Fault.none, Fault.none, Fault.none, *list(Fault)]
+)
+
+_SCOPES = ('intent', 'places', 'service.ledger')
+_Attempt = tuple[str, asyncio.Task[Answer]]
+
+
+def _text(scope: str, number: int) -> str:
+    if scope == 'intent':
+        return intent_text(number)
+    if scope == 'places':
+        return f'{places_text()}# edition {number}'
+    return service_text(concurrency=number)
+
+
+def _invalid_text(scope: str, number: int) -> str:
+    if scope == 'intent':
+        return intent_text(-number)
+    if scope == 'places':
+        return places_text(service='unknown')
+    return service_text(slot_count=0)
+
+
+def _has_sent(machine: 'ConfigurationMachine') -> bool:
+    return bool(machine.sent)
+
+
+def _has_waiting(machine: 'ConfigurationMachine') -> bool:
+    return bool(machine.platform.waiting)
+
+
+def _has_late_write(machine: 'ConfigurationMachine') -> bool:
+    return bool(machine.platform.late_writes)
+
+
+def _has_late_answer(machine: 'ConfigurationMachine') -> bool:
+    return bool(machine.platform.delayed_answers)
+
+
+def _has_message(machine: 'ConfigurationMachine') -> bool:
+    return bool(machine.network.envelopes)
+
+
+@dataclass(slots=True)
+class Sent:
+    """A submission, its attempts under way and what its operator was told."""
+
+    submission: Submission
+    valid: bool
+    attempts: list[_Attempt] = field(default_factory=list)
+    attempts_made: int = 0
+    accepted_revision: int = 0
+    refused: bool = False
+    last_code: ResultCode | None = None
+
+    @property
+    def settled(self) -> bool:
+        """Whether the operator knows the outcome."""
+        return bool(self.accepted_revision) or self.refused
+
+
+@lru_cache(maxsize=4096)
+def _declaration(text: str) -> ScopeDeclaration:
+    return read_scope(text, 'row').ok.declaration
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """Sequences of operators, faults and messages."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._loop = asyncio.new_event_loop()
+        self._directory = tempfile.TemporaryDirectory()
+        self._cluster = Cluster(
+            Path(self._directory.name) / 'operators', _OPERATORS
+        )
+        self.platform = self._cluster.platform
+        self.platform.gated = True
+        self.network = self._cluster.network
+        self.sent: list[Sent] = []
+        self._read_by_name: dict[str, asyncio.Task[bool]] = {}
+        self._highest_by_instance: dict[str, dict[str, int]] = {}
+        for name in INSTANCES:
+            self._start(name)
+
+    @rule(
+        scope=strategies.sampled_from(_SCOPES),
+        name=_instances,
+        operator=strategies.sampled_from(_OPERATORS),
+        distance=strategies.sampled_from([0, 0, 0, 0, 1, 2]),
+        valid=strategies.sampled_from([True, True, True, True, False]),
+    )
+    def submit(
+        self, scope: str, name: str, operator: str, distance: int, valid: bool
+    ) -> None:
+        """An operator submits on what an instance shows, or on less."""
+        service = self._cluster.service_by_name[name]
+        base = service.revision_by_scope().get(scope, 0)
+        number = len(self.sent) + 1
+        make_text = _text if valid else _invalid_text
+        sent = Sent(
+            Submission(
+                scope=scope,
+                base_revision=max(0, base - distance),
+                write_id=f'write-{number}',
+                operator=operator,
+                text=make_text(scope, number),
+            ),
+            valid,
+        )
+        self.sent.append(sent)
+        self._attempt(sent, name)
+
+    @rule(scope=strategies.sampled_from(_SCOPES), name=_instances)
+    def submit_undisturbed(self, scope: str, name: str) -> None:
+        """An operator submits; what waits at the platform is performed."""
+        self.submit(scope, name, _OPERATORS[0], distance=0, valid=True)
+        self._step_until_idle()
+
+    @precondition(_has_sent)
+    @rule(index=_indexes, name=_instances)
+    def repeat(self, index: int, name: str) -> None:
+        """An operator repeats a submission with its id, anywhere."""
+        self._attempt(self.sent[index % len(self.sent)], name)
+
+    @precondition(_has_waiting)
+    @rule(index=_indexes, fault=_faults)
+    def step_platform(self, index: int, fault: Fault) -> None:
+        """The platform performs an operation, or fails at it."""
+        self.platform.step(index % len(self.platform.waiting), fault)
+        self._run()
+
+    @precondition(_has_waiting)
+    @rule()
+    def step_all(self) -> None:
+        """The platform performs what waits, so that submissions get far."""
+        self._step_until_idle()
+
+    @precondition(_has_late_write)
+    @rule(index=_indexes)
+    def apply_late_write(self, index: int) -> None:
+        """A write arrives that nobody waits for any more."""
+        late_writes = self.platform.late_writes
+        late_writes.pop(index % len(late_writes))()
+
+    @precondition(_has_late_answer)
+    @rule(index=_indexes)
+    def deliver_late_answer(self, index: int) -> None:
+        """An answer arrives after other operations have taken effect."""
+        self.platform.answer_late(index % len(self.platform.delayed_answers))
+        self._run()
+
+    @rule(name=_instances, whole=strategies.booleans())
+    def read_table(self, name: str, whole: bool) -> None:
+        """An instance reads the table, one read at a time."""
+        if name in self._read_by_name:
+            return
+        reader = self._cluster.service_by_name[name]._reader
+        work = reader.read_all() if whole else reader.read_next()
+        task = self._loop.create_task(work)
+        self._read_by_name[name] = task
+        task.add_done_callback(lambda _: self._read_by_name.pop(name, None))
+        self._run()
+
+    @rule(pair=_pairs)
+    def beat(self, pair: tuple[str, str]) -> None:
+        """A heartbeat goes on its way."""
+        self._cluster.beat(*pair)
+
+    @rule(pair=_pairs)
+    def answer_peer(self, pair: tuple[str, str]) -> None:
+        """An instance answers a question that its peer asked earlier."""
+        sender, receiver = pair
+        revisions = self._cluster.service_by_name[sender].revisions()
+        self.network.peers_by_name[sender].send(
+            receiver, RevisionsTell(revisions)
+        )
+
+    @precondition(_has_message)
+    @rule(index=_indexes, keep=strategies.booleans())
+    def deliver(self, index: int, keep: bool) -> None:
+        """Any message arrives; a copy may arrive again much later."""
+        envelopes = self.network.envelopes
+        envelope = envelopes.pop(index % len(envelopes))
+        self.network.deliver(envelope)
+        if keep:
+            envelopes.append(envelope)
+        self.network.envelopes = envelopes[-_STALE_MESSAGES:]
+        self._run()
+
+    @rule(name=_instances, happens=_is_rare)
+    def restart(self, name: str, happens: bool) -> None:
+        """An instance is lost with what it had under way; a new one starts."""
+        if not happens:
+            return
+        for instance, task in self._attempts():
+            if instance == name:
+                task.cancel()
+        read = self._read_by_name.get(name)
+        if read is not None:
+            read.cancel()
+        lost = self._cluster.service_by_name[name]
+        self._loop.run_until_complete(lost.stop())
+        self.platform.forget(name)
+        self._run()
+        self._start(name)
+
+    @rule(name=_instances, happens=_is_rare)
+    def cut_off_or_reconnect(self, name: str, happens: bool) -> None:
+        """An instance loses the platform, or reaches it again."""
+        if happens:
+            self.platform.cut ^= {name}
+
+    @invariant()
+    def what_is_in_force_was_written(self) -> None:
+        """Each instance has whole files of the table and never goes back."""
+        written = self._written()
+        for name, service in self._cluster.service_by_name.items():
+            for revision in service.revisions():
+                row = written[revision.scope, revision.revision]
+                assert revision == row, f'{name} has what no row held'
+            numbers = service.revision_by_scope()
+            for scope, before in self._highest_by_instance[name].items():
+                assert numbers[scope] >= before, f'{name} went back'
+            self._highest_by_instance[name] = numbers
+            expected = assemble(
+                [_declaration(one.text) for one in service.revisions()],
+                service.revision_by_scope(),
+            )
+            assert service.declaration == expected
+
+    @invariant()
+    def answers_agree_with_the_table(self) -> None:
+        """An acknowledgement names the row after the base; a refusal none."""
+        self._collect_answers()
+        written = self._written()
+        write_ids = {row.write_id for row in written.values()}
+        for sent in self.sent:
+            submission = sent.submission
+            if sent.accepted_revision:
+                following = submission.base_revision + 1
+                assert sent.accepted_revision == following, 'other base'
+                row = written[submission.scope, sent.accepted_revision]
+                assert row.write_id == submission.write_id
+                assert row.text == submission.text
+            if sent.refused or not sent.valid:
+                assert submission.write_id not in write_ids
+
+    def teardown(self) -> None:
+        """Heals everything; then every submission must have an outcome."""
+        try:
+            self._settle()
+        finally:
+            self._close()
+
+    def _close(self) -> None:
+        for _, task in self._attempts():
+            task.cancel()
+        for service in self._cluster.service_by_name.values():
+            self._loop.run_until_complete(service.stop())
+        self._run()
+        self._loop.close()
+        self._directory.cleanup()
+
+    def _settle(self) -> None:
+        self.platform.cut.clear()
+        while self.platform.delayed_answers:
+            self.platform.answer_late(0)
+        self._step_until_idle()
+        while self.platform.late_writes:
+            self.platform.late_writes.pop(0)()
+        for sent in self.sent:
+            self._collect_answers()
+            if not sent.settled:
+                self._attempt(sent, INSTANCES[0])
+                self._step_until_idle()
+        self.answers_agree_with_the_table()
+        for sent in self.sent:
+            invalid = sent.last_code == ResultCode.declaration_invalid
+            assert sent.settled or invalid
+        self._check_order()
+        self._check_spread()
+
+    def _check_order(self) -> None:
+        """The acknowledged revisions are exactly the written ones."""
+        acknowledged = sorted(
+            (sent.submission.scope, sent.accepted_revision)
+            for sent in self.sent
+            if sent.accepted_revision
+        )
+        assert acknowledged == sorted(self._written())
+        newest = self._newest()
+        for (scope, number), row in self._written().items():
+            if number < newest[scope]:
+                name = f'declaration/{scope}/{number}'
+                body = self.platform.body_by_name[name]
+                assert msgspec.json.decode(body, type=ScopeRevision) == row
+
+    def _check_spread(self) -> None:
+        """One instance reads the table; heartbeats tell all others."""
+        reader = self._cluster.service_by_name[INSTANCES[0]]._reader
+        self._loop.create_task(reader.read_all())
+        self._run()
+        self._step_until_idle()
+        self.network.envelopes.clear()
+        self._cluster.beat_all()
+        for name, service in self._cluster.service_by_name.items():
+            assert service.revision_by_scope() == self._newest(), name
+            assert not service.status().scopes_behind
+
+    def _newest(self) -> dict[str, int]:
+        newest: dict[str, int] = {}
+        for scope, number in self._written():
+            newest[scope] = max(number, newest.get(scope, 0))
+        return newest
+
+    def _written(self) -> dict[tuple[str, int], ScopeRevision]:
+        revisions: dict[tuple[str, int], ScopeRevision] = {}
+        for row in self.platform.rows_written:
+            if row.name.startswith('declaration/'):
+                revision = msgspec.json.decode(row.text, type=ScopeRevision)
+                assert revision.revision == row.version
+                assert row.name == f'declaration/{revision.scope}'
+                revisions[revision.scope, row.version] = revision
+        return revisions
+
+    def _start(self, name: str) -> None:
+        self._cluster.start(name)
+        self._highest_by_instance[name] = {}
+
+    def _attempt(self, sent: Sent, name: str) -> None:
+        service = self._cluster.service_by_name[name]
+        signed = self._cluster.sign(sent.submission)
+        task = self._loop.create_task(service.submit(signed))
+        sent.attempts.append((name, task))
+        sent.attempts_made += 1
+        self._run()
+
+    def _attempts(self) -> list[_Attempt]:
+        return [attempt for sent in self.sent for attempt in sent.attempts]
+
+    def _collect_answers(self) -> None:
+        for sent in self.sent:
+            ended = [task for _, task in sent.attempts if task.done()]
+            sent.attempts = [
+                attempt for attempt in sent.attempts if not attempt[1].done()
+            ]
+            for task in ended:
+                if not task.cancelled():
+                    self._note_answer(sent, task.result())
+
+    def _note_answer(self, sent: Sent, answer: Answer) -> None:
+        if answer.is_ok():
+            self._note_accepted(sent, answer.ok)
+            return
+        code = answer.error.refusal.code
+        sent.last_code = code
+        if code == _FINAL:
+            assert not sent.accepted_revision, 'accepted, then refused'
+            sent.refused = True
+        elif code in _NOT_RUN:
+            rows = self._written().values()
+            write_ids = {row.write_id for row in rows}
+            first = sent.attempts_made == 1
+            assert not first or sent.submission.write_id not in write_ids
+        else:
+            assert code == ResultCode.submission_outcome_unknown
+
+    def _note_accepted(self, sent: Sent, accepted: Accepted) -> None:
+        assert not sent.refused, 'refused, then accepted'
+        number = accepted.revision.revision
+        assert sent.accepted_revision in {0, number}, 'accepted twice'
+        sent.accepted_revision = number
+
+    def _step_until_idle(self) -> None:
+        while self.platform.waiting:
+            self.platform.step(0, Fault.none)
+            self._run()
+
+    def _run(self) -> None:
+        self._loop.run_until_complete(_idle())
+
+
+async def _idle() -> None:
+    for _ in range(_IDLE_TICKS):
+        await asyncio.sleep(0)
