--- a/packages/router/src/yuccadale_router/_internal/placement/group.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/group.py
@@ -216,7 +216,13 @@
         if not draining:
             return []
         leaving = [owner in draining for owner in owner_by_slot.values()]
-        moves = place_homeless(view, prices, np.flatnonzero(leaving))
+        # A drained slot must go somewhere now: the price of a cold start
+        # counts against a new server, the ramp does not.
+        unramped = replace(
+            view,
+            capacity=np.array([server.capacity for server in view.servers]),
+        )
+        moves = place_homeless(unramped, prices, np.flatnonzero(leaving))
         for move in moves:
             view.owner[move.slot_index] = move.server_index
         return _as_proposals(moves, view, 'the owner is draining')
@@ -231,7 +237,8 @@
         if not limit or not sources.any():
             return []
         if relative.min() < self._policy.idle_share:
-            prices = replace(prices, horizon_s=self._policy.idle_horizon_s)
+            horizon_s = self._ages.horizon_s(now)
+            prices = replace(prices, horizon_s=horizon_s)
         resting = np.array(list(self._history.resting_slots(now)), np.int64)
         rebalancing = Rebalancing(
             view,
