--- a/packages/bench/src/yuccadale_bench/_internal/command_line.py
+++ b/packages/bench/src/yuccadale_bench/_internal/command_line.py
@@ -22,7 +22,9 @@
 
 LOADER_BY_NAME: Mapping[str, Loader] = MappingProxyType(
     {
+        'configuration': _module('configuration'),
         'demo': _module('demo'),
+        'docs': _module('docs'),
         'failover': _module('failover'),
         'load': _module('load'),
         'path': _module('path'),
--- a/packages/core/src/yuccadale_core/_internal/declaration_models.py
+++ b/packages/core/src/yuccadale_core/_internal/declaration_models.py
@@ -110,7 +110,7 @@
 
 
 class KindSection(SectionModel):
-    """A kind of request, named by the header ``Yuccadale-Kind``."""
+    """A kind of request, named by the header Yuccadale-Kind."""
 
     repeatable: bool = pydantic.Field(
         description='whether the work may run more than once'
