Measure how fast submissions are in force everywhere

python -m yuccadale_bench configuration submits to 10 instances on loopback, kills and restarts one, cuts a data centre off from platform and peers, and heals it. The cut uses a peer key file of the data centre's own, because no relay sits between the instances.

--- a/packages/bench/src/yuccadale_bench/_internal/cluster.py
+++ b/packages/bench/src/yuccadale_bench/_internal/cluster.py
@@ -351,6 +351,15 @@
     return cluster
 
 
+async def start_nodes(cluster: Cluster) -> None:
+    """Starts the platform, then all servers, then all entry instances."""
+    await cluster.start('platform')
+    for kind in ('server', 'entry'):
+        await asyncio.gather(
+            *(cluster.start(node.name) for node in cluster.nodes(kind))
+        )
+
+
 @asynccontextmanager
 async def running_cluster(
     plan: ClusterPlan, directory: Path
@@ -358,11 +367,7 @@
     """Runs the platform, all servers and all entry instances."""
     cluster = plan_cluster(plan, directory)
     try:
-        await cluster.start('platform')
-        for kind in ('server', 'entry'):
-            await asyncio.gather(
-                *(cluster.start(node.name) for node in cluster.nodes(kind))
-            )
+        await start_nodes(cluster)
         yield cluster
     finally:
         await cluster.stop_all()
--- /dev/null
+++ b/packages/bench/src/yuccadale_bench/_internal/configuration.py
@@ -0,0 +1,296 @@
+"""``configuration``: time until a submission is in force everywhere."""
+
+import argparse
+import asyncio
+import random
+import tempfile
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+
+from yuccadale_bench._internal.cluster import (
+    Cluster,
+    ClusterPlan,
+    apply_declaration,
+    plan_cluster,
+    start_nodes,
+    write_settings,
+)
+from yuccadale_bench._internal.configuration_costs import (
+    Costs,
+    cost_lines,
+    read_costs,
+)
+from yuccadale_bench._internal.configuration_edits import Editor
+from yuccadale_bench._internal.configuration_watch import (
+    InstanceWatch,
+    submit_to_any,
+)
+from yuccadale_bench._internal.demo import wait_until_led
+from yuccadale_bench._internal.plans import klatka
+
+_RESTARTED = 'lodz-a-1'
+_CUT_CENTRE = 'krakow-b'
+_SETTLE_S = 5
+_IDLE_S = 10
+_PAUSE_LIMIT_S = 0.1
+_TARGET_S = 5
+_WAIT_LIMIT_S = 30
+_STRANGE_KEY = 'key-of-a-cut-data-centre'
+
+
+@dataclass(slots=True)
+class Figures:
+    """What one run measured, in seconds.
+
+    Attributes:
+        worst_by_submission: from the acknowledgement until the last live
+            instance of a reachable data centre had it in force.
+        commit_by_submission: from the submission until its acknowledgement.
+        restarted_s: from listening until an instance that was restarted had
+            all that was acknowledged by then.
+        healed_s: the same for the cut data centre, from the heal.
+        missed: revisions that the cut data centre lacked at the heal.
+    """
+
+    worst_by_submission: list[float] = field(default_factory=list)
+    commit_by_submission: list[float] = field(default_factory=list)
+    restarted_s: float = 0
+    healed_s: float = 0
+    missed: int = 0
+
+
+def run_command(arguments: Sequence[str]) -> int:
+    """Runs the measurement; the status is 1 when the target is missed."""
+    parser = argparse.ArgumentParser(prog='yuccadale_bench configuration')
+    parser.add_argument('--submissions', type=int, default=200)
+    parser.add_argument('--seed', type=int, default=1)
+    parsed = parser.parse_args(arguments)
+    with tempfile.TemporaryDirectory(prefix='yuccadale-conf-') as directory:
+        return asyncio.run(
+            _measure(Path(directory), parsed.submissions, parsed.seed)
+        )
+
+
+async def _measure(directory: Path, submissions: int, seed: int) -> int:
+    plan = klatka()
+    cluster = plan_cluster(plan, directory)
+    partition = _Partition(cluster)
+    try:
+        await start_nodes(cluster)
+        await apply_declaration(cluster, plan)
+        await wait_until_led(cluster, plan)
+        # News of the first leaders ride on heartbeats for two seconds.
+        await asyncio.sleep(_SETTLE_S)
+        async with aiohttp.ClientSession() as session:
+            run = _Run(cluster, plan, partition, session, seed)
+            return await run.measure(submissions)
+    finally:
+        await cluster.stop_all()
+
+
+class _Partition:
+    """Cuts one data centre off from the platform and from all peers.
+
+    Its instances use a key file of their own; while it holds another key,
+    peers outside reject their messages and they reject those of the peers.
+    """
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._platform_url = cluster.platform_url
+        self._keys = (cluster.directory / 'peer-keys').read_text()
+        directory = cluster.directory / _CUT_CENTRE
+        directory.mkdir()
+        self._key_path = directory / 'peer-keys'
+        self._key_path.write_text(self._keys)
+        operator_keys = (cluster.directory / 'operator-keys').read_text()
+        (directory / 'operator-keys').write_text(operator_keys)
+        for node in cluster.nodes('entry'):
+            if node.data_centre == _CUT_CENTRE:
+                path = write_settings(directory, node, cluster.platform_url)
+                node.command[-1] = str(path)
+
+    async def begin(self, session: aiohttp.ClientSession) -> None:
+        """Begins the partition; keys are read again within a second."""
+        self._key_path.write_text(f'{_STRANGE_KEY}\n')
+        await self._set_cut(session, [_CUT_CENTRE])
+
+    async def end(self, session: aiohttp.ClientSession) -> None:
+        """Ends the partition."""
+        self._key_path.write_text(self._keys)
+        await self._set_cut(session, [])
+
+    async def _set_cut(
+        self, session: aiohttp.ClientSession, names: list[str]
+    ) -> None:
+        async with session.post(
+            f'{self._platform_url}/faults', json={'cut': names}
+        ) as answer:
+            answer.raise_for_status()
+
+
+class _Run:
+    """One sequence of submissions with its faults."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        plan: ClusterPlan,
+        partition: _Partition,
+        session: aiohttp.ClientSession,
+        seed: int,
+    ) -> None:
+        self._cluster = cluster
+        self._partition = partition
+        self._session = session
+        self._random = random.Random(seed)
+        self._editor = Editor(
+            plan.declaration_files, cluster.operator_private_key, self._random
+        )
+        self._figures = Figures()
+        self._watch_by_name = {
+            node.name: InstanceWatch(session, node.addresses['operator'])
+            for node in cluster.nodes('entry')
+        }
+        self._away: set[str] = set()
+        self._faults: list[asyncio.Task[None]] = []
+
+    async def measure(self, submissions: int) -> int:
+        """Measures idle costs, then the submissions; prints the result."""
+        idle_before = await self._costs()
+        await asyncio.sleep(_IDLE_S)
+        busy_before = await self._costs()
+        for number in range(submissions):
+            await self._begin_fault(number, submissions)
+            await self._submit()
+            pause_s = self._random.uniform(0, _PAUSE_LIMIT_S)
+            await asyncio.sleep(pause_s)
+        await asyncio.gather(*self._faults)
+        busy_after = await self._costs()
+        lines = cost_lines(
+            busy_before - idle_before, busy_after - busy_before, submissions
+        )
+        return self._print(lines)
+
+    async def _submit(self) -> None:
+        signed = self._editor.next_submission()
+        scope = signed.submission.scope
+        present = self._present()
+        self._random.shuffle(present)
+        sent_at = time.monotonic()
+        revision = await submit_to_any(
+            self._session,
+            [self._watch_by_name[name].address for name in present],
+            signed,
+        )
+        acknowledged_at = time.monotonic()
+        self._editor.committed(scope, revision)
+        reached_at = await asyncio.gather(
+            *(
+                self._watch_by_name[name].wait({scope: revision}, _WAIT_LIMIT_S)
+                for name in present
+                if name not in self._away
+            )
+        )
+        self._figures.commit_by_submission.append(acknowledged_at - sent_at)
+        self._figures.worst_by_submission.append(
+            max(reached_at) - acknowledged_at
+        )
+
+    async def _begin_fault(self, number: int, submissions: int) -> None:
+        if number == submissions // 4:
+            self._away.add(_RESTARTED)
+            self._cluster.kill(_RESTARTED)
+            await self._cluster.wait_ended(_RESTARTED)
+            self._faults.append(asyncio.create_task(self._restart()))
+        elif number == submissions // 2:
+            self._away.update(self._cut_names())
+            await self._partition.begin(self._session)
+        elif number == 3 * submissions // 4:
+            self._faults.append(asyncio.create_task(self._heal()))
+
+    async def _restart(self) -> None:
+        await self._cluster.start(_RESTARTED)
+        self._figures.restarted_s = await self._catch_up([_RESTARTED])
+
+    async def _heal(self) -> None:
+        self._figures.missed = await self._missed()
+        await self._partition.end(self._session)
+        self._figures.healed_s = await self._catch_up(self._cut_names())
+
+    async def _catch_up(self, names: list[str]) -> float:
+        began_at = time.monotonic()
+        wanted = self._editor.revision_by_scope()
+        reached_at = await asyncio.gather(
+            *(
+                self._watch_by_name[name].wait(wanted, _WAIT_LIMIT_S)
+                for name in names
+            )
+        )
+        self._away.difference_update(names)
+        return max(reached_at) - began_at
+
+    async def _missed(self) -> int:
+        wanted = self._editor.revision_by_scope()
+        has = [
+            await self._watch_by_name[name].revisions()
+            for name in self._cut_names()
+        ]
+        return min(
+            sum(wanted.values()) - sum(in_force.values()) for in_force in has
+        )
+
+    def _cut_names(self) -> list[str]:
+        return [
+            node.name
+            for node in self._cluster.nodes('entry')
+            if node.data_centre == _CUT_CENTRE
+        ]
+
+    def _present(self) -> list[str]:
+        return [name for name in self._watch_by_name if name not in self._away]
+
+    async def _costs(self) -> Costs:
+        addresses = [
+            watch.address
+            for name, watch in self._watch_by_name.items()
+            if name != _RESTARTED
+        ]
+        return await read_costs(
+            self._session, self._cluster.platform_url, addresses
+        )
+
+    def _print(self, lines: list[str]) -> int:
+        figures = self._figures
+        worst = sorted(figures.worst_by_submission)
+        commits = sorted(figures.commit_by_submission)
+        middle = len(worst) // 2
+        print(
+            f'submissions: {len(worst)}; in force on all live instances of'
+            f' reachable data centres after: median {worst[middle]:.3f} s,'
+            f' worst {worst[-1]:.3f} s'
+        )
+        print(
+            f'submission until acknowledgement: median'
+            f' {commits[middle]:.3f} s, worst {commits[-1]:.3f} s'
+        )
+        print(
+            f'{_RESTARTED} killed and restarted: has all'
+            f' {figures.restarted_s:.3f} s after it listens'
+        )
+        print(
+            f'{_CUT_CENTRE} cut off and healed: has all'
+            f' {figures.healed_s:.3f} s after the heal, at which it lacked'
+            f' {figures.missed} revisions'
+        )
+        for line in lines:
+            print(line)
+        slowest = max(worst[-1], figures.restarted_s, figures.healed_s)
+        met = slowest <= _TARGET_S
+        print(
+            f'target {_TARGET_S} s for the worst: {"met" if met else "MISSED"}'
+        )
+        return 0 if met else 1
--- /dev/null
+++ b/packages/bench/src/yuccadale_bench/_internal/configuration_watch.py
@@ -0,0 +1,71 @@
+"""Watches instances until revisions are in force, and submits to them."""
+
+import asyncio
+import time
+from collections.abc import Mapping
+
+import aiohttp
+import msgspec
+
+from yuccadale_core.authority import SignedSubmission
+
+_POLL_S = 0.02
+_HTTP_OK = 200
+
+
+class InstanceWatch:
+    """Polls the status of one instance."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self.address = address
+        self._session = session
+
+    async def wait(
+        self, revision_by_scope: Mapping[str, int], limit_s: float
+    ) -> float:
+        """Returns the monotonic time at which all revisions were seen."""
+        give_up = time.monotonic() + limit_s
+        while time.monotonic() < give_up:
+            in_force = await self.revisions()
+            if all(
+                in_force.get(scope, 0) >= revision
+                for scope, revision in revision_by_scope.items()
+            ):
+                return time.monotonic()
+            await asyncio.sleep(_POLL_S)
+        raise RuntimeError(f'{self.address} has {in_force} after {limit_s} s')
+
+    async def revisions(self) -> dict[str, int]:
+        """Returns what is in force; nothing when there is no answer."""
+        try:
+            async with self._session.get(
+                f'http://{self.address}/status'
+            ) as answer:
+                document = await answer.json(content_type=None)
+        except aiohttp.ClientError:
+            return {}
+        revisions: dict[str, int] = document['revisions']
+        return revisions
+
+
+async def submit_to_any(
+    session: aiohttp.ClientSession,
+    addresses: list[str],
+    signed: SignedSubmission,
+) -> int:
+    """Submits to the first instance that commits; returns the revision."""
+    body = msgspec.json.encode(signed)
+    reasons = []
+    for address in addresses:
+        try:
+            async with session.post(
+                f'http://{address}/declarations', data=body
+            ) as answer:
+                document = await answer.json(content_type=None)
+                if answer.status == _HTTP_OK:
+                    return int(document['revision'])
+        except aiohttp.ClientError as error:
+            reasons.append(f'{address}: {error}')
+        else:
+            reasons.append(f'{address}: {document}')
+    raise RuntimeError(f'no instance took the submission: {reasons}')
--- a/packages/router/src/yuccadale_router/_internal/configuration/store_reader.py
+++ b/packages/router/src/yuccadale_router/_internal/configuration/store_reader.py
@@ -102,7 +102,8 @@
         revisions = await read_revisions(self._table)
         if revisions.is_error():
             return self._note_failure(revisions.error)
-        self._note_success()
+        texts = [revision.text for revision in revisions.ok.values()]
+        self._note_success(sum(map(len, texts)))
         self._learn(list(revisions.ok.values()))
         self.confirm(self._clock() - started_ms)
         return True
@@ -115,7 +116,7 @@
         heads = await read_heads(self._table)
         if heads.is_error():
             return self._note_failure(heads.error)
-        self._note_success()
+        self._note_success(sum(map(len, heads.ok)))
         return await self._read_behind(heads.ok)
 
     async def run(
@@ -148,7 +149,9 @@
             revision = await read_revision(self._table, scope)
             if revision.is_error():
                 return self._note_failure(revision.error)
-            self._note_success()
+            self._note_success(
+                0 if revision.ok is None else len(revision.ok.text)
+            )
             if revision.ok is not None:
                 self._learn([revision.ok])
         return True
@@ -162,10 +165,11 @@
         self.reachable = reachable
         self._read_ms = self._clock()
 
-    def _note_success(self) -> None:
+    def _note_success(self, size: int) -> None:
         self._note_read(reachable=True)
         self._failures = 0
         self._counters.count('configuration.store_read')
+        self._counters.count('configuration.store_read_bytes', size)
 
     def _note_failure(self, failure: TableFailure) -> bool:
         self._note_read(reachable=False)
