--- a/packages/client/src/yuccadale/_internal/tables.py
+++ b/packages/client/src/yuccadale/_internal/tables.py
@@ -39,12 +39,18 @@
 
 
 def _text(cell: object) -> str:
+    if isinstance(cell, Mapping):
+        return ' '.join(f'{name}={_text(part)}' for name, part in cell.items())
+    if isinstance(cell, list):
+        return '; '.join(_text(part) for part in cell)
+    return _scalar_text(cell)
+
+
+def _scalar_text(cell: object) -> str:
     if cell is None:
         return '-'
     if isinstance(cell, bool):
         return 'yes' if cell else 'no'
-    if isinstance(cell, Mapping):
-        return ' '.join(f'{name}={part}' for name, part in cell.items())
-    if isinstance(cell, list):
-        return ' '.join(_text(part) for part in cell)
+    if isinstance(cell, float):
+        return f'{cell:.1f}'
     return str(cell)
