Ramp only what new servers are given by choice

Cause: slots drained onto a new server made it look overloaded against its ramped capacity, and they moved once more. Change: the ramp limits chosen moves to a new server and no longer scales its load.

--- a/packages/router/src/yuccadale_router/_internal/placement/decision.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/decision.py
@@ -41,7 +41,9 @@
         movable: which slots may move, by slot.
         sources: servers that have too much, by server.
         banned: pairs of slot number and server name that are not chosen.
-        most_after: highest relative load of a destination after a move.
+        most_after: highest relative load of a destination after a move; a
+            new server's is lower by its ramp. Slots that a new server got
+            when another was drained do not count as too many.
     """
 
     view: GroupView
@@ -118,7 +120,8 @@
         gain = self.prices.gain(
             np.sqrt(squares / len(relative)), variation_after
         )
-        return np.where(server_after <= self.most_after, gain, 0)
+        most_after = self.most_after * self.view.ramp[servers]
+        return np.where(server_after <= most_after, gain, 0)
 
     def _first_allowed(
         self,
--- a/packages/router/src/yuccadale_router/_internal/placement/group.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/group.py
@@ -175,12 +175,8 @@
         if not load.any():
             load = np.ones(len(slots))
         names = [server.name for server in servers]
-        capacity = np.array(
-            [
-                server.capacity * self._ages.usable_share(server.name, now)
-                for server in servers
-            ]
-        )
+        capacity = np.array([server.capacity for server in servers])
+        ramp = np.array([self._ages.usable_share(name, now) for name in names])
         cold = np.array([self._ages.is_cold(name, now) for name in names])
         view = GroupView(
             slots,
@@ -189,6 +185,7 @@
             self._key_shares(slots),
             servers,
             capacity,
+            ramp,
             np.ones(len(servers)),
             cold,
         )
@@ -216,13 +213,7 @@
         if not draining:
             return []
         leaving = [owner in draining for owner in owner_by_slot.values()]
-        # A drained slot must go somewhere now: the price of a cold start
-        # counts against a new server, the ramp does not.
-        unramped = replace(
-            view,
-            capacity=np.array([server.capacity for server in view.servers]),
-        )
-        moves = place_homeless(unramped, prices, np.flatnonzero(leaving))
+        moves = place_homeless(view, prices, np.flatnonzero(leaving))
         for move in moves:
             view.owner[move.slot_index] = move.server_index
         return _as_proposals(moves, view, 'the owner is draining')
@@ -260,10 +251,14 @@
             for name, load in zip(names, relative, strict=True)
             if load > (stop if name in self._overloaded else start)
         }
-        if relative.min() < self._policy.idle_share:
+        if self._has_idle(view, relative):
             return relative > 1
         return np.array([name in self._overloaded for name in names])
 
+    def _has_idle(self, view: GroupView, relative: Floats) -> bool:
+        """Returns whether a server has much less load than it may take."""
+        return bool((relative < self._policy.idle_share * view.ramp).any())
+
 
 def _as_proposals(
     moves: Iterable[PlannedMove], view: GroupView, reason: str
--- a/packages/router/src/yuccadale_router/_internal/placement/view.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/view.py
@@ -27,7 +27,8 @@
     Attributes:
         load: busy milliseconds per second, by slot.
         key_share: share of all keys, by slot.
-        capacity: by server, ramped up while it is new.
+        capacity: by server.
+        ramp: share of the capacity that chosen moves may fill, by server.
         factor: correction of the observed load, by server.
         cold: whether a server has just started.
     """
@@ -38,6 +39,7 @@
     key_share: Floats
     servers: Sequence[Candidate]
     capacity: Floats
+    ramp: Floats
     factor: Floats
     cold: NDArray[np.bool_]
 
