Require twice the price of a move unless a server is above the bound

Cause: benefits are estimates and often end before the horizon, so moves near their price cost more than they brought. Change: the gain must be twice the price (was 1.2 times), but only the price while the server is above 1.25 times the mean.

--- a/packages/router/src/yuccadale_router/_internal/placement/decision.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/decision.py
@@ -91,7 +91,9 @@
             return None
         gain = self._gains(moving, servers, source, relative)
         price = self.prices.price(self.view, moving, servers)
-        margin = self.prices.policy.gain_margin
+        policy = self.prices.policy
+        urgent = relative[source] > policy.bound
+        margin = 1 if urgent else policy.gain_margin
         worth = np.where(
             gain > margin * price, (gain - price) / (price + _OVERHEAD), 0
         )
--- a/packages/router/src/yuccadale_router/_internal/placement/policy.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/policy.py
@@ -28,7 +28,10 @@
             to stay. Filling each new server at once during a replacement of
             all servers would move most keys twice.
         stability_factor: horizon over the time since servers last changed.
-        gain_margin: factor by which a gain must exceed its price.
+        gain_margin: factor by which a gain must exceed its price; loads are
+            estimates and servers may change before the benefit is had.
+        bound: load over the mean, above which a gain must exceed its price
+            only once; the target after a shift of demand.
         moves_at_once: load moves proposed at a time.
         moves_per_minute_share: load moves a minute as a share of all slots.
         cool_down_ms: a slot that moved stays at least this long.
@@ -55,7 +58,8 @@
     horizon_s: float = 300
     longest_horizon_s: float = 1_800
     stability_factor: float = 5
-    gain_margin: float = 1.2
+    gain_margin: float = 2
+    bound: float = 1.25
     moves_at_once: int = 8
     moves_per_minute_share: float = 0.125
     cool_down_ms: float = 60_000
