Lower the mean by degrees when a server joins

Cause: a new idle server lowers the mean at once, so the others counted as overloaded. Change: the mean is taken over ramped capacities.

--- a/packages/router/src/yuccadale_router/_internal/placement/view.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/view.py
@@ -62,8 +62,13 @@
         return counted.astype(np.float64)
 
     def mean_load(self) -> float:
-        """Returns the load per unit of capacity; never 0."""
-        return max(float(self.load.sum() / self.capacity.sum()), 1e-9)
+        """Returns the load per unit of ramped capacity; never 0.
+
+        A new server lowers the mean by degrees, so that the others do not
+        count as overloaded at the moment it joins.
+        """
+        ramped = float((self.capacity * self.ramp).sum())
+        return max(float(self.load.sum()) / ramped, 1e-9)
 
 
 @dataclass(frozen=True, slots=True)
