Let only warm servers draw slots

Cause: during a replacement of all servers, slots were drawn to each new server shortly before it got those of the server that it replaced. Change: a server draws slots only after its cold period.

--- a/packages/router/src/yuccadale_router/_internal/placement/group.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/group.py
@@ -256,8 +256,13 @@
         return np.array([name in self._overloaded for name in names])
 
     def _has_idle(self, view: GroupView, relative: Floats) -> bool:
-        """Returns whether a server has much less load than it may take."""
-        return bool((relative < self._policy.idle_share * view.ramp).any())
+        """Returns whether a warm server has much less load than it may take.
+
+        A replacement gets the slots of the server that it replaces within
+        this time; slots drawn earlier would be moved without need.
+        """
+        idle = relative < self._policy.idle_share * view.ramp
+        return bool((idle & ~view.cold).any())
 
 
 def _as_proposals(
