Move a key's load to its pin and rest the slot until then

Cause: after a key was pinned, the figures of its slot still contained it for the decay and the lag of the figures; the slot was moved for load that it no longer had. Change: the slot rests until the key is seen under its pin; its load then changes over at once.

--- a/packages/router/src/yuccadale_router/_internal/placement/group.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/group.py
@@ -80,6 +80,11 @@
         """Adds what a sender observed about one request."""
         self._estimator.observe(sample)
         self._hot_keys.add(sample.key, sample.service_ms, self._clock())
+        former_slot = self._hot_keys.note_slot(sample.key, sample.slot)
+        if former_slot is not None:
+            rate = self._hot_keys.rate(sample.key)
+            self._estimator.transfer(former_slot, sample.slot, rate)
+            self._history.release(former_slot)
 
     def observe_busy(
         self, slots: Iterable[int], busy_ms: NDArray[np.float64]
@@ -158,7 +163,16 @@
         servers = sum(
             state == ServerState.live for state in self._state_by_name.values()
         )
-        return self._hot_keys.pins(servers, self._clock())
+        before = self._hot_keys.pinned()
+        now = self._clock()
+        pins = self._hot_keys.pins(servers, now)
+        for key in set(pins) - before:
+            slot = self._hot_keys.slot(key)
+            if slot is not None:
+                # Until the key is seen under its pin, the slot's figures
+                # still contain it.
+                self._history.rest(slot, now)
+        return pins
 
     def heaviest_keys(self, count: int) -> list[HotKey]:
         """Returns the heaviest keys, as sent to other instances."""
--- a/packages/router/src/yuccadale_router/_internal/placement/history.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/history.py
@@ -32,6 +32,7 @@
     def __init__(self, policy: PlacementPolicy) -> None:
         self._policy = policy
         self._moves: deque[_Move] = deque()
+        self._resting_until_by_slot: dict[int, float] = {}
 
     def add(
         self, slot: int, old_owner: str, at_ms: float, kind: MoveKind
@@ -41,11 +42,26 @@
         while self._moves[0].at_ms < at_ms - self._policy.back_ms:
             self._moves.popleft()
 
+    def rest(self, slot: int, now: float) -> None:
+        """Keeps a slot in place until released or as long as a cool-down."""
+        until = now + self._policy.cool_down_ms
+        self._resting_until_by_slot[slot] = until
+
+    def release(self, slot: int) -> None:
+        """Ends a rest."""
+        self._resting_until_by_slot.pop(slot, None)
+
     def resting_slots(self, now: float) -> set[int]:
-        """Returns slots that cool down or have moved back and forth."""
+        """Returns slots that cool down, rest, or moved back and forth."""
         cooling = {
             move.slot for move in self._since(now - self._policy.cool_down_ms)
         }
+        self._resting_until_by_slot = {
+            slot: until
+            for slot, until in self._resting_until_by_slot.items()
+            if until > now
+        }
+        cooling.update(self._resting_until_by_slot)
         return cooling | self._oscillating(now)
 
     def returns(self, now: float) -> set[tuple[int, str]]:
--- a/packages/router/src/yuccadale_router/_internal/placement/load.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/load.py
@@ -79,6 +79,13 @@
         indices = np.array([self._index(slot) for slot in slots])
         np.add.at(self._pending, indices, busy_ms)
 
+    def transfer(self, old_slot: int, new_slot: int, rate: float) -> None:
+        """Moves the load of a key that is now served under another slot."""
+        old, new = self._index(old_slot), self._index(new_slot)
+        share = min(rate * self._coverage(), float(self._rates[old]))
+        self._rates[old] -= share
+        self._rates[new] += share
+
     def report(self, server_name: str, report: LoadReport) -> None:
         """Takes a server's own report."""
         self._reports[server_name] = (self._clock(), report.load)
--- a/packages/router/src/yuccadale_router/_internal/placement/pins.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/pins.py
@@ -1,5 +1,6 @@
 """Hot keys that deserve a slot of their own, and when they go back."""
 
+import math
 from collections.abc import Sequence
 
 from yuccadale_router._internal.placement.sketch import HotKey, HotKeySketch
@@ -9,6 +10,8 @@
 _SKETCH_KEYS = 512
 _HALF_LIFE_MS = 20_000.0
 _TICK_MS = 1000.0
+# A steady rate adds up to the rate times the mean age under decay.
+_WEIGHT_TO_RATE = math.log(2) * _TICK_MS / _HALF_LIFE_MS
 # An eighth of a server is four slots' worth of load (32 slots per server):
 # a slot with such a key cannot be balanced as a whole.
 _ENTER_SHARE = 0.06
@@ -25,6 +28,7 @@
         self._total = float(0)
         self._tick_ms: float | None = None
         self._last_hot_ms_by_key: dict[str, float] = {}
+        self._slot_by_key: dict[str, int] = {}
 
     def add(self, key: str, weight: float, now: float) -> None:
         """Adds a key's busy time."""
@@ -32,10 +36,30 @@
         self._sketch.add(key, weight)
         self._total += weight
 
+    def note_slot(self, key: str, slot: int) -> int | None:
+        """Notes where a key was served; returns its former slot if it changed."""
+        known = self._slot_by_key.get(key)
+        if known == slot:
+            return None
+        self._slot_by_key[key] = slot
+        return known
+
+    def slot(self, key: str) -> int | None:
+        """Returns where a key was served last."""
+        return self._slot_by_key.get(key)
+
+    def rate(self, key: str) -> float:
+        """Returns at least how many milliseconds a second the key takes."""
+        return self._sketch.guaranteed(key) * _WEIGHT_TO_RATE
+
     def heaviest(self, count: int) -> list[HotKey]:
         """Returns the heaviest keys, to be merged elsewhere."""
         return self._sketch.heaviest(count)
 
+    def pinned(self) -> set[str]:
+        """Returns the keys that were pinned when last asked."""
+        return set(self._last_hot_ms_by_key)
+
     def pins(self, server_count: int, now: float) -> Sequence[str]:
         """Returns the keys to pin now, heaviest first."""
         if self._total <= 0 or not server_count:
@@ -63,3 +87,8 @@
             self._sketch.decay(factor)
             self._total *= factor
             self._tick_ms = now
+            self._slot_by_key = {
+                key: slot
+                for key, slot in self._slot_by_key.items()
+                if key in self._sketch
+            }
--- a/packages/router/src/yuccadale_router/_internal/placement/sketch.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/sketch.py
@@ -39,6 +39,16 @@
         """Returns the number of kept keys."""
         return len(self._weight_by_key)
 
+    def __contains__(self, key: str) -> bool:
+        """Returns whether the key is kept."""
+        return key in self._weight_by_key
+
+    def guaranteed(self, key: str) -> float:
+        """Returns the weight that a key has at least; 0 when not kept."""
+        if key not in self._weight_by_key:
+            return 0
+        return self._weight_by_key[key] - self._error_by_key[key]
+
     def add(self, key: str, weight: float, error: float = 0) -> None:
         """Adds weight to a key."""
         known = self._weight_by_key.get(key)
