--- a/packages/bench/src/yuccadale_bench/_internal/cluster.py
+++ b/packages/bench/src/yuccadale_bench/_internal/cluster.py
@@ -335,6 +335,11 @@
     for node in nodes:
         if node.kind == 'server':
             node.command += ['--port', _port(node.addresses['serve'])]
+            # A file keeps the records of a process that is killed.
+            node.command += [
+                '--records',
+                str(directory / f'{node.name}.records'),
+            ]
         elif node.kind == 'entry':
             settings = write_settings(directory, node, cluster.platform_url)
             node.command += ['-m', 'yuccadale_router', 'run', str(settings)]
--- a/packages/bench/src/yuccadale_bench/_internal/load_run.py
+++ b/packages/bench/src/yuccadale_bench/_internal/load_run.py
@@ -26,7 +26,6 @@
 
 Destination = tuple[str, Mapping[str, str]]
 Endpoint = Callable[[WorkItem, str, float, float], Destination]
-Observer = Callable[[WorkItem, AttemptResult], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,12 +139,12 @@
         self,
         plan: LoadPlan,
         endpoint: Endpoint,
-        observe: Observer | None,
+        stopping: asyncio.Event,
     ) -> None:
         self.report = LoadReport()
         self._plan = plan
         self._endpoint = endpoint
-        self._observe = observe
+        self._stopping = stopping
         self._random = random.Random(plan.seed)
         self._addresses = itertools.cycle(plan.addresses)
         self._numbers = iter(range(plan.requests))
@@ -190,7 +189,7 @@
 
     def _next_item(self) -> WorkItem | None:
         number = next(self._numbers, None)
-        if number is None:
+        if number is None or self._stopping.is_set():
             return None
         plan = self._plan
         repeatable = self._random.random() >= plan.once_share
@@ -213,8 +212,6 @@
         while time.monotonic() < give_up_at_s:
             ended = await self._attempt(session, item, due_s)
             outcome = ended.outcome
-            if self._observe is not None:
-                self._observe(item, ended)
             if outcome in {AttemptOutcome.done, AttemptOutcome.wrong}:
                 break
             self.report.refusals_by_code[ended.code] += 1
@@ -275,10 +272,14 @@
     plan: LoadPlan,
     *,
     endpoint: Endpoint = through_entry,
-    observe: Observer | None = None,
+    stopping: asyncio.Event | None = None,
 ) -> LoadReport:
-    """Sends the plan's work and returns what the callers saw."""
-    load = _Load(plan, endpoint, observe)
+    """Sends the plan's work and returns what the callers saw.
+
+    Args:
+        stopping: ends the run early; what was started is completed.
+    """
+    load = _Load(plan, endpoint, stopping or asyncio.Event())
     connector = aiohttp.TCPConnector(limit=plan.workers)
     # A caller waits a little longer than its deadline for the refusal.
     timeout_s = plan.deadline_ms / _MILLISECONDS + 1
--- /dev/null
+++ b/packages/bench/src/yuccadale_bench/_internal/probes.py
@@ -0,0 +1,135 @@
+"""Asks for each of some keys at a fixed rate and keeps when it was served."""
+
+import asyncio
+import json
+import time
+from bisect import bisect_right
+from collections import Counter, defaultdict
+from collections.abc import Callable, Sequence
+from itertools import count, pairwise
+
+import aiohttp
+
+from yuccadale_bench._internal.work_items import (
+    AttemptOutcome,
+    WorkItem,
+    judge_answer,
+)
+from yuccadale_core.http_attempts import single_attempt_session
+
+PROBE_INTERVAL_S = 0.05
+# A key counts as not served when no answer came for this long, which is six
+# probes; shorter delays are the ordinary scatter of a busy machine.
+GAP_S = 0.3
+_DEADLINE_S = 1.0
+_IN_FLIGHT_PER_KEY = 40
+
+
+class Probes:
+    """Probes each key with repeatable requests until cancelled.
+
+    Attributes:
+        served_by_key: times of the answers, in order.
+        refusals_by_code: failed probes by code.
+        wrong: answers that belong to another request.
+    """
+
+    def __init__(
+        self,
+        keys: Sequence[str],
+        service: str,
+        kind: str,
+        live_addresses: Callable[[], list[str]],
+    ) -> None:
+        self.served_by_key: dict[str, list[float]] = defaultdict(list)
+        self.refusals_by_code: Counter[str] = Counter()
+        self.wrong = 0
+        self.last_served_by_server: dict[str, float] = {}
+        self._keys = keys
+        self._service = service
+        self._kind = kind
+        self._live_addresses = live_addresses
+        self._numbers = count(1)
+
+    async def run(self, seconds: float) -> None:
+        """Probes all keys until the time is over or the task is cancelled."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with (
+            single_attempt_session(connector) as session,
+            asyncio.TaskGroup() as tasks,
+        ):
+            for key in self._keys:
+                tasks.create_task(self._probe_key(session, key, seconds))
+
+    def unserved_since(self, since_s: float) -> dict[str, float]:
+        """Returns seconds until each affected key was served again.
+
+        A key that is not served until now counts with the time until now.
+        """
+        now_s = time.monotonic()
+        restored = {}
+        for key in self._keys:
+            served = self.served_by_key[key]
+            after = served[bisect_right(served, since_s) :]
+            times = [since_s, *after, now_s]
+            gaps_end = [
+                end_s
+                for start_s, end_s in pairwise(times)
+                if end_s - start_s > GAP_S
+            ]
+            if gaps_end:
+                restored[key] = gaps_end[-1] - since_s
+        return restored
+
+    def quiet_since(self, since_s: float) -> bool:
+        """Says whether every key was served without a gap since then."""
+        return not self.unserved_since(since_s)
+
+    async def _probe_key(
+        self, session: aiohttp.ClientSession, key: str, seconds: float
+    ) -> None:
+        ends_at_s = time.monotonic() + seconds
+        tasks: set[asyncio.Task[None]] = set()
+        while time.monotonic() < ends_at_s:
+            if len(tasks) < _IN_FLIGHT_PER_KEY:
+                task = asyncio.create_task(self._probe(session, key))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+            await asyncio.sleep(PROBE_INTERVAL_S)
+        await asyncio.gather(*tasks)
+
+    async def _probe(self, session: aiohttp.ClientSession, key: str) -> None:
+        number = next(self._numbers)
+        item = WorkItem(
+            number, f'probe-{number}', self._service, key, repeatable=True
+        )
+        headers = item.headers(
+            first_sent_ago_ms=0, deadline_ms=_DEADLINE_S * 1000
+        )
+        headers['Yuccadale-Kind'] = self._kind
+        addresses = self._live_addresses()
+        address = addresses[number % len(addresses)]
+        try:
+            async with session.get(
+                f'http://{address}/{self._service}{item.path}',
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=_DEADLINE_S + 1),
+            ) as response:
+                body = await response.read()
+                judged = judge_answer(
+                    item, response.status, response.headers, body
+                )
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            self.refusals_by_code[type(error).__name__] += 1
+            return
+        if judged.outcome == AttemptOutcome.done:
+            self._served(key, body)
+        elif judged.outcome == AttemptOutcome.wrong:
+            self.wrong += 1
+        else:
+            self.refusals_by_code[judged.code] += 1
+
+    def _served(self, key: str, body: bytes) -> None:
+        now_s = time.monotonic()
+        self.served_by_key[key].append(now_s)
+        self.last_served_by_server[json.loads(body)['server']] = now_s
