--- a/packages/bench/src/yuccadale_bench/_internal/load_run.py
+++ b/packages/bench/src/yuccadale_bench/_internal/load_run.py
@@ -243,7 +243,8 @@
         url, headers = self._endpoint(
             item,
             next(self._addresses),
-            (time.monotonic() - due_s) * _MILLISECONDS,
+            # A timer may fire a little before the arrival is due.
+            max(time.monotonic() - due_s, 0) * _MILLISECONDS,
             self._plan.deadline_ms,
         )
         sent = Attempt()
--- a/packages/core/src/yuccadale_core/_internal/targets_http.py
+++ b/packages/core/src/yuccadale_core/_internal/targets_http.py
@@ -107,6 +107,8 @@
     Attributes:
         most_calls: most calls at once; no more connections can be open,
             because one is opened only when all others are in use.
+        calls: calls under way.
+        answers: complete answers so far.
     """
 
     def __init__(self, limit: int) -> None:
@@ -114,27 +116,29 @@
             aiohttp.TCPConnector(limit=limit, keepalive_timeout=_KEEP_ALIVE_S)
         )
         self.most_calls = 0
-        self._calls = 0
+        self.calls = 0
+        self.answers = 0
 
     @contextmanager
     def calling(self) -> Iterator[aiohttp.ClientSession]:
         """Counts a call while the block runs."""
-        self._calls += 1
-        self.most_calls = max(self.most_calls, self._calls)
+        self.calls += 1
+        self.most_calls = max(self.most_calls, self.calls)
         try:
             yield self.session
         finally:
-            self._calls -= 1
+            self.calls -= 1
 
 
 class HttpTarget:
     """One server over HTTP/1.1; each call is sent at most once.
 
-    Open connections may stop delivering data while new ones work. After a
-    control call without an answer, all later calls use new connections. Once
-    a control call is answered there, the old connections are closed, and what
-    still waited on them ends as ``lost``. Without such an answer the server
-    itself may be silent, and they stay until the deadlines of their calls.
+    Open connections may stop delivering data while new ones work. When a
+    control call gets no answer, and no other call got one meanwhile, all later
+    calls use new connections. Once a control call is answered there, and the
+    old connections still have delivered nothing, they are closed, and what
+    waited on them ends as ``lost``. Without such an answer the server itself
+    may be silent, and they stay until the deadlines of their calls.
     """
 
     def __init__(
@@ -151,6 +155,7 @@
         self._control_timeout_ms = control_timeout_ms
         self._pool: _Pool | None = None
         self._suspect: _Pool | None = None
+        self._answers_when_suspected = 0
         self._closed = False
 
     async def hello(self) -> Result[GrantAnswer, TargetFailure]:
@@ -212,6 +217,7 @@
         self, method: str, path: str, body: bytes = b''
     ) -> Result[TargetAnswer, TargetFailure]:
         pool = self._opened_pool()
+        answers_before = pool.answers
         attempt = Attempt()
         called = await self._call(
             pool,
@@ -225,26 +231,37 @@
         )
         if pool is self._pool:
             if called.is_ok():
-                await self._close_suspect()
-            elif attempt.silent:
+                await self._judge_suspect()
+            elif attempt.silent and pool.answers == answers_before:
                 await self._replace_pool(pool)
         return called
 
-    async def _close_suspect(self) -> None:
+    async def _judge_suspect(self) -> None:
+        """Closes the old connections when only new ones deliver.
+
+        A busy process or server delays answers on all connections; those
+        that deliver again keep their calls.
+        """
         suspect = self._suspect
-        self._suspect = None
-        if suspect is not None:
+        if suspect is None:
+            return
+        delivered = suspect.answers > self._answers_when_suspected
+        if not delivered or not suspect.calls:
+            self._suspect = None
             await suspect.session.close()
 
     async def _replace_pool(self, pool: _Pool) -> None:
         """Uses new connections from now on, within the declared number."""
         self._pool = None
-        await self._close_suspect()
+        earlier = self._suspect
+        self._suspect = pool
+        self._answers_when_suspected = pool.answers
+        if earlier is not None:
+            await earlier.session.close()
         if pool.most_calls * 2 > self._connections:
             # Too few would be left for new connections beside the old ones.
+            self._suspect = None
             await pool.session.close()
-        else:
-            self._suspect = pool
 
     async def _call(
         self,
@@ -279,6 +296,7 @@
                     trace_request_ctx=attempt,
                 ) as response:
                     answer = await _complete_answer(response, body_limit_bytes)
+                    pool.answers += 1
         except _CALL_ERRORS as error:
             return Result.Error(_failure(attempt, error))
         return Result.Ok(answer)
--- a/tests/core/test_silent_connections.py
+++ b/tests/core/test_silent_connections.py
@@ -70,6 +70,39 @@
         await waiting
 
 
+def _first_connection_late(raw: RawServer) -> Script:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        number = raw.connections
+        await raw.read_request(reader)
+        if number == 2:
+            await reader.read()
+        # The first connection answers once the second one was given up.
+        while number == 1 and raw.connections < 3:
+            await asyncio.sleep(0.01)
+        writer.write(_HELLO)
+        await reader.read()
+
+    return script
+
+
+async def test_busy_connections_keep_their_calls() -> None:
+    """Guards against losing work because one answer was slow."""
+    async with run_raw_server(_first_connection_late) as raw:
+        target = build_target(raw.address)
+        first = asyncio.create_task(target.run(build_request('id-1')))
+        while not raw.heads:
+            await asyncio.sleep(0)
+        silent = await target.hello()
+        second = asyncio.create_task(target.run(build_request('id-2')))
+        answers = await asyncio.gather(first, second)
+        await target.hello()
+        await target.close()
+    assert silent.error.kind == TargetFailureKind.lost
+    assert all(answer.is_ok() for answer in answers)
+
+
 @pytest.mark.parametrize('connections', [1, 2, 4])
 async def test_new_connections_stay_within_the_declared_number(
     connections: int,
