--- a/packages/bench/src/yuccadale_bench/_internal/load.py
+++ b/packages/bench/src/yuccadale_bench/_internal/load.py
@@ -36,6 +36,7 @@
         deadline_ms=options.deadline_ms,
         item_limit_s=options.item_limit_s,
         pause_s=options.pause_s,
+        attempts=options.attempts,
         seed=options.seed,
         name=options.name,
         body=b'x' * options.body_bytes,
@@ -62,6 +63,7 @@
         'deadline_ms',
         'item_limit_s',
         'pause_s',
+        'attempts',
         'seed',
         'name',
     ):
--- a/packages/bench/src/yuccadale_bench/_internal/load_run.py
+++ b/packages/bench/src/yuccadale_bench/_internal/load_run.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 import aiohttp
 from hdrh.histogram import HdrHistogram
@@ -41,6 +42,7 @@
         once_share: share of non-repeatable work.
         deadline_ms: deadline that each attempt states.
         item_limit_s: time after which an item is given up.
+        attempts: most attempts at one item.
         pause_s: mean pause before another attempt with the same id.
     """
 
@@ -55,6 +57,7 @@
     deadline_ms: float = 2000
     item_limit_s: float = 10
     pause_s: float = 0.05
+    attempts: int = 1000
     seed: int = 1
     name: str = 'load'
     once_kind: str = ''
@@ -62,6 +65,23 @@
     body: bytes = b''
 
 
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, _HIGHEST_US, 3)
+
+
+def percentiles_ms(latency: HdrHistogram) -> dict[str, float]:
+    """Returns percentiles of a histogram of microseconds, in ms."""
+    found = {
+        f'p{percentile:g}': latency.get_value_at_percentile(percentile)
+        for percentile in _PERCENTILES
+    }
+    found['max'] = latency.get_max_value()
+    return {
+        name: round(value_us / _MILLISECONDS, 3)
+        for name, value_us in found.items()
+    }
+
+
 @dataclass(slots=True)
 class LoadReport:
     """What the callers saw.
@@ -82,22 +102,30 @@
     refusals_by_code: Counter[str] = field(default_factory=Counter)
     unknown_ids: list[str] = field(default_factory=list)
     done_ids: list[str] = field(default_factory=list)
-    latency: HdrHistogram = field(
-        default_factory=lambda: HdrHistogram(1, _HIGHEST_US, 3)
+    latency: HdrHistogram = field(default_factory=_histogram)
+    latency_by_kind: dict[str, HdrHistogram] = field(
+        default_factory=lambda: {
+            'repeatable': _histogram(),
+            'once': _histogram(),
+        }
     )
 
-    def summary(self) -> dict[str, object]:
+    def add(self, other: 'LoadReport') -> None:
+        """Adds what another run under the same plan saw."""
+        self.elapsed_s += other.elapsed_s
+        self.attempts += other.attempts
+        self.not_started += other.not_started
+        self.items_by_end.update(other.items_by_end)
+        self.refusals_by_code.update(other.refusals_by_code)
+        self.unknown_ids.extend(other.unknown_ids)
+        self.done_ids.extend(other.done_ids)
+        self.latency.add(other.latency)
+        for kind, latency in other.latency_by_kind.items():
+            self.latency_by_kind[kind].add(latency)
+
+    def summary(self) -> dict[str, Any]:
         """Returns the report as JSON types; latencies in milliseconds."""
         done = self.items_by_end['done']
-        latency = {
-            f'p{percentile:g}': round(
-                self.latency.get_value_at_percentile(percentile)
-                / _MILLISECONDS,
-                3,
-            )
-            for percentile in _PERCENTILES
-        }
-        latency['max'] = round(self.latency.get_max_value() / _MILLISECONDS, 3)
         return {
             'elapsed_s': round(self.elapsed_s, 3),
             'attempts': self.attempts,
@@ -106,7 +134,11 @@
             'refusals': dict(self.refusals_by_code),
             'unknown': len(self.unknown_ids),
             'done_per_s': round(done / self.elapsed_s, 1),
-            'latency_ms': latency,
+            'latency_ms': percentiles_ms(self.latency),
+            'latency_ms_by_kind': {
+                kind: percentiles_ms(latency)
+                for kind, latency in self.latency_by_kind.items()
+            },
         }
 
 
@@ -209,7 +241,9 @@
         """Sends an item until it is answered, wrong, or given up."""
         outcome = AttemptOutcome.not_run
         give_up_at_s = due_s + self._plan.item_limit_s
-        while time.monotonic() < give_up_at_s:
+        for _ in range(self._plan.attempts):
+            if time.monotonic() >= give_up_at_s:
+                break
             ended = await self._attempt(session, item, due_s)
             outcome = ended.outcome
             if outcome in {AttemptOutcome.done, AttemptOutcome.wrong}:
@@ -223,10 +257,13 @@
         self, item: WorkItem, outcome: AttemptOutcome, due_s: float
     ) -> None:
         report = self.report
+        kind = 'repeatable' if item.repeatable else 'once'
         if outcome == AttemptOutcome.done:
             elapsed_us = int((time.monotonic() - due_s) * _MICROSECONDS)
-            report.latency.record_value(min(elapsed_us, _HIGHEST_US))
-        kind = 'repeatable' if item.repeatable else 'once'
+            # A timer may fire a little before the arrival is due.
+            bounded_us = min(max(elapsed_us, 1), _HIGHEST_US)
+            report.latency.record_value(bounded_us)
+            report.latency_by_kind[kind].record_value(bounded_us)
         report.items_by_end[outcome.value] += 1
         report.items_by_end[f'{kind} {outcome.value}'] += 1
         if item.repeatable:
