--- a/packages/bench/src/yuccadale_bench/_internal/cluster.py
+++ b/packages/bench/src/yuccadale_bench/_internal/cluster.py
@@ -361,7 +361,13 @@
     plan: ClusterPlan, directory: Path
 ) -> AsyncIterator[Cluster]:
     """Runs the platform, all servers and all entry instances."""
-    cluster = plan_cluster(plan, directory)
+    async with running_nodes(plan_cluster(plan, directory)) as cluster:
+        yield cluster
+
+
+@asynccontextmanager
+async def running_nodes(cluster: Cluster) -> AsyncIterator[Cluster]:
+    """Runs the processes of a planned cluster."""
     try:
         await cluster.start('platform')
         for kind in ('server', 'entry'):
--- a/packages/bench/src/yuccadale_bench/_internal/load_run.py
+++ b/packages/bench/src/yuccadale_bench/_internal/load_run.py
@@ -90,6 +90,7 @@
         items_by_end: pieces of work by how they ended.
         refusals_by_code: refused or failed attempts by code.
         not_started: arrivals above the bound of an open loop.
+        unknown_attempts: attempts that ended as unknown.
         unknown_ids: non-repeatable work whose outcome stayed unknown.
         done_ids: non-repeatable work that was answered.
     """
@@ -100,6 +101,7 @@
     not_started: int = 0
     items_by_end: Counter[str] = field(default_factory=Counter)
     refusals_by_code: Counter[str] = field(default_factory=Counter)
+    unknown_attempts: int = 0
     unknown_ids: list[str] = field(default_factory=list)
     done_ids: list[str] = field(default_factory=list)
     latency: HdrHistogram = field(default_factory=_histogram)
@@ -114,6 +116,7 @@
         """Adds what another run under the same plan saw."""
         self.elapsed_s += other.elapsed_s
         self.attempts += other.attempts
+        self.unknown_attempts += other.unknown_attempts
         self.not_started += other.not_started
         self.items_by_end.update(other.items_by_end)
         self.refusals_by_code.update(other.refusals_by_code)
@@ -249,6 +252,8 @@
             if outcome in {AttemptOutcome.done, AttemptOutcome.wrong}:
                 break
             self.report.refusals_by_code[ended.code] += 1
+            if outcome == AttemptOutcome.unknown:
+                self.report.unknown_attempts += 1
             pause_s = self._random.uniform(0, 2 * self._plan.pause_s)
             await asyncio.sleep(pause_s)
         self._end(item, outcome, due_s)
--- /dev/null
+++ b/packages/bench/src/yuccadale_bench/_internal/silent_link.py
@@ -0,0 +1,254 @@
+"""The command ``silent-link``: open connections stop delivering data."""
+
+import argparse
+import asyncio
+import json
+import random
+import statistics
+import tempfile
+import time
+from collections.abc import AsyncIterator, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import uvloop
+
+from yuccadale_bench._internal.bench_plans import (
+    ONCE_KIND,
+    REPEATABLE_KIND,
+    SERVICE,
+    BenchPlan,
+    write_cluster_plan,
+)
+from yuccadale_bench._internal.cluster import (
+    Cluster,
+    Node,
+    apply_declaration,
+    free_addresses,
+    plan_cluster,
+    running_nodes,
+)
+from yuccadale_bench._internal.load_run import LoadPlan, LoadReport, run_load
+from yuccadale_bench._internal.path_routes import group_row
+from yuccadale_bench._internal.safety_checks import check_records
+from yuccadale_bench._internal.settling import wait_until_served
+from yuccadale_bench._internal.tcp_relay import TcpRelay, running_relay
+
+KINDS = ('server', 'instance')
+_TARGET_MS = 2000
+_RATE = 100
+_DEADLINE_MS = 5000
+_BEFORE_S = 1.0
+_AFTER_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Silence:
+    """One silence and what callers saw around it.
+
+    Attributes:
+        silenced: connections that stopped delivering.
+        longest_ms: longest time of a repeatable request; a request that was
+            under way waits until the silence is found.
+        lost: repeatable requests that were not answered.
+        unknown_first: non-repeatable attempts that ended as unknown.
+        unknown_last: non-repeatable work that stayed unknown after asking
+            again with the same id.
+    """
+
+    where: str
+    silenced: int
+    longest_ms: float
+    lost: int
+    unknown_first: int
+    unknown_last: int
+
+
+def run_command(arguments: Sequence[str]) -> int:
+    """Measures both kinds of link; fails on unsafe records."""
+    parser = argparse.ArgumentParser(prog='yuccadale_bench silent-link')
+    parser.add_argument('--kind', choices=KINDS, required=True)
+    parser.add_argument('--silences', type=int, default=10)
+    parser.add_argument('--seed', type=int, default=1)
+    options = parser.parse_args(arguments)
+    with tempfile.TemporaryDirectory() as directory:
+        summary = uvloop.run(_measure(options, Path(directory)))
+    print(json.dumps(summary))
+    return 0 if summary['safe'] else 1
+
+
+async def _measure(
+    options: argparse.Namespace, directory: Path
+) -> dict[str, Any]:
+    cluster_plan = write_cluster_plan(BenchPlan(), directory)
+    cluster = plan_cluster(cluster_plan, directory)
+    chooser = random.Random(options.seed)
+    silences = []
+    done_ids: list[str] = []
+    async with (
+        _relays(cluster, directory) as relay_by_name,
+        running_nodes(cluster),
+        aiohttp.ClientSession() as session,
+    ):
+        await apply_declaration(cluster, cluster_plan)
+        for number in range(options.silences):
+            await wait_until_served(cluster)
+            where, relay, sender = await _choose(
+                options.kind, session, cluster, relay_by_name, chooser
+            )
+            reports, silenced = await _load_around(
+                cluster, f'silent{number}', relay, sender
+            )
+            silences.append(_silence(where, silenced, *reports))
+            done_ids.extend(reports[1].done_ids)
+    safety = check_records(directory, 'silent', done_ids)
+    longest = [silence.longest_ms for silence in silences]
+    return {
+        'kind': options.kind,
+        'seed': options.seed,
+        'worst_ms': max(longest),
+        'median_ms': statistics.median(longest),
+        'missed': sum(longest_ms > _TARGET_MS for longest_ms in longest),
+        'repeatable_lost': sum(silence.lost for silence in silences),
+        'unknown_first': sum(silence.unknown_first for silence in silences),
+        'unknown_last': sum(silence.unknown_last for silence in silences),
+        'silences': [str(silence) for silence in silences],
+        'records': safety.summary(),
+        'safe': safety.clean,
+    }
+
+
+async def _choose(
+    kind: str,
+    session: aiohttp.ClientSession,
+    cluster: Cluster,
+    relay_by_name: dict[str, TcpRelay],
+    chooser: random.Random,
+) -> tuple[str, TcpRelay, bytes]:
+    """Returns a name, the relay, and the sender whose connections stop."""
+    if kind == 'server':
+        name = chooser.choice([node.name for node in cluster.nodes('server')])
+        return f'leader to {name}', relay_by_name[name], b''
+    row = await group_row(session, cluster)
+    leader, standby = row['leader'][0], row['standby'][0]
+    others = [
+        node.name
+        for node in cluster.nodes('entry')
+        if node.name not in {leader, standby}
+    ]
+    peer = chooser.choice(others)
+    sender, receiver = chooser.choice([(leader, peer), (peer, leader)])
+    # A batch starts with its sender's name, before the receiver's.
+    return (
+        f'{sender} to {receiver}',
+        relay_by_name[receiver],
+        _name_in_batch(sender),
+    )
+
+
+def _name_in_batch(name: str) -> bytes:
+    """Returns the start of a batch in MessagePack: five fields, the name."""
+    return b'\x95%c%s' % (0xA0 + len(name), name.encode())
+
+
+async def _load_around(
+    cluster: Cluster, name: str, relay: TcpRelay, sender: bytes
+) -> tuple[tuple[LoadReport, LoadReport], int]:
+    repeatable = asyncio.create_task(
+        run_load(_load_plan(cluster, name, once_share=0, attempts=1))
+    )
+    once = asyncio.create_task(
+        run_load(_load_plan(cluster, name, once_share=1, attempts=100))
+    )
+    await asyncio.sleep(_BEFORE_S)
+    silenced = relay.silence_open(sender)
+    return (await repeatable, await once), silenced
+
+
+def _load_plan(
+    cluster: Cluster, name: str, *, once_share: int, attempts: int
+) -> LoadPlan:
+    seconds = _BEFORE_S + _AFTER_S
+    return LoadPlan(
+        addresses=tuple(
+            node.addresses['caller'] for node in cluster.nodes('entry')
+        ),
+        service=SERVICE,
+        workers=1000,
+        rate=_RATE,
+        requests=int(_RATE * seconds * 2),
+        seconds=seconds,
+        once_share=once_share,
+        deadline_ms=_DEADLINE_MS,
+        attempts=attempts,
+        name=name,
+        once_kind=ONCE_KIND,
+        repeatable_kind=REPEATABLE_KIND,
+        # The start of each run differs, and with it the keys.
+        seed=int(time.monotonic()),
+    )
+
+
+def _silence(
+    where: str, silenced: int, repeatable: LoadReport, once: LoadReport
+) -> Silence:
+    items = repeatable.items_by_end
+    asked = sum(items[end] for end in ('done', 'not run', 'unknown', 'wrong'))
+    return Silence(
+        where=where,
+        silenced=silenced,
+        longest_ms=repeatable.summary()['latency_ms']['max'],
+        lost=asked - items['done'],
+        unknown_first=once.unknown_attempts,
+        unknown_last=len(once.unknown_ids),
+    )
+
+
+@asynccontextmanager
+async def _relays(
+    cluster: Cluster, directory: Path
+) -> AsyncIterator[dict[str, TcpRelay]]:
+    """Puts a relay before each server and each peer listener."""
+    nodes = [*cluster.nodes('server'), *cluster.nodes('entry')]
+    public_by_name = dict(
+        zip(
+            (node.name for node in nodes),
+            free_addresses(len(nodes)),
+            strict=True,
+        )
+    )
+    _announce(directory, public_by_name)
+    async with AsyncExitStack() as stack:
+        relay_by_name = {}
+        for node in nodes:
+            public = public_by_name[node.name]
+            relay_by_name[node.name] = await stack.enter_async_context(
+                running_relay(public, _own_address(node))
+            )
+        yield relay_by_name
+
+
+def _own_address(node: Node) -> str:
+    return node.addresses.get('peer') or node.addresses['serve']
+
+
+def _announce(directory: Path, public_by_name: dict[str, str]) -> None:
+    """Names the relays' addresses in the list and in the settings."""
+    path = directory / 'instances.json'
+    listed = json.loads(path.read_text())
+    for instance in listed:
+        own = instance['address']
+        instance['address'] = public_by_name[instance['name']]
+        settings = directory / f'{instance["name"]}.ini'
+        if settings.exists():
+            settings.write_text(
+                settings.read_text().replace(
+                    f'peer_address = {own}',
+                    f'peer_address = {instance["address"]}\n'
+                    f'peer_listen_address = {own}',
+                )
+            )
+    path.write_text(json.dumps(listed))
--- a/packages/core/src/yuccadale_core/_internal/settings.py
+++ b/packages/core/src/yuccadale_core/_internal/settings.py
@@ -23,6 +23,8 @@
     caller_address: str
     peer_address: str
     operator_address: str
+    # Where the peer listener is bound, when peers reach it by another address.
+    peer_listen_address: str = ''
     # Peers to ask when the platform's list cannot be read at the start.
     seed_peers: str = ''
 
@@ -33,7 +35,10 @@
         return [address.strip() for address in addresses if address.strip()]
 
     @pydantic.field_validator(
-        'caller_address', 'peer_address', 'operator_address'
+        'caller_address',
+        'peer_address',
+        'operator_address',
+        'peer_listen_address',
     )
     @classmethod
     def has_host_and_port(cls, address: str) -> str:
--- a/packages/router/src/yuccadale_router/_internal/daemon.py
+++ b/packages/router/src/yuccadale_router/_internal/daemon.py
@@ -103,6 +103,7 @@
         counters=counters,
         clock=monotonic_ms,
         message_limit=settings.limits.peer_queue_messages,
+        listen_address=settings.instance.peer_listen_address,
     )
     targets = TargetPool(monotonic_ms)
     placements = Placements(monotonic_ms)
--- a/packages/router/src/yuccadale_router/_internal/network/peer_links.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -59,8 +59,10 @@
         counters: Counters,
         clock: Clock,
         message_limit: int,
+        listen_address: str = '',
     ) -> None:
         self._me = me
+        self._listen_address = listen_address or me.peer_address
         self._keys = keys
         self._leaderships = leaderships
         self.counters = counters
@@ -145,7 +147,7 @@
             self._heartbeat_loop(), name='heartbeats'
         )
         try:
-            with open_listener(self._me.peer_address) as listener:
+            with open_listener(self._listen_address) as listener:
                 await self._receive_loop(listener)
         finally:
             heartbeats.cancel()
