--- a/packages/bench/src/yuccadale_bench/_internal/silent_link.py
+++ b/packages/bench/src/yuccadale_bench/_internal/silent_link.py
@@ -5,6 +5,7 @@
 import json
 import random
 import statistics
+import sys
 import tempfile
 import time
 from collections.abc import AsyncIterator, Sequence
@@ -57,6 +58,7 @@
         unknown_first: non-repeatable attempts that ended as unknown.
         unknown_last: non-repeatable work that stayed unknown after asking
             again with the same id.
+        refusals: refused repeatable requests by code.
     """
 
     where: str
@@ -65,6 +67,7 @@
     lost: int
     unknown_first: int
     unknown_last: int
+    refusals: dict[str, int]
 
 
 def run_command(arguments: Sequence[str]) -> int:
@@ -103,6 +106,7 @@
                 cluster, f'silent{number}', relay, sender
             )
             silences.append(_silence(where, silenced, *reports))
+            print(silences[-1], file=sys.stderr)
             done_ids.extend(reports[1].done_ids)
     safety = check_records(directory, 'silent', done_ids)
     longest = [silence.longest_ms for silence in silences]
@@ -204,6 +208,7 @@
         lost=asked - items['done'],
         unknown_first=once.unknown_attempts,
         unknown_last=len(once.unknown_ids),
+        refusals=dict(repeatable.refusals_by_code),
     )
 
 
