Ask the server about requests that wait on a silent connection

A request on a connection that had stopped delivering kept its slot until its deadline, and the first unanswered grant already raised the suspicion that moves the leadership: in a trial, the group then answered 'shutting down' for up to 5 s while it waited for that request. Control calls now end after 250 ms and are repeated after 50 ms, so that two fit into the suspicion time, and the server is asked by id about each request that has waited for 1,000 ms.

--- a/packages/core/src/yuccadale_core/_internal/targets_http.py
+++ b/packages/core/src/yuccadale_core/_internal/targets_http.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from types import MappingProxyType
@@ -34,7 +35,11 @@
     TargetFailureKind,
     TargetRequest,
 )
-from yuccadale_core._internal.timing import SUSPICION_MS, seconds
+from yuccadale_core._internal.timing import (
+    LINK_SILENCE_MS,
+    milliseconds,
+    seconds,
+)
 
 REFUSED_HEADER = 'Yuccadale-Refused'
 HIGHEST_TOKEN_HEADER = 'Yuccadale-Highest-Token'
@@ -50,6 +55,9 @@
 # requests rarely meet a connection that the server is closing.
 _KEEP_ALIVE_S = 5.0
 _CONTROL_BODY_LIMIT_BYTES = 1 << 20
+# Two control calls fit into the time after which a server is suspected, so
+# that one dead connection alone raises no suspicion.
+_CONTROL_TIMEOUT_MS = 250
 _HOP_HEADERS = frozenset(
     (
         'connection',
@@ -101,6 +109,27 @@
     """The answer's length or content breaks the protocol."""
 
 
+class _Flight:
+    """A request whose answer is awaited.
+
+    Attributes:
+        check_at_ms: when the server is asked about it next.
+        found: its result when that was found out in another way.
+    """
+
+    def __init__(self, request_id: str, scope: asyncio.Timeout) -> None:
+        self.request_id = request_id
+        self.check_at_ms = _now_ms() + LINK_SILENCE_MS
+        self.found: Result[TargetAnswer, TargetFailure] | None = None
+        self._scope = scope
+
+    def end(self, found: Result[TargetAnswer, TargetFailure]) -> None:
+        """Ends the waiting for the answer with this result."""
+        if self.found is None:
+            self.found = found
+            self._scope.reschedule(asyncio.get_running_loop().time())
+
+
 class _Pool:
     """Connections to one server that are trusted or suspected together.
 
@@ -108,7 +137,6 @@
         most_calls: most calls at once; no more connections can be open,
             because one is opened only when all others are in use.
         calls: calls under way.
-        answers: complete answers so far.
     """
 
     def __init__(self, limit: int) -> None:
@@ -117,7 +145,6 @@
         )
         self.most_calls = 0
         self.calls = 0
-        self.answers = 0
 
     @contextmanager
     def calling(self) -> Iterator[aiohttp.ClientSession]:
@@ -133,12 +160,12 @@
 class HttpTarget:
     """One server over HTTP/1.1; each call is sent at most once.
 
-    Open connections may stop delivering data while new ones work. When a
-    control call gets no answer, and no other call got one meanwhile, all later
-    calls use new connections. Once a control call is answered there, and the
-    old connections still have delivered nothing, they are closed, and what
-    waited on them ends as ``lost``. Without such an answer the server itself
-    may be silent, and they stay until the deadlines of their calls.
+    Open connections may stop delivering data while new ones work. After a
+    control call without an answer, all later calls use new connections; the
+    old ones stay until their calls end. A request that waits for
+    ``LINK_SILENCE_MS`` is asked for by its id: the server returns the answer
+    that it has given, says that the request runs, or says that it has not
+    seen it, and then the request ends as ``lost``.
     """
 
     def __init__(
@@ -155,7 +182,8 @@
         self._control_timeout_ms = control_timeout_ms
         self._pool: _Pool | None = None
         self._suspect: _Pool | None = None
-        self._answers_when_suspected = 0
+        self._flights: set[_Flight] = set()
+        self._checking = False
         self._closed = False
 
     async def hello(self) -> Result[GrantAnswer, TargetFailure]:
@@ -173,16 +201,7 @@
         self, request: TargetRequest
     ) -> Result[TargetAnswer, TargetFailure]:
         """Sends a request once and waits for its complete answer."""
-        called = await self._call(
-            self._opened_pool(),
-            Attempt(),
-            request.method,
-            f'/run/{request.path.lstrip("/")}',
-            headers=_request_headers(request),
-            body=request.body,
-            timeout_ms=request.remaining_ms,
-            body_limit_bytes=self._body_limit_bytes,
-        )
+        called = await self._fly(request)
         if called.is_error():
             return called
         return _checked(request, called.ok)
@@ -213,11 +232,37 @@
             if pool is not None:
                 await pool.session.close()
 
+    async def _fly(
+        self, request: TargetRequest
+    ) -> Result[TargetAnswer, TargetFailure]:
+        flight = None
+        try:
+            async with asyncio.timeout(None) as scope:
+                flight = _Flight(request.request_id, scope)
+                self._flights.add(flight)
+                return await self._call(
+                    self._opened_pool(),
+                    Attempt(),
+                    request.method,
+                    f'/run/{request.path.lstrip("/")}',
+                    headers=_request_headers(request),
+                    body=request.body,
+                    timeout_ms=request.remaining_ms,
+                    body_limit_bytes=self._body_limit_bytes,
+                )
+        except TimeoutError:
+            # Only ``flight.end`` lets the scope run out.
+            if flight is None or flight.found is None:
+                raise
+            return flight.found
+        finally:
+            if flight is not None:
+                self._flights.discard(flight)
+
     async def _control(
         self, method: str, path: str, body: bytes = b''
     ) -> Result[TargetAnswer, TargetFailure]:
         pool = self._opened_pool()
-        answers_before = pool.answers
         attempt = Attempt()
         called = await self._call(
             pool,
@@ -231,22 +276,45 @@
         )
         if pool is self._pool:
             if called.is_ok():
-                await self._judge_suspect()
-            elif attempt.silent and pool.answers == answers_before:
+                await self._close_idle_suspect()
+                await self._check_flights()
+            elif attempt.silent:
                 await self._replace_pool(pool)
         return called
 
-    async def _judge_suspect(self) -> None:
-        """Closes the old connections when only new ones deliver.
+    async def _check_flights(self) -> None:
+        """Asks the server about requests that have waited for long."""
+        if self._checking:
+            return
+        self._checking = True
+        try:
+            for flight in tuple(self._flights):
+                if flight.check_at_ms <= _now_ms():
+                    flight.check_at_ms = _now_ms() + LINK_SILENCE_MS
+                    await self._check(flight)
+        finally:
+            self._checking = False
 
-        A busy process or server delays answers on all connections; those
-        that deliver again keep their calls.
-        """
-        suspect = self._suspect
-        if suspect is None:
+    async def _check(self, flight: _Flight) -> None:
+        asked = await self.outcome(flight.request_id)
+        if asked.is_error():
             return
-        delivered = suspect.answers > self._answers_when_suspected
-        if not delivered or not suspect.calls:
+        report = asked.ok
+        if report.outcome == ServerOutcome.done and report.answer is not None:
+            flight.end(Result.Ok(report.answer))
+        elif _has_not_seen(report):
+            flight.end(
+                Result.Error(
+                    TargetFailure(
+                        TargetFailureKind.lost,
+                        'the server has not seen the request',
+                    )
+                )
+            )
+
+    async def _close_idle_suspect(self) -> None:
+        suspect = self._suspect
+        if suspect is not None and not suspect.calls:
             self._suspect = None
             await suspect.session.close()
 
@@ -255,7 +323,6 @@
         self._pool = None
         earlier = self._suspect
         self._suspect = pool
-        self._answers_when_suspected = pool.answers
         if earlier is not None:
             await earlier.session.close()
         if pool.most_calls * 2 > self._connections:
@@ -296,7 +363,6 @@
                     trace_request_ctx=attempt,
                 ) as response:
                     answer = await _complete_answer(response, body_limit_bytes)
-                    pool.answers += 1
         except _CALL_ERRORS as error:
             return Result.Error(_failure(attempt, error))
         return Result.Ok(answer)
@@ -313,7 +379,7 @@
     *,
     connections: int,
     body_limit_bytes: int,
-    control_timeout_ms: float = SUSPICION_MS,
+    control_timeout_ms: float = _CONTROL_TIMEOUT_MS,
 ) -> Callable[[ServerRef], HttpTarget]:
     """Returns a factory of targets for the servers of one service.
 
@@ -334,6 +400,18 @@
     return make_target
 
 
+def _now_ms() -> float:
+    return milliseconds(time.monotonic())
+
+
+def _has_not_seen(report: OutcomeAnswer) -> bool:
+    """Says whether a server that records ids knows nothing of this one."""
+    return (
+        report.outcome == ServerOutcome.not_offered
+        and report.remembered_ms is not None
+    )
+
+
 def _request_headers(request: TargetRequest) -> dict[str, str]:
     headers = {
         name: header
--- a/packages/router/src/yuccadale_router/_internal/ownership/granting.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/granting.py
@@ -22,6 +22,10 @@
 
 # The pause after an answer that asks for another grant at once.
 REPEAT_MS = 10
+# The pause after a call without an answer: the connection may be dead while
+# the server is well, and a second call must be answered before the server is
+# suspected.
+UNANSWERED_MS = 50
 _REACHED_KINDS = frozenset(
     (
         TargetFailureKind.refused,
@@ -42,6 +46,8 @@
         poke.clear()
         if not state.handing_over and await contact(state, server_name):
             pause_ms = REPEAT_MS
+        elif state.membership.silence_ms(server_name) > GRANT_INTERVAL_MS:
+            pause_ms = UNANSWERED_MS
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(poke.wait(), seconds(pause_ms))
 
--- a/packages/standins/src/yuccadale_standins/_internal/server_app.py
+++ b/packages/standins/src/yuccadale_standins/_internal/server_app.py
@@ -140,10 +140,7 @@
         return json_answer({'cancelled': cancelled})
 
     async def outcome(request: web.Request) -> web.Response:
-        known = state.outcome(request.match_info['request_id'])
-        if known is None:
-            return json_answer({}, status=404)
-        return json_answer(known)
+        return json_answer(state.outcome(request.match_info['request_id']))
 
     application.router.add_route('*', '/run/{path:.*}', run)
     application.router.add_delete('/requests/{request_id:.+}', cancel)
--- a/packages/standins/src/yuccadale_standins/_internal/server_state.py
+++ b/packages/standins/src/yuccadale_standins/_internal/server_state.py
@@ -106,6 +106,7 @@
         self.faults = ServerFaults()
         self._running: list[Work] = []
         self._started_ms = clock()
+        self._remembered_since_ms = self._started_ms
         self._frozen_until_ms: float = 0
         self._shed_share: float = 0
         self._stale_load: LoadReport | None = None
@@ -185,19 +186,25 @@
         self._outcomes[work.request_id] = OutcomeAnswer(outcome, answer)
         if len(self._outcomes) > _OUTCOMES:
             self._outcomes.popitem(last=False)
+            self._remembered_since_ms = self.clock()
 
-    def outcome(self, request_id: str) -> OutcomeAnswer | None:
-        """Returns what is known about an id; None when nothing is.
+    def outcome(self, request_id: str) -> OutcomeAnswer:
+        """Returns what is known about an id.
 
         A request that was never seen may still arrive or may have run before
-        a restart, so that nothing is claimed about it.
+        a restart, so that ``not run`` is never claimed about it.
         """
         known = self._outcomes.get(request_id)
         if known is not None and known.outcome == ServerOutcome.done:
             return known
         if self._running_works(request_id):
             return OutcomeAnswer(ServerOutcome.running)
-        return known
+        if known is not None:
+            return known
+        return OutcomeAnswer(
+            ServerOutcome.not_offered,
+            remembered_ms=self.clock() - self._remembered_since_ms,
+        )
 
     def sheds(self) -> bool:
         """Says whether this request is refused; keeps to the share evenly."""
--- a/tests/core/test_silent_connections.py
+++ b/tests/core/test_silent_connections.py
@@ -1,17 +1,28 @@
 """Open connections may stop delivering while new ones work."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import pytest
 
 from tests.builders.raw_server import RawServer, Script, run_raw_server
 from tests.builders.requests_to_servers import build_request
 from tests.core.test_single_attempt import build_target
+from yuccadale_bench._internal.cluster import free_addresses
+from yuccadale_bench._internal.tcp_relay import TcpRelay, running_relay
 from yuccadale_core.targets import TargetFailureKind
+from yuccadale_core.targets_http import HttpTarget
+from yuccadale_standins.server import (
+    RunningServer,
+    ServerOptions,
+    run_server,
+)
 
+# Answers hello and a question for an outcome alike.
 _HELLO_BODY = (
     b'{"accepted":false,"ticket":{"incarnation":"a","issued_ms":1},'
-    b'"highest_token":0}'
+    b'"highest_token":0,"outcome":"not offered","remembered_ms":1}'
 )
 _HELLO = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s' % (
     len(_HELLO_BODY),
@@ -19,6 +30,24 @@
 )
 
 
+@asynccontextmanager
+async def running_server_behind_relay(
+    service_ms: float = 100,
+) -> AsyncIterator[tuple[RunningServer, TcpRelay, HttpTarget]]:
+    """Runs a server that checks nothing, reached by way of a relay."""
+    options = ServerOptions(
+        's1', 'ledger', checks_grants=False, service_ms=service_ms
+    )
+    address = free_addresses(1)[0]
+    async with (
+        run_server(options) as server,
+        running_relay(address, server.address) as relay,
+    ):
+        target = build_target(address)
+        yield server, relay, target
+        await target.close()
+
+
 def _silent_first_connections(silent: int):
     """Connections up to this number read requests and never answer."""
 
@@ -37,7 +66,7 @@
     return make_script
 
 
-async def test_answer_on_a_new_connection_ends_the_old_ones() -> None:
+async def test_unseen_request_ends_before_its_deadline() -> None:
     """Guards against requests that wait for a dead connection's deadline."""
     async with run_raw_server(_silent_first_connections(2)) as raw:
         target = build_target(raw.address)
@@ -47,12 +76,29 @@
         while not raw.heads:
             await asyncio.sleep(0)
         silent = await target.hello()
-        answered = await target.hello()
-        lost = await asyncio.wait_for(waiting, 10)
+        while not waiting.done():
+            await target.hello()
+            await asyncio.sleep(0.05)
         await target.close()
     assert silent.error.kind == TargetFailureKind.lost
-    assert answered.is_ok()
-    assert lost.error.kind == TargetFailureKind.lost
+    assert waiting.result().error.kind == TargetFailureKind.lost
+
+
+async def test_answer_that_was_held_back_is_asked_for() -> None:
+    """Guards against `lost` for work whose answer the server still has."""
+    async with running_server_behind_relay() as (server, relay, target):
+        waiting = asyncio.create_task(
+            target.run(build_request(remaining_ms=60_000))
+        )
+        while not server.state.load().running:
+            await asyncio.sleep(0)
+        relay.silence_open()
+        while not waiting.done():
+            await target.hello()
+            await asyncio.sleep(0.05)
+        records = server.state.records()
+    assert b'"id-1"' in waiting.result().ok.body
+    assert len(records.runs) == 1
 
 
 async def test_silent_server_keeps_its_connections() -> None:
@@ -70,37 +116,20 @@
         await waiting
 
 
-def _first_connection_late(raw: RawServer) -> Script:
-    async def script(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        number = raw.connections
-        await raw.read_request(reader)
-        if number == 2:
-            await reader.read()
-        # The first connection answers once the second one was given up.
-        while number == 1 and raw.connections < 3:
-            await asyncio.sleep(0.01)
-        writer.write(_HELLO)
-        await reader.read()
-
-    return script
-
-
-async def test_busy_connections_keep_their_calls() -> None:
-    """Guards against losing work because one answer was slow."""
-    async with run_raw_server(_first_connection_late) as raw:
-        target = build_target(raw.address)
-        first = asyncio.create_task(target.run(build_request('id-1')))
-        while not raw.heads:
-            await asyncio.sleep(0)
-        silent = await target.hello()
-        second = asyncio.create_task(target.run(build_request('id-2')))
-        answers = await asyncio.gather(first, second)
-        await target.hello()
-        await target.close()
-    assert silent.error.kind == TargetFailureKind.lost
-    assert all(answer.is_ok() for answer in answers)
+async def test_running_work_is_not_ended_by_questions() -> None:
+    """Guards against losing long work because the server was asked."""
+    async with running_server_behind_relay(service_ms=1500) as (
+        _server,
+        _relay,
+        target,
+    ):
+        waiting = asyncio.create_task(
+            target.run(build_request(remaining_ms=60_000))
+        )
+        while not waiting.done():
+            await target.hello()
+            await asyncio.sleep(0.05)
+    assert waiting.result().is_ok()
 
 
 @pytest.mark.parametrize('connections', [1, 2, 4])
