Fuzz ownership on simulated time and fix what it found

Fault sequences run the unchanged service against servers that follow the design page, with pauses inside a step, partitions, lost, late and repeated messages, restarts and clocks that differ by 2%. Found and fixed: successors were changed by a check made under an older token; an odd leader replicated to itself; candidates waited for a live process that no longer led.

--- a/packages/router/src/yuccadale_router/_internal/ownership/grants.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/grants.py
@@ -132,9 +132,9 @@
         """Makes the next grant of a server; None without a ticket.
 
         ``limit_by_slot`` holds the latest end that R3 allows each slot. A
-        server that has not accepted the token yet is offered all its slots,
-        with a lifetime of 0 when nothing more is allowed: it then knows the
-        token and keeps the slots as its own.
+        server that has not accepted the token yet, or that may serve nothing,
+        is offered all its slots with a lifetime of 0: it then knows the token
+        and still reports the slots as its own (R7).
         """
         grants = self.of_server(server_name)
         if grants.ticket is None:
@@ -146,9 +146,8 @@
         }
         slots = _worthwhile_slots(ttl_by_slot)
         ttl_ms = min((ttl_by_slot[slot] for slot in slots), default=0)
-        if math.isinf(grants.first_accepted_at) and len(slots) < len(
-            ttl_by_slot
-        ):
+        is_new = math.isinf(grants.first_accepted_at)
+        if (is_new and len(slots) < len(ttl_by_slot)) or not slots:
             slots = list(ttl_by_slot)
             ttl_ms = 0
         self._sequence += 1
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader.py
@@ -122,10 +122,12 @@
         state = self.state
         if state.ended.is_set():
             return self._refuse(ResultCode.not_leader, state.end_reason)
-        if state.row.standby is None and not state.is_odd:
+        if state.row.standby is None:
             # Whoever takes over has no records and starts new tenures.
             return Result.Ok(None)
-        if await recording.replicate_records(state, changes):
+        if state.standby is not None and await recording.replicate_records(
+            state, changes
+        ):
             return Result.Ok(None)
         if not state.checks_grants:
             return self._refuse(
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
@@ -139,6 +139,11 @@
         """Whether this is a takeover without the table."""
         return self.token % 2 == 1
 
+    @property
+    def standby(self) -> InstanceRef | None:
+        """The standby that promises; an odd leader is itself the row's."""
+        return None if self.is_odd else self.row.standby
+
     @property
     def checks_grants(self) -> bool:
         """Whether the group's servers check who sends to them."""
--- a/packages/router/src/yuccadale_router/_internal/ownership/member.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/member.py
@@ -62,6 +62,8 @@
 RANK_DELAY_MS = 300
 LEADER_SILENCE_MS = 2000
 PROBE_INTERVAL_MS = 200
+LOOK_INTERVAL_MS = 4000
+LOOKING_RANKS = 3
 
 
 class GroupMember:
@@ -82,6 +84,9 @@
         self._watched: tuple[str, float] | None = None
         self._write_number = 0
         self._stopping = False
+        # Whether the row may still name this instance as leader.
+        self._gave_up = False
+        self._look_at = context.clock()
 
     @property
     def dispatcher(self) -> GroupRequests | None:
@@ -222,6 +227,7 @@
                 self._highest_token, self.leader.state.token
             )
             self.leader = None
+            self._gave_up = True
 
     def _follows(self, token: int) -> bool:
         promise = self.promise
@@ -437,7 +443,9 @@
 
     async def _be_candidate(self) -> None:
         await sleep_jittered(CANDIDATE_INTERVAL_MS, self._context.chooser)
-        if self.promise is not None or self._is_led():
+        if self.promise is not None:
+            return
+        if self._is_led() and not self._looks_anyway():
             self._watched = None
             return
         read = await self._context.table.read(self.group.row_name)
@@ -452,6 +460,23 @@
         else:
             await self._consider_row(read.ok)
 
+    def _looks_anyway(self) -> bool:
+        """Says whether to read the row although its leader seems alive.
+
+        A leader that gave up takes its own row again. A live process may
+        also have stopped leading without telling; a few instances by rank
+        look now and then, so that the reads do not grow with the instances.
+        """
+        if self._gave_up:
+            return True
+        now = self._context.clock()
+        if self._own_rank() >= LOOKING_RANKS or now < self._look_at:
+            return False
+        self._look_at = now + LOOK_INTERVAL_MS * self._context.chooser.uniform(
+            1 / 2, 3 / 2
+        )
+        return True
+
     def _is_led(self) -> bool:
         """Says whether the known leader or its standby still shows life."""
         leadership = self._context.leaderships.leadership(self.group)
@@ -473,6 +498,7 @@
     async def _consider_row(self, read: Row) -> None:
         row = decode_row(read.text)
         me = self._context.me
+        self._gave_up = row.leader == me
         if row.leader != me:
             self._context.leaderships.learn(
                 Leadership(self.group, row.token, row.leader, row.standby)
--- a/packages/router/src/yuccadale_router/_internal/ownership/moving.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/moving.py
@@ -23,7 +23,7 @@
     wait_out,
     wait_until,
 )
-from yuccadale_router._internal.ownership.recording import record
+from yuccadale_router._internal.ownership.recording import always, record
 from yuccadale_router._internal.ownership.rows import (
     MAX_SERVERS,
     GroupRow,
@@ -83,7 +83,7 @@
 
 def ask_for_probes(state: LeaderState) -> None:
     """Asks the standby to confirm the silence of servers."""
-    standby = state.row.standby
+    standby = state.standby
     if standby is None:
         return
     for server in state.row.server_by_name.values():
@@ -109,11 +109,13 @@
         state,
         lambda row: with_decisions(row, changed),
         _move_records(state, changed, _REASON_QUERY),
-        needs_table=True,
+        needs_table=always,
     ):
         return
     for moved_slot, new_owner in changed.items():
         state.book.record(moved_slot, new_owner, state.token, _REASON_QUERY)
+        old_owner = state.row.successor_by_slot[moved_slot]
+        state.placement.moved(moved_slot, old_owner, new_owner)
     state.book.waiting.difference_update(decided)
     state.poke_all()
 
@@ -160,7 +162,7 @@
     if not state.may_move():
         return
     unfinished = {
-        slot: target
+        slot: state.row.successor_by_slot.get(slot, target)
         for slot, target in state.book.target_by_slot.items()
         if slot in state.forced_slots and _is_over(state, slot)
     }
@@ -220,9 +222,18 @@
     )
     if restricted and await record(
         state,
-        lambda row: _with_successors(row, changes),
+        # Asked again inside the record: the token may have changed while
+        # the grants were restricted, and R6 speaks of the present one.
+        lambda row: _with_successors(
+            row,
+            {
+                slot: name
+                for slot, name in changes.items()
+                if _may_replace_successor(state, slot, name)
+            },
+        ),
         [],
-        needs_table=True,
+        needs_table=always,
     ):
         state.context.counters.count('ownership.successors_changed')
         state.other_successors.clear()
@@ -260,7 +271,7 @@
         state,
         lambda row: replace(row, server_by_name=server_by_name),
         [],
-        needs_table=True,
+        needs_table=always,
     ):
         return
     for name in added:
@@ -278,10 +289,12 @@
     state.forced_slots.update(targets)
     if not state.checks_grants:
         await _hold_all(state, targets)
+    # A successor may have been replaced while slots were held.
     ready = {
         slot: successor
         for slot, successor in targets.items()
         if _is_over(state, slot)
+        and state.row.successor_by_slot.get(slot) == successor
     }
     if ready:
         await _record_moves(state, ready, _REASON_LOST)
@@ -311,15 +324,15 @@
     old_owner_by_slot = {
         slot: state.row.owner_by_slot[slot] for slot in target_by_slot
     }
-    needs_table = any(
-        state.row.successor_by_slot.get(slot) != target
-        for slot, target in target_by_slot.items()
-    )
     recorded = await record(
         state,
         lambda row: _with_moves(row, target_by_slot),
         _move_records(state, target_by_slot, reason),
-        needs_table=needs_table,
+        needs_table=lambda row: any(
+            row.successor_by_slot.get(slot) != target
+            or _must_be_in_table(state, slot)
+            for slot, target in target_by_slot.items()
+        ),
     )
     if not recorded:
         return False
@@ -336,6 +349,11 @@
     return True
 
 
+def _must_be_in_table(state: LeaderState, slot: int) -> bool:
+    """Planned moves of servers that cannot be asked who owns a slot (R7)."""
+    return not state.checks_grants and slot not in state.forced_slots
+
+
 def _with_moves(row: GroupRow, target_by_slot: dict[int, str]) -> GroupRow:
     for slot, target in target_by_slot.items():
         if row.owner_by_slot[slot] != target:
--- a/packages/router/src/yuccadale_router/_internal/ownership/pinning.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/pinning.py
@@ -6,7 +6,7 @@
 from yuccadale_core.declaration import Service
 from yuccadale_core.keys import slot_of_key
 from yuccadale_router._internal.ownership.leader_state import LeaderState
-from yuccadale_router._internal.ownership.recording import record
+from yuccadale_router._internal.ownership.recording import always, record
 from yuccadale_router._internal.ownership.rows import GroupRow
 
 PIN_LIMIT = 64
@@ -70,7 +70,7 @@
             state,
             lambda row: _with_pin(row, key, base_slot, pin_slot),
             [],
-            needs_table=True,
+            needs_table=always,
         )
     if key in state.row.pins:
         state.book.copy_tenure(base_slot, pin_slot)
@@ -97,7 +97,7 @@
             state,
             lambda row: _without_pin(row, key),
             [],
-            needs_table=True,
+            needs_table=always,
         )
     if key not in state.row.pins:
         state.idle_rounds_by_pin.pop(key, None)
--- a/packages/router/src/yuccadale_router/_internal/ownership/recording.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/recording.py
@@ -18,12 +18,17 @@
 ACKNOWLEDGEMENT_LIMIT_MS = STANDBY_SILENCE_MS
 
 
+def always(row: GroupRow) -> bool:
+    """Says that a change must be in the table before it takes effect."""
+    return True
+
+
 async def record(
     state: LeaderState,
     change: Callable[[GroupRow], GroupRow],
     moves: list[SlotMove],
     *,
-    needs_table: bool,
+    needs_table: Callable[[GroupRow], bool],
 ) -> bool:
     """Records a change of the row; true once it may take effect.
 
@@ -35,16 +40,18 @@
         if not state.may_move() or state.standby_change_in_doubt():
             return False
         row = change(state.row)
+        standby_suffices = row.standby is not None and not needs_table(
+            state.row
+        )
         if not await _replicate_row(state, row, moves):
             return False
-        if not needs_table and state.context.table.is_down():
+        if standby_suffices and state.context.table.is_down():
             written_ok = False
         else:
             written = await state.write_row(row)
             if _is_conflict(written):
                 state.end('another instance wrote the row')
             written_ok = written.is_ok()
-        standby_suffices = not needs_table and row.standby is not None
         if not (written_ok or standby_suffices):
             return False
         _adopt(state, row, committed=written_ok)
@@ -145,7 +152,7 @@
     number once.
     """
     while not state.ended.is_set():
-        standby = state.row.standby
+        standby = state.standby
         message = None
         if standby is not None:
             message = state.log.next_message(state.dispatcher.export_records)
