Keep owners known through a loss of leader and standby

A slot that R3 left out of a grant vanished from the server's report. Grants now name such slots as retained, and servers report them. A leader whose slots still wait for reports tells its standby so.

--- a/packages/core/src/yuccadale_core/_internal/messages.py
+++ b/packages/core/src/yuccadale_core/_internal/messages.py
@@ -102,6 +102,8 @@
         row_text: the group's row as the leader has it or is about to write
             it; empty when it did not change.
         row_committed: whether the table is known to hold that row.
+        unsettled: slots of the row whose owners the leader does not know
+            yet, because owner or successor did not report.
     """
 
     group: GroupId
@@ -112,6 +114,7 @@
     moves: list[SlotMove]
     row_text: str = ''
     row_committed: bool = False
+    unsettled: list[int] = []
 
 
 class ReplicateAck(PeerMessage, frozen=True, tag=5):
--- a/packages/core/src/yuccadale_core/_internal/targets.py
+++ b/packages/core/src/yuccadale_core/_internal/targets.py
@@ -57,6 +57,8 @@
         sequence: rises with each grant under one token.
         holder: name and incarnation of the leader.
         gap: whether records of requests may be missing at the standby.
+        retained: slots that are the server's own but may not be served now;
+            the server reports them with its last grant.
     """
 
     holder: str
@@ -66,6 +68,7 @@
     slots: tuple[int, ...]
     sequence: int
     gap: bool = False
+    retained: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/router/src/yuccadale_router/_internal/ownership/granting.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/granting.py
@@ -77,10 +77,28 @@
     lease_end = -math.inf if state.is_odd else state.lease.valid_until
     answered_by_slot = {slot: _answered_at(state, slot) for slot in slots}
     return state.ledger.prepare(
-        server_name, latest_ends(slots, lease_end, answered_by_slot)
+        server_name,
+        latest_ends(slots, lease_end, answered_by_slot),
+        _retained_slots(state, server_name),
     )
 
 
+def _retained_slots(state: LeaderState, server_name: str) -> set[int]:
+    """Returns held slots that the server must go on reporting as its own.
+
+    A slot whose planned move is not recorded yet still belongs to its owner.
+    A slot that waits for reports (R7) belongs to whoever reported it.
+    """
+    report = state.reports.get(server_name)
+    reported = set(report.slots) if report is not None else set()
+    moving = {
+        slot
+        for slot in state.row.slots_of(server_name)
+        if slot in state.book.target_by_slot
+    }
+    return moving | (reported & state.book.waiting)
+
+
 async def _offer_grant(state: LeaderState, server_name: str) -> bool:
     grant = prepare_grant(state, server_name)
     if grant is None:
--- a/packages/router/src/yuccadale_router/_internal/ownership/grants.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/grants.py
@@ -127,14 +127,18 @@
         grants.reported = True
 
     def prepare(
-        self, server_name: str, limit_by_slot: Mapping[int, float]
+        self,
+        server_name: str,
+        limit_by_slot: Mapping[int, float],
+        retained: Iterable[int] = (),
     ) -> Grant | None:
         """Makes the next grant of a server; None without a ticket.
 
         ``limit_by_slot`` holds the latest end that R3 allows each slot. A
-        server that has not accepted the token yet, or that may serve nothing,
-        is offered all its slots with a lifetime of 0: it then knows the token
-        and still reports the slots as its own (R7).
+        server that has not accepted the token yet is offered all its slots,
+        with a lifetime of 0 when nothing more is allowed: it then knows the
+        token and keeps the slots as its own. Slots that are left out, and
+        those in ``retained``, are still reported as the server's own (R7).
         """
         grants = self.of_server(server_name)
         if grants.ticket is None:
@@ -146,8 +150,9 @@
         }
         slots = _worthwhile_slots(ttl_by_slot)
         ttl_ms = min((ttl_by_slot[slot] for slot in slots), default=0)
-        is_new = math.isinf(grants.first_accepted_at)
-        if (is_new and len(slots) < len(ttl_by_slot)) or not slots:
+        if math.isinf(grants.first_accepted_at) and len(slots) < len(
+            ttl_by_slot
+        ):
             slots = list(ttl_by_slot)
             ttl_ms = 0
         self._sequence += 1
@@ -159,6 +164,7 @@
             slots=tuple(slots),
             sequence=self._sequence,
             gap=server_name in self._gap_servers,
+            retained=(*(ttl_by_slot.keys() - set(slots)), *retained),
         )
         self._note_sent(grants, grant)
         return grant
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
@@ -61,6 +61,7 @@
         silent_servers: since when servers did not answer this standby.
         other_rows: rows that the table may hold instead.
         moves: moves of the earlier leader, for the history.
+        unsettled: slots whose owners the earlier leader did not know.
     """
 
     origin: Origin
@@ -72,6 +73,7 @@
     silent_servers: Mapping[str, float] = field(default_factory=dict)
     other_rows: tuple[GroupRow, ...] = ()
     moves: tuple[SlotMove, ...] = ()
+    unsettled: frozenset[int] = frozenset()
 
 
 class LeaderState:
@@ -265,7 +267,9 @@
         )
 
     def _new_log(self) -> ReplicationLog:
-        return ReplicationLog(self.group, self.token, encode_row(self.row))
+        log = ReplicationLog(self.group, self.token, encode_row(self.row))
+        log.unsettled = self.book.waiting
+        return log
 
 
 def with_standby(
--- a/packages/router/src/yuccadale_router/_internal/ownership/member.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/member.py
@@ -223,11 +223,12 @@
         try:
             await self.leader.run()
         finally:
-            self._highest_token = max(
-                self._highest_token, self.leader.state.token
-            )
-            self.leader = None
-            self._gave_up = True
+            self._forget_leader(self.leader.state.token)
+
+    def _forget_leader(self, token: int) -> None:
+        self._highest_token = max(self._highest_token, token)
+        self.leader = None
+        self._gave_up = True
 
     def _follows(self, token: int) -> bool:
         promise = self.promise
@@ -412,6 +413,7 @@
             silent_servers=dict(self._silent_since_by_server),
             other_rows=tuple(replica.other_rows),
             moves=tuple(replica.moves),
+            unsettled=replica.unsettled,
         )
 
     async def _accept_handover(self, message: Handover) -> None:
--- a/packages/router/src/yuccadale_router/_internal/ownership/moving.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/moving.py
@@ -1,7 +1,7 @@
 """Forced and planned moves, successors and the members of a group."""
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 from yuccadale_core.instances import ServerRef
@@ -27,6 +27,7 @@
 from yuccadale_router._internal.ownership.rows import (
     MAX_SERVERS,
     GroupRow,
+    encode_row,
     move_slot,
 )
 
@@ -100,6 +101,8 @@
     if not state.book.waiting or not state.may_move():
         return
     decided = decide_waiting_slots(state)
+    if not decided:
+        return
     changed = {
         slot: owner
         for slot, owner in decided.items()
@@ -117,6 +120,8 @@
         old_owner = state.row.successor_by_slot[moved_slot]
         state.placement.moved(moved_slot, old_owner, new_owner)
     state.book.waiting.difference_update(decided)
+    state.log.queue_row(encode_row(state.row), [], committed=not state.dirty)
+    state.replication_wanted.set()
     state.poke_all()
 
 
@@ -208,11 +213,7 @@
         state.row.successor_by_slot,
         candidates(state),
     )
-    changes = {
-        slot: name
-        for slot, name in wanted.items()
-        if _may_replace_successor(state, slot, name)
-    }
+    changes = _allowed_changes(state, wanted)
     if not changes:
         return
     for slot, name in changes.items():
@@ -224,14 +225,7 @@
         state,
         # Asked again inside the record: the token may have changed while
         # the grants were restricted, and R6 speaks of the present one.
-        lambda row: _with_successors(
-            row,
-            {
-                slot: name
-                for slot, name in changes.items()
-                if _may_replace_successor(state, slot, name)
-            },
-        ),
+        lambda row: _with_successors(row, _allowed_changes(state, changes)),
         [],
         needs_table=always,
     ):
@@ -361,6 +355,16 @@
     return row
 
 
+def _allowed_changes(
+    state: LeaderState, changes: Mapping[int, str]
+) -> dict[int, str]:
+    return {
+        slot: name
+        for slot, name in changes.items()
+        if _may_replace_successor(state, slot, name)
+    }
+
+
 def _with_successors(row: GroupRow, changes: dict[int, str]) -> GroupRow:
     allowed = {
         slot: name
--- a/packages/router/src/yuccadale_router/_internal/ownership/recording.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/recording.py
@@ -162,7 +162,22 @@
             state.replication_wanted.clear()
             continue
         state.context.peers.send(standby.name, message)
-        await state.replication_acknowledged.wait(RESEND_MS)
+        await _wait_answered(state, message.number)
+
+
+async def _wait_answered(state: LeaderState, number: int) -> None:
+    """Waits for the answer to a message, or until it is time to repeat it.
+
+    Answers to earlier copies of a message must not cause more copies.
+    """
+    log = state.log
+    deadline = state.context.clock() + RESEND_MS
+    while log is state.log and not state.ended.is_set():
+        left_ms = deadline - state.context.clock()
+        answered = log.waiting_number() != number
+        if left_ms <= 0 or (answered and log.synced_or_copying()):
+            return
+        await state.replication_acknowledged.wait(left_ms)
 
 
 def acknowledged(
--- a/packages/router/src/yuccadale_router/_internal/ownership/replication.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/replication.py
@@ -36,6 +36,7 @@
     """The leader's side: one message under way, the rest waits.
 
     Attributes:
+        unsettled: slots that wait for reports; sent with the row.
         queued: serial of the newest change that was queued.
         acknowledged: serial up to which the standby has everything.
         synced: whether a full copy was acknowledged and none is due.
@@ -52,6 +53,7 @@
         self._row_changed = False
         self._copying = False
         self._under_way: OutgoingBatch | None = None
+        self.unsettled: set[int] = set()
         self.queued = 0
         self.acknowledged = 0
         self.synced = False
@@ -99,6 +101,14 @@
             self.synced = True
             self._copying = False
 
+    def waiting_number(self) -> int | None:
+        """Returns the number of the message under way."""
+        return self._under_way.message.number if self._under_way else None
+
+    def synced_or_copying(self) -> bool:
+        """Says whether the standby accepted the newest message."""
+        return self.synced or self._copying
+
     def is_idle(self) -> bool:
         """Says whether the standby is known to have everything."""
         return self.synced and self.acknowledged == self.queued
@@ -133,6 +143,7 @@
             moves=self._moves if is_last else [],
             row_text=self._row_text if sends_row else '',
             row_committed=self._row_committed,
+            unsettled=sorted(self.unsettled) if sends_row else [],
         )
         if is_last:
             self._moves = []
@@ -148,6 +159,7 @@
     Attributes:
         in_sequence: whether every message since a full copy began arrived.
         row: the newest row of the leader, written or about to be.
+        unsettled: slots of the row whose owners the leader did not know.
         other_rows: earlier rows that the table may still hold; their
             successors bind as well.
     """
@@ -159,6 +171,7 @@
     in_sequence: bool = False
     row: GroupRow | None = None
     row_committed: bool = False
+    unsettled: frozenset[int] = frozenset()
     other_rows: list[GroupRow] = field(default_factory=list)
     moves: list[SlotMove] = field(default_factory=list)
     record_by_id: dict[str, tuple[RecordChange, float]] = field(
@@ -217,6 +230,7 @@
             self.other_rows.append(self.row)
         self.row = decode_row(message.row_text)
         self.row_committed = message.row_committed
+        self.unsettled = frozenset(message.unsettled)
         if message.row_committed:
             self.other_rows.clear()
 
--- a/packages/standins/src/yuccadale_standins/_internal/grant_rules.py
+++ b/packages/standins/src/yuccadale_standins/_internal/grant_rules.py
@@ -221,7 +221,7 @@
             holder=grant.holder,
             token=grant.token,
             sequence=grant.sequence,
-            slots=grant.slots,
+            slots=(*grant.slots, *grant.retained),
             live=self._is_live(),
             gap=grant.gap,
         )
