--- a/packages/bench/src/yuccadale_bench/_internal/command_line.py
+++ b/packages/bench/src/yuccadale_bench/_internal/command_line.py
@@ -26,6 +26,7 @@
         'failover': _module('failover'),
         'load': _module('load'),
         'path': _module('path'),
+        'placement-cost': _module('placement_cost'),
         'replay': _module('replay'),
         'silent-link': _module('silent_link'),
     }
