--- a/packages/bench/src/yuccadale_bench/_internal/callers.py
+++ b/packages/bench/src/yuccadale_bench/_internal/callers.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+import xxhash
 
-_CONNECT_ATTEMPTS = 20
+REPEATABLE_PREFIX = 'again'
 _PAUSE_S = 0.02
 _RETRY_LIMIT_S = 8.0
 _SERVER_ERROR = 500
@@ -107,7 +108,9 @@
         while time.monotonic() < self._ends_at:
             kind = self._random.choice(self._kinds)
             key = f'key-{self._random.randrange(2000)}'
-            await self._complete(session, kind, key, f'id-{next(self._ids)}')
+            prefix = REPEATABLE_PREFIX if kind.repeatable else 'once'
+            request_id = f'{prefix}-{next(self._ids)}'
+            await self._complete(session, kind, key, request_id)
             await asyncio.sleep(_PAUSE_S)
 
     async def _complete(
@@ -175,8 +178,14 @@
         if outcome == 'done' and answer.status < _SERVER_ERROR:
             self.report.answered += 1
             self.report.latencies_ms.append((time.monotonic() - sent) * 1000)
-            self.report.wrong += request_id.encode() not in body
+            self.report.wrong += not _answers(body, request_id)
         else:
             code = answer.headers.get('Yuccadale-Code', str(answer.status))
             self.report.refused_by_code[code] += 1
         return outcome
+
+
+def _answers(body: bytes, request_id: str) -> bool:
+    """Whether the echo is of this request: its body held the request id."""
+    echoed_hash = xxhash.xxh3_64_hexdigest(request_id.encode())
+    return echoed_hash.encode() in body
--- a/packages/bench/src/yuccadale_bench/_internal/command_line.py
+++ b/packages/bench/src/yuccadale_bench/_internal/command_line.py
@@ -22,11 +22,15 @@
 
 LOADER_BY_NAME: Mapping[str, Loader] = MappingProxyType(
     {
+        'capacity': _module('capacity'),
+        'configuration': _module('configuration'),
         'demo': _module('demo'),
+        'docs': _module('docs'),
         'failover': _module('failover'),
         'load': _module('load'),
         'path': _module('path'),
         'placement-cost': _module('placement_cost'),
+        'relay': _module('relay'),
         'replay': _module('replay'),
         'silent-link': _module('silent_link'),
     }
--- a/packages/core/src/yuccadale_core/_internal/targets_http.py
+++ b/packages/core/src/yuccadale_core/_internal/targets_http.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+import time
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 from types import MappingProxyType
 from typing import TypeVar
 from urllib.parse import quote
@@ -33,7 +35,11 @@
     TargetFailureKind,
     TargetRequest,
 )
-from yuccadale_core._internal.timing import SUSPICION_MS, seconds
+from yuccadale_core._internal.timing import (
+    LINK_SILENCE_MS,
+    milliseconds,
+    seconds,
+)
 
 REFUSED_HEADER = 'Yuccadale-Refused'
 HIGHEST_TOKEN_HEADER = 'Yuccadale-Highest-Token'
@@ -49,6 +55,9 @@
 # requests rarely meet a connection that the server is closing.
 _KEEP_ALIVE_S = 5.0
 _CONTROL_BODY_LIMIT_BYTES = 1 << 20
+# Two control calls fit into the time after which a server is suspected, so
+# that one dead connection alone raises no suspicion.
+_CONTROL_TIMEOUT_MS = 250
 _HOP_HEADERS = frozenset(
     (
         'connection',
@@ -100,8 +109,64 @@
     """The answer's length or content breaks the protocol."""
 
 
+class _Flight:
+    """A request whose answer is awaited.
+
+    Attributes:
+        check_at_ms: when the server is asked about it next.
+        found: its result when that was found out in another way.
+    """
+
+    def __init__(self, request_id: str, scope: asyncio.Timeout) -> None:
+        self.request_id = request_id
+        self.check_at_ms = _now_ms() + LINK_SILENCE_MS
+        self.found: Result[TargetAnswer, TargetFailure] | None = None
+        self._scope = scope
+
+    def end(self, found: Result[TargetAnswer, TargetFailure]) -> None:
+        """Ends the waiting for the answer with this result."""
+        if self.found is None:
+            self.found = found
+            self._scope.reschedule(asyncio.get_running_loop().time())
+
+
+class _Pool:
+    """Connections to one server that are trusted or suspected together.
+
+    Attributes:
+        most_calls: most calls at once; no more connections can be open,
+            because one is opened only when all others are in use.
+        calls: calls under way.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.session = single_attempt_session(
+            aiohttp.TCPConnector(limit=limit, keepalive_timeout=_KEEP_ALIVE_S)
+        )
+        self.most_calls = 0
+        self.calls = 0
+
+    @contextmanager
+    def calling(self) -> Iterator[aiohttp.ClientSession]:
+        """Counts a call while the block runs."""
+        self.calls += 1
+        self.most_calls = max(self.most_calls, self.calls)
+        try:
+            yield self.session
+        finally:
+            self.calls -= 1
+
+
 class HttpTarget:
-    """One server over HTTP/1.1; each call is sent at most once."""
+    """One server over HTTP/1.1; each call is sent at most once.
+
+    Open connections may stop delivering data while new ones work. After a
+    control call without an answer, all later calls use new connections; the
+    old ones stay until their calls end. A request that waits for
+    ``LINK_SILENCE_MS`` is asked for by its id: the server returns the answer
+    that it has given, says that the request runs, or says that it has not
+    seen it, and then the request ends as ``lost``.
+    """
 
     def __init__(
         self,
@@ -115,7 +180,11 @@
         self._connections = connections
         self._body_limit_bytes = body_limit_bytes
         self._control_timeout_ms = control_timeout_ms
-        self._session: aiohttp.ClientSession | None = None
+        self._pool: _Pool | None = None
+        self._suspect: _Pool | None = None
+        self._flights: set[_Flight] = set()
+        self._checking = False
+        self._closed = False
 
     async def hello(self) -> Result[GrantAnswer, TargetFailure]:
         """Asks for a ticket and the server's last grant."""
@@ -132,14 +201,7 @@
         self, request: TargetRequest
     ) -> Result[TargetAnswer, TargetFailure]:
         """Sends a request once and waits for its complete answer."""
-        called = await self._call(
-            request.method,
-            f'/run/{request.path.lstrip("/")}',
-            headers=_request_headers(request),
-            body=request.body,
-            timeout_ms=request.remaining_ms,
-            body_limit_bytes=self._body_limit_bytes,
-        )
+        called = await self._fly(request)
         if called.is_error():
             return called
         return _checked(request, called.ok)
@@ -165,14 +227,46 @@
 
     async def close(self) -> None:
         """Closes all connections; calls under way end as lost."""
-        session = self._session
-        if session is not None:
-            await session.close()
+        self._closed = True
+        for pool in (self._suspect, self._pool):
+            if pool is not None:
+                await pool.session.close()
+
+    async def _fly(
+        self, request: TargetRequest
+    ) -> Result[TargetAnswer, TargetFailure]:
+        flight = None
+        try:
+            async with asyncio.timeout(None) as scope:
+                flight = _Flight(request.request_id, scope)
+                self._flights.add(flight)
+                return await self._call(
+                    self._opened_pool(),
+                    Attempt(),
+                    request.method,
+                    f'/run/{request.path.lstrip("/")}',
+                    headers=_request_headers(request),
+                    body=request.body,
+                    timeout_ms=request.remaining_ms,
+                    body_limit_bytes=self._body_limit_bytes,
+                )
+        except TimeoutError:
+            # Only ``flight.end`` lets the scope run out.
+            if flight is None or flight.found is None:
+                raise
+            return flight.found
+        finally:
+            if flight is not None:
+                self._flights.discard(flight)
 
     async def _control(
         self, method: str, path: str, body: bytes = b''
     ) -> Result[TargetAnswer, TargetFailure]:
-        return await self._call(
+        pool = self._opened_pool()
+        attempt = Attempt()
+        called = await self._call(
+            pool,
+            attempt,
             method,
             path,
             headers={'Content-Type': 'application/json'},
@@ -180,9 +274,66 @@
             timeout_ms=self._control_timeout_ms,
             body_limit_bytes=_CONTROL_BODY_LIMIT_BYTES,
         )
+        if pool is self._pool:
+            if called.is_ok():
+                await self._close_idle_suspect()
+                await self._check_flights()
+            elif attempt.silent:
+                await self._replace_pool(pool)
+        return called
+
+    async def _check_flights(self) -> None:
+        """Asks the server about requests that have waited for long."""
+        if self._checking:
+            return
+        self._checking = True
+        try:
+            for flight in tuple(self._flights):
+                if flight.check_at_ms <= _now_ms():
+                    flight.check_at_ms = _now_ms() + LINK_SILENCE_MS
+                    await self._check(flight)
+        finally:
+            self._checking = False
+
+    async def _check(self, flight: _Flight) -> None:
+        asked = await self.outcome(flight.request_id)
+        if asked.is_error():
+            return
+        report = asked.ok
+        if report.outcome == ServerOutcome.done and report.answer is not None:
+            flight.end(Result.Ok(report.answer))
+        elif _has_not_seen(report):
+            flight.end(
+                Result.Error(
+                    TargetFailure(
+                        TargetFailureKind.lost,
+                        'the server has not seen the request',
+                    )
+                )
+            )
+
+    async def _close_idle_suspect(self) -> None:
+        suspect = self._suspect
+        if suspect is not None and not suspect.calls:
+            self._suspect = None
+            await suspect.session.close()
+
+    async def _replace_pool(self, pool: _Pool) -> None:
+        """Uses new connections from now on, within the declared number."""
+        self._pool = None
+        earlier = self._suspect
+        self._suspect = pool
+        if earlier is not None:
+            await earlier.session.close()
+        if pool.most_calls * 2 > self._connections:
+            # Too few would be left for new connections beside the old ones.
+            self._suspect = None
+            await pool.session.close()
 
     async def _call(
         self,
+        pool: _Pool,
+        attempt: Attempt,
         method: str,
         path: str,
         *,
@@ -191,45 +342,44 @@
         timeout_ms: float,
         body_limit_bytes: int,
     ) -> Result[TargetAnswer, TargetFailure]:
-        session = self._opened_session()
-        if timeout_ms <= 0 or session.closed:
+        if timeout_ms <= 0 or self._closed:
             return Result.Error(
                 TargetFailure(
                     TargetFailureKind.not_sent, 'no time left, or closed'
                 )
             )
-        attempt = Attempt()
         try:
-            async with session.request(
-                method,
-                yarl.URL(f'http://{self._server.address}{path}', encoded=True),
-                data=body or None,
-                headers=headers,
-                skip_auto_headers=_NO_AUTOMATIC_HEADERS,
-                timeout=aiohttp.ClientTimeout(total=seconds(timeout_ms)),
-                allow_redirects=False,
-                trace_request_ctx=attempt,
-            ) as response:
-                answer = await _complete_answer(response, body_limit_bytes)
+            with pool.calling() as session:
+                async with session.request(
+                    method,
+                    yarl.URL(
+                        f'http://{self._server.address}{path}', encoded=True
+                    ),
+                    data=body or None,
+                    headers=headers,
+                    skip_auto_headers=_NO_AUTOMATIC_HEADERS,
+                    timeout=aiohttp.ClientTimeout(total=seconds(timeout_ms)),
+                    allow_redirects=False,
+                    trace_request_ctx=attempt,
+                ) as response:
+                    answer = await _complete_answer(response, body_limit_bytes)
         except _CALL_ERRORS as error:
             return Result.Error(_failure(attempt, error))
         return Result.Ok(answer)
 
-    def _opened_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = single_attempt_session(
-                aiohttp.TCPConnector(
-                    limit=self._connections, keepalive_timeout=_KEEP_ALIVE_S
-                )
-            )
-        return self._session
+    def _opened_pool(self) -> _Pool:
+        if self._pool is None:
+            suspect = self._suspect
+            taken = 0 if suspect is None else suspect.most_calls
+            self._pool = _Pool(self._connections - taken)
+        return self._pool
 
 
 def target_factory(
     *,
     connections: int,
     body_limit_bytes: int,
-    control_timeout_ms: float = SUSPICION_MS,
+    control_timeout_ms: float = _CONTROL_TIMEOUT_MS,
 ) -> Callable[[ServerRef], HttpTarget]:
     """Returns a factory of targets for the servers of one service.
 
@@ -250,6 +400,18 @@
     return make_target
 
 
+def _now_ms() -> float:
+    return milliseconds(time.monotonic())
+
+
+def _has_not_seen(report: OutcomeAnswer) -> bool:
+    """Says whether a server that records ids knows nothing of this one."""
+    return (
+        report.outcome == ServerOutcome.not_offered
+        and report.remembered_ms is not None
+    )
+
+
 def _request_headers(request: TargetRequest) -> dict[str, str]:
     headers = {
         name: header
@@ -300,6 +462,9 @@
 
 def _failure(attempt: Attempt, error: Exception) -> TargetFailure:
     detail = str(error) or type(error).__name__
+    attempt.silent = attempt.connected and isinstance(
+        error, asyncio.TimeoutError
+    )
     if not attempt.connected:
         return TargetFailure(TargetFailureKind.not_sent, detail)
     if isinstance(error, _LOST_ERRORS):
--- a/packages/router/src/yuccadale_router/_internal/placement/pins.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/pins.py
@@ -37,7 +37,7 @@
         self._total += weight
 
     def note_slot(self, key: str, slot: int) -> int | None:
-        """Notes where a key was served; returns its former slot if it changed."""
+        """Notes where a key was served; returns the slot it had before."""
         known = self._slot_by_key.get(key)
         if known == slot:
             return None
