--- a/packages/bench/src/yuccadale_bench/_internal/command_line.py
+++ b/packages/bench/src/yuccadale_bench/_internal/command_line.py
@@ -32,7 +32,9 @@
         'placement-cost': _module('placement_cost'),
         'relay': _module('relay'),
         'replay': _module('replay'),
+        'replay-weights': _module('replay_weights'),
         'silent-link': _module('silent_link'),
+        'state-cost': _module('state_cost'),
     }
 )
 
--- a/packages/bench/src/yuccadale_bench/_internal/placement_cost.py
+++ b/packages/bench/src/yuccadale_bench/_internal/placement_cost.py
@@ -34,6 +34,7 @@
 _WARM_UP_S = 15
 _REPEATS = 5
 _REQUESTS = 50_000
+_KEYS = 20_000
 _MILLISECONDS = 1000.0
 
 
@@ -67,13 +68,24 @@
             self._now_ms += _MILLISECONDS
             self.placement.observe_busy(range(len(self.busy_ms)), self.busy_ms)
 
-    def observe_requests(self) -> None:
+    def samples(self) -> list[LoadSample]:
+        """Returns requests of keys that mostly do not fit in the sketch."""
         owners = self.assignment.owner_by_slot
-        for number in range(_REQUESTS):
-            slot = number % len(owners)
-            self.placement.observe(
-                LoadSample(slot, f'k{number}', owners[slot], 10, 0, False)
+        return [
+            LoadSample(
+                number % len(owners),
+                f'key{number % _KEYS}',
+                owners[number % len(owners)],
+                10,
+                0,
+                refused=False,
             )
+            for number in range(_REQUESTS)
+        ]
+
+    def observe_requests(self, samples: list[LoadSample]) -> None:
+        for sample in samples:
+            self.placement.observe(sample)
 
     def propose(self) -> int:
         return len(self.placement.propose(self.assignment, self.candidates))
@@ -106,7 +118,8 @@
     drain_ms = _median_ms(group.drain_one)
     successors_ms = _timed_ms(group.successors)
     state_bytes, peak_bytes = _memory(servers, slots, seed, group)
-    requests_ms = _timed_ms(group.observe_requests)
+    samples = group.samples()
+    requests_ms = _timed_ms(lambda: group.observe_requests(samples))
     return {
         'servers': servers,
         'slots': slots,
--- a/packages/router/src/yuccadale_router/_internal/placement/load.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/load.py
@@ -173,7 +173,8 @@
             self._started_ms = now
             self._tick_ms = now
         self._newest_ms = now
-        self._advance(now)
+        if now - self._tick_ms >= _TICK_MS:
+            self._advance(now)
 
     def _advance(self, now: float) -> None:
         """Folds what is pending into the rates once a tick."""
