--- a/packages/bench/src/yuccadale_bench/_internal/cluster.py
+++ b/packages/bench/src/yuccadale_bench/_internal/cluster.py
@@ -336,6 +336,11 @@
     for node in nodes:
         if node.kind == 'server':
             node.command += ['--port', _port(node.addresses['serve'])]
+            # A file keeps the records of a process that is killed.
+            node.command += [
+                '--records',
+                str(directory / f'{node.name}.records'),
+            ]
         elif node.kind == 'entry':
             settings = write_settings(directory, node, cluster.platform_url)
             node.command += ['-m', 'yuccadale_router', 'run', str(settings)]
@@ -365,7 +370,13 @@
     plan: ClusterPlan, directory: Path
 ) -> AsyncIterator[Cluster]:
     """Runs the platform, all servers and all entry instances."""
-    cluster = plan_cluster(plan, directory)
+    async with running_nodes(plan_cluster(plan, directory)) as cluster:
+        yield cluster
+
+
+@asynccontextmanager
+async def running_nodes(cluster: Cluster) -> AsyncIterator[Cluster]:
+    """Runs the processes of a planned cluster."""
     try:
         await start_nodes(cluster)
         yield cluster
--- a/packages/bench/src/yuccadale_bench/_internal/docs_codes.py
+++ b/packages/bench/src/yuccadale_bench/_internal/docs_codes.py
@@ -59,8 +59,13 @@
 
 
 def _counter_names(path: Path) -> Iterator[str]:
-    """Finds ``x.count('name')`` with dots in the name, f-strings as well."""
+    """Finds ``x.count('name')`` with dots in the name, f-strings as well.
+
+    A module named ``counter_names`` holds names as constants instead.
+    """
     for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
+        if path.stem == 'counter_names' and isinstance(node, ast.Assign):
+            yield _pattern(node.value)
         if isinstance(node, ast.Call) and _is_count(node):
             name = _pattern(node.args[0])
             if '.' in name:
@@ -78,7 +83,9 @@
 def _pattern(argument: ast.expr) -> str:
     if isinstance(argument, ast.JoinedStr):
         return ''.join(_pattern_part(part) for part in argument.values)
-    return str(getattr(argument, 'value', ''))
+    if isinstance(argument, ast.Constant):
+        return str(argument.value)
+    return ''
 
 
 def _pattern_part(part: ast.expr) -> str:
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
@@ -107,6 +107,8 @@
         self.end_reason = ''
         self.started_at = clock()
         self.standby_resigned = False
+        # Since when the platform's list lacks a server of the row.
+        self.gone_since: dict[str, float] = {}
         self.other_successors: dict[int, set[str]] = {}
         self.replication_wanted = asyncio.Event()
         self.replication_acknowledged = Signal()
@@ -137,6 +139,11 @@
         """Whether this is a takeover without the table."""
         return self.token % 2 == 1
 
+    @property
+    def standby(self) -> InstanceRef | None:
+        """The standby that promises; an odd leader is itself the row's."""
+        return None if self.is_odd else self.row.standby
+
     @property
     def checks_grants(self) -> bool:
         """Whether the group's servers check who sends to them."""
--- a/packages/router/src/yuccadale_router/_internal/ownership/recording.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/recording.py
@@ -18,12 +18,17 @@
 ACKNOWLEDGEMENT_LIMIT_MS = STANDBY_SILENCE_MS
 
 
+def always(row: GroupRow) -> bool:
+    """Says that a change must be in the table before it takes effect."""
+    return True
+
+
 async def record(
     state: LeaderState,
     change: Callable[[GroupRow], GroupRow],
     moves: list[SlotMove],
     *,
-    needs_table: bool,
+    needs_table: Callable[[GroupRow], bool],
 ) -> bool:
     """Records a change of the row; true once it may take effect.
 
@@ -35,16 +40,18 @@
         if not state.may_move() or state.standby_change_in_doubt():
             return False
         row = change(state.row)
+        standby_suffices = row.standby is not None and not needs_table(
+            state.row
+        )
         if not await _replicate_row(state, row, moves):
             return False
-        if not needs_table and state.context.table.is_down():
+        if standby_suffices and state.context.table.is_down():
             written_ok = False
         else:
             written = await state.write_row(row)
             if _is_conflict(written):
                 state.end('another instance wrote the row')
             written_ok = written.is_ok()
-        standby_suffices = not needs_table and row.standby is not None
         if not (written_ok or standby_suffices):
             return False
         _adopt(state, row, committed=written_ok)
@@ -54,7 +61,7 @@
 async def write_pending_row(state: LeaderState) -> bool:
     """Writes moves that only the standby has, once the table is back."""
     async with state.lock:
-        if not state.dirty or state.ended.is_set():
+        if not state.dirty or state.is_odd or state.ended.is_set():
             return True
         if state.standby_change_in_doubt() or state.version is None:
             return False
@@ -119,12 +126,13 @@
     """Writes the row of a takeover that was made while the table was down."""
     async with state.lock:
         state.version = version
+        state.highest_term = max(state.highest_term, row.term)
         written = await state.write_row(row)
         if written.is_ok():
             state.dirty = False
             state.take_row(row)
-        elif _is_conflict(written):
-            state.end('another instance wrote the row')
+        # A conflict may be an earlier write of the same takeover; the caller
+        # reads the row and decides.
         return written.is_ok()
 
 
@@ -144,7 +152,7 @@
     number once.
     """
     while not state.ended.is_set():
-        standby = state.row.standby
+        standby = state.standby
         message = None
         if standby is not None:
             message = state.log.next_message(state.dispatcher.export_records)
--- a/packages/router/src/yuccadale_router/_internal/placement/group.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/group.py
@@ -80,6 +80,11 @@
         """Adds what a sender observed about one request."""
         self._estimator.observe(sample)
         self._hot_keys.add(sample.key, sample.service_ms, self._clock())
+        former_slot = self._hot_keys.note_slot(sample.key, sample.slot)
+        if former_slot is not None:
+            rate = self._hot_keys.rate(sample.key)
+            self._estimator.transfer(former_slot, sample.slot, rate)
+            self._history.release(former_slot)
 
     def observe_busy(
         self, slots: Iterable[int], busy_ms: NDArray[np.float64]
@@ -158,7 +163,16 @@
         servers = sum(
             state == ServerState.live for state in self._state_by_name.values()
         )
-        return self._hot_keys.pins(servers, self._clock())
+        before = self._hot_keys.pinned()
+        now = self._clock()
+        pins = self._hot_keys.pins(servers, now)
+        for key in set(pins) - before:
+            slot = self._hot_keys.slot(key)
+            if slot is not None:
+                # Until the key is seen under its pin, the slot's figures
+                # still contain it.
+                self._history.rest(slot, now)
+        return pins
 
     def heaviest_keys(self, count: int) -> list[HotKey]:
         """Returns the heaviest keys, as sent to other instances."""
@@ -175,12 +189,8 @@
         if not load.any():
             load = np.ones(len(slots))
         names = [server.name for server in servers]
-        capacity = np.array(
-            [
-                server.capacity * self._ages.usable_share(server.name, now)
-                for server in servers
-            ]
-        )
+        capacity = np.array([server.capacity for server in servers])
+        ramp = np.array([self._ages.usable_share(name, now) for name in names])
         cold = np.array([self._ages.is_cold(name, now) for name in names])
         view = GroupView(
             slots,
@@ -189,6 +199,7 @@
             self._key_shares(slots),
             servers,
             capacity,
+            ramp,
             np.ones(len(servers)),
             cold,
         )
@@ -216,13 +227,7 @@
         if not draining:
             return []
         leaving = [owner in draining for owner in owner_by_slot.values()]
-        # A drained slot must go somewhere now: the price of a cold start
-        # counts against a new server, the ramp does not.
-        unramped = replace(
-            view,
-            capacity=np.array([server.capacity for server in view.servers]),
-        )
-        moves = place_homeless(unramped, prices, np.flatnonzero(leaving))
+        moves = place_homeless(view, prices, np.flatnonzero(leaving))
         for move in moves:
             view.owner[move.slot_index] = move.server_index
         return _as_proposals(moves, view, 'the owner is draining')
@@ -260,10 +265,19 @@
             for name, load in zip(names, relative, strict=True)
             if load > (stop if name in self._overloaded else start)
         }
-        if relative.min() < self._policy.idle_share:
+        if self._has_idle(view, relative):
             return relative > 1
         return np.array([name in self._overloaded for name in names])
 
+    def _has_idle(self, view: GroupView, relative: Floats) -> bool:
+        """Returns whether a warm server has much less load than it may take.
+
+        A replacement gets the slots of the server that it replaces within
+        this time; slots drawn earlier would be moved without need.
+        """
+        idle = relative < self._policy.idle_share * view.ramp
+        return bool((idle & ~view.cold).any())
+
 
 def _as_proposals(
     moves: Iterable[PlannedMove], view: GroupView, reason: str
--- a/packages/router/src/yuccadale_router/_internal/placement/view.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/view.py
@@ -27,7 +27,8 @@
     Attributes:
         load: busy milliseconds per second, by slot.
         key_share: share of all keys, by slot.
-        capacity: by server, ramped up while it is new.
+        capacity: by server.
+        ramp: share of the capacity that chosen moves may fill, by server.
         factor: correction of the observed load, by server.
         cold: whether a server has just started.
     """
@@ -38,6 +39,7 @@
     key_share: Floats
     servers: Sequence[Candidate]
     capacity: Floats
+    ramp: Floats
     factor: Floats
     cold: NDArray[np.bool_]
 
@@ -60,8 +62,13 @@
         return counted.astype(np.float64)
 
     def mean_load(self) -> float:
-        """Returns the load per unit of capacity; never 0."""
-        return max(float(self.load.sum() / self.capacity.sum()), 1e-9)
+        """Returns the load per unit of ramped capacity; never 0.
+
+        A new server lowers the mean by degrees, so that the others do not
+        count as overloaded at the moment it joins.
+        """
+        ramped = float((self.capacity * self.ramp).sum())
+        return max(float(self.load.sum()) / ramped, 1e-9)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/builders/simulated_loop.py
+++ b/tests/builders/simulated_loop.py
@@ -12,6 +12,7 @@
 
 _EPSILON_MS = 1e-6
 _UNWINDING_STEPS = 100
+_STEP_LIMIT = 50_000
 
 
 class _NoSelector:
@@ -67,6 +68,7 @@
         self.offset_ms = 1000.0 * (hash_number(name) % 1000)
         self.paused_until = 0
         self.alive = True
+        self.is_stepping = False
         self.pause_inside_ms = 0
         self.pause_next_reading_ms = 0
         self.loop = _SteppedLoop(lambda: self.local_ms() / 1000)
@@ -87,7 +89,7 @@
         product acts later than it believes.
         """
         reading = self.local_ms()
-        if self.pause_next_reading_ms:
+        if self.pause_next_reading_ms and self.is_stepping:
             self.pause_inside_ms += self.pause_next_reading_ms
             self.pause_next_reading_ms = 0
         return reading
@@ -104,7 +106,9 @@
 
     def step(self) -> None:
         """Runs what is due; a pause inside takes effect afterwards."""
+        self.is_stepping = True
         self.loop.step()
+        self.is_stepping = False
         if self.pause_inside_ms:
             self.paused_until = self.world.now_ms + self.pause_inside_ms
             self.pause_inside_ms = 0
@@ -150,9 +154,12 @@
     def run_until(self, moment_ms: float) -> None:
         """Runs everything up to the moment."""
         due_ms, process = self._next()
+        steps_at_start = self.step_count
         while due_ms is not None and due_ms <= moment_ms:
             self.now_ms = max(self.now_ms, due_ms)
             self.step_count += 1
+            if self.step_count - steps_at_start > _STEP_LIMIT:
+                raise AssertionError(f'no progress at {self.now_ms} ms')
             if process is None:
                 heapq.heappop(self._events)[2]()
             else:
