--- a/packages/client/src/yuccadale/_internal/commands/apply.py
+++ b/packages/client/src/yuccadale/_internal/commands/apply.py
@@ -84,9 +84,13 @@
         in_force = await fetch_in_force(instances)
         check_files(files, in_force.declaration_by_scope.values())
         self._check_lost(files, in_force)
-        committed = []
+        committed: list[dict[str, Any]] = []
         for local in files:
-            answer = await self._apply(instances, key, local, in_force)
+            try:
+                answer = await self._apply(instances, key, local, in_force)
+            except CommandFailure as failure:
+                failure.add_committed(committed)
+                raise
             if answer:
                 committed.append(answer)
         document: dict[str, Any] = {'committed': committed}
--- a/packages/client/src/yuccadale/_internal/failures.py
+++ b/packages/client/src/yuccadale/_internal/failures.py
@@ -41,6 +41,14 @@
         self.lines = lines
         self.document = document or {'error': lines[0]}
 
+    def add_committed(self, committed: list[dict[str, Any]]) -> None:
+        """Names the files of the same command that are committed."""
+        self.document = {**self.document, 'committed': committed}
+        self.lines.extend(
+            f'Committed before: {answer["scope"]} revision {answer["revision"]}'
+            for answer in committed
+        )
+
 
 def refused(address: str, problem: Mapping[str, Any]) -> CommandFailure:
     """Returns the failure for a problem document of an instance."""
--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -149,6 +149,21 @@
     assert not cluster.platform.rows_written
 
 
+async def test_failure_names_what_was_committed_before(
+    tmp_path: Path, cluster: Cluster, instance: OperatorInstance
+) -> None:
+    """Guards against an operator who cannot tell which files took effect."""
+    ledger = _write(tmp_path, 'ledger.ini', service_text())
+    places = _write(tmp_path, 'places.ini', places_text())
+    # The first submission needs a read and a write, and its hint as many.
+    cluster.platform.faults = [
+        Fault.none if number < 2 else Fault.unavailable for number in range(9)
+    ]
+    refused = await _apply(tmp_path, instance, ledger, places)
+    assert refused.status == exit_status.PLATFORM_DOWN
+    assert 'Committed before: service.ledger revision 1' in refused.errors
+
+
 async def test_outdated_base_names_the_winner(
     tmp_path: Path, instance: OperatorInstance
 ) -> None:
