--- a/packages/bench/src/yuccadale_bench/_internal/configuration.py
+++ b/packages/bench/src/yuccadale_bench/_internal/configuration.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 
@@ -52,6 +53,7 @@
         commit_by_submission: from the submission until its acknowledgement.
         restarted_s: from listening until an instance that was restarted had
             all that was acknowledged by then.
+        restarted_down_s: the same while the platform is down.
         healed_s: the same for the cut data centre, from the heal.
         missed: revisions that the cut data centre lacked at the heal.
     """
@@ -59,6 +61,7 @@
     worst_by_submission: list[float] = field(default_factory=list)
     commit_by_submission: list[float] = field(default_factory=list)
     restarted_s: float = 0
+    restarted_down_s: float = 0
     healed_s: float = 0
     missed: int = 0
 
@@ -92,6 +95,14 @@
         await cluster.stop_all()
 
 
+async def set_faults(
+    session: aiohttp.ClientSession, platform_url: str, faults: dict[str, Any]
+) -> None:
+    """Changes the faults of the platform stand-in."""
+    async with session.post(f'{platform_url}/faults', json=faults) as answer:
+        answer.raise_for_status()
+
+
 class _Partition:
     """Cuts one data centre off from the platform and from all peers.
 
@@ -126,10 +137,7 @@
     async def _set_cut(
         self, session: aiohttp.ClientSession, names: list[str]
     ) -> None:
-        async with session.post(
-            f'{self._platform_url}/faults', json={'cut': names}
-        ) as answer:
-            answer.raise_for_status()
+        await set_faults(session, self._platform_url, {'cut': names})
 
 
 class _Run:
@@ -170,6 +178,7 @@
             await asyncio.sleep(pause_s)
         await asyncio.gather(*self._faults)
         busy_after = await self._costs()
+        await self._restart_without_platform()
         lines = cost_lines(
             busy_before - idle_before, busy_after - busy_before, submissions
         )
@@ -216,6 +225,16 @@
         await self._cluster.start(_RESTARTED)
         self._figures.restarted_s = await self._catch_up([_RESTARTED])
 
+    async def _restart_without_platform(self) -> None:
+        """Only peers can tell the instance what is in force."""
+        url = self._cluster.platform_url
+        self._cluster.kill(_RESTARTED)
+        await self._cluster.wait_ended(_RESTARTED)
+        await set_faults(self._session, url, {'down': True})
+        await self._cluster.start(_RESTARTED)
+        self._figures.restarted_down_s = await self._catch_up([_RESTARTED])
+        await set_faults(self._session, url, {'down': False})
+
     async def _heal(self) -> None:
         self._figures.missed = await self._missed()
         await self._partition.end(self._session)
@@ -281,6 +300,10 @@
             f'{_RESTARTED} killed and restarted: has all'
             f' {figures.restarted_s:.3f} s after it listens'
         )
+        print(
+            f'the same while the platform is down:'
+            f' {figures.restarted_down_s:.3f} s'
+        )
         print(
             f'{_CUT_CENTRE} cut off and healed: has all'
             f' {figures.healed_s:.3f} s after the heal, at which it lacked'
