--- a/packages/router/src/yuccadale_router/_internal/network/peer_link.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_link.py
@@ -66,6 +66,7 @@
         self._newest_number = 0
         self._heartbeat_number = 0
         self._heartbeat_received = 0
+        self._echoed_number = 0
         self._oldest_unechoed_ms: float | None = None
 
     @property
@@ -133,7 +134,9 @@
             return
         self.leaving = message.leaving
         self._heartbeat_received = max(self._heartbeat_received, message.number)
-        if 0 < message.echo <= self._heartbeat_number:
+        # A peer that hears nothing any more repeats the last number it got.
+        if self._echoed_number < message.echo <= self._heartbeat_number:
+            self._echoed_number = message.echo
             self.echoed_ms = now
             self._oldest_unechoed_ms = (
                 None if message.echo == self._heartbeat_number else now
--- a/tests/builders/peers.py
+++ b/tests/builders/peers.py
@@ -41,7 +41,11 @@
 
 @asynccontextmanager
 async def running_links(
-    me: InstanceRef, keys: PeerKeys, *, message_limit: int = 1000
+    me: InstanceRef,
+    keys: PeerKeys,
+    *,
+    message_limit: int = 1000,
+    listen_address: str = '',
 ) -> AsyncIterator[PeerLinks]:
     """Runs the links of one instance until the block ends."""
     links = PeerLinks(
@@ -51,6 +55,7 @@
         counters=Counters(),
         clock=monotonic_ms,
         message_limit=message_limit,
+        listen_address=listen_address,
     )
     task = asyncio.create_task(links.run())
     try:
--- a/tests/router/network/test_peer_links.py
+++ b/tests/router/network/test_peer_links.py
@@ -11,6 +11,7 @@
     running_links,
     write_peer_keys,
 )
+from yuccadale_bench._internal.tcp_relay import running_relay
 from yuccadale_core.instances import InstanceRef
 from yuccadale_core.messages import Cancel, PeerMessage
 from yuccadale_core.timing import SUSPICION_MS
@@ -152,3 +153,27 @@
         await _until_all_heard(all_links)
         counts = [links.counters.snapshot() for links in all_links]
         assert not any('peer.reconnect.silent' in count for count in counts)
+
+
+async def test_connection_that_stops_delivering_is_replaced(
+    tmp_path: Path,
+) -> None:
+    """Guards against a peer's outdated echoes that hide a silent link."""
+    keys = write_peer_keys(tmp_path, 'secret')
+    east = instance('east-0', free_address())
+    west = instance('west-0', free_address())
+    west_listens = free_address()
+    async with (
+        running_relay(west.peer_address, west_listens) as relay,
+        running_links(east, keys) as sender,
+        running_links(west, keys, listen_address=west_listens) as receiver,
+    ):
+        sender.learn(west)
+        await _until_heard(sender, 'west-0')
+        await _until_heard(receiver, 'east-0')
+        received = await _receive_one(receiver)
+        assert relay.silence_open()
+        async with asyncio.timeout(_PATIENCE_S):
+            while not received.done():
+                sender.send('west-0', Cancel(8))
+                await asyncio.sleep(0.05)
