Repair missed leaderships by digest and open links on demand

Cause: news of a new leader was sent for two seconds only, so that a data centre that was cut off longer kept the earlier one; and the directory opened a link to every listed instance, 17,000 at the design size. Change: heartbeats carry a digest of the known leaderships, and a peer with another digest sends what it knows, at most once a second. Links stay open to 32 instances of the own data centre and 8 others, and are opened on demand to leaders. The new test times out without the repair.

--- a/packages/core/src/yuccadale_core/_internal/messages.py
+++ b/packages/core/src/yuccadale_core/_internal/messages.py
@@ -28,6 +28,9 @@
         leaving: whether the sender is shutting down.
         configuration_age_ms: time since the revisions were known to be the
             newest in the table; negative when that was never known.
+        wants_answer: asks a peer that sends no heartbeats by itself for one.
+        leadership_digest: digest of all leaderships that the sender knows; a
+            peer with another one sends all that it knows.
     """
 
     number: int
@@ -38,6 +41,7 @@
     leaving: bool = False
     configuration_age_ms: float = -1
     wants_answer: bool = False
+    leadership_digest: int = 0
 
 
 class PromiseRequest(PeerMessage, frozen=True, tag=2):
--- a/packages/router/src/yuccadale_router/_internal/contracts.py
+++ b/packages/router/src/yuccadale_router/_internal/contracts.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 from typing import Protocol
 
+import xxhash
 from expression import Result
 
 from yuccadale_core.instances import (
@@ -254,14 +255,31 @@
 
     def __init__(self) -> None:
         self._leadership_by_group: dict[GroupId, Leadership] = {}
+        self._reference_by_name: dict[str, InstanceRef] = {}
         self._listeners: list[Callable[[Leadership], None]] = []
+        self._digest = 0
+
+    @property
+    def digest(self) -> int:
+        """Equal for two instances that know the same leaderships.
+
+        The digests of the entries are combined by exclusive or, so that a
+        change costs the same however many groups there are.
+        """
+        return self._digest
 
     def learn(self, leadership: Leadership) -> bool:
         """Takes a leadership if its token is higher; says whether it was."""
         known = self._leadership_by_group.get(leadership.group)
         if known is not None and known.token >= leadership.token:
             return False
+        if known is not None:
+            self._digest ^= _leadership_digest(known)
+        self._digest ^= _leadership_digest(leadership)
         self._leadership_by_group[leadership.group] = leadership
+        for instance in (leadership.leader, leadership.standby):
+            if instance is not None:
+                self._reference_by_name[instance.name] = instance
         for listener in self._listeners:
             listener(leadership)
         return True
@@ -270,6 +288,10 @@
         """Returns the newest leadership known for the group."""
         return self._leadership_by_group.get(group)
 
+    def reference(self, instance_name: str) -> InstanceRef | None:
+        """Returns the reference to an instance that a leadership named."""
+        return self._reference_by_name.get(instance_name)
+
     def by_group(self) -> Mapping[GroupId, Leadership]:
         """Returns all known leaderships."""
         return self._leadership_by_group
@@ -277,3 +299,9 @@
     def listen(self, listener: Callable[[Leadership], None]) -> None:
         """Calls the listener at each change."""
         self._listeners.append(listener)
+
+
+def _leadership_digest(leadership: Leadership) -> int:
+    return xxhash.xxh3_64_intdigest(
+        f'{leadership.group}#{leadership.token}'.encode()
+    )
--- a/packages/router/src/yuccadale_router/_internal/network/peer_link.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_link.py
@@ -21,6 +21,7 @@
 from yuccadale_router._internal.network.peer_outbox import PeerOutbox
 from yuccadale_router._internal.network.peer_transport import open_dialer
 
+_NEVER_MS = -float('inf')
 # A numbered batch that arrives this much after newer ones is a late duplicate.
 _NUMBER_WINDOW = 1024
 
@@ -35,6 +36,7 @@
         echoed_ms: when the peer last acknowledged a new heartbeat.
         leaving: whether the peer said that it is shutting down.
         asked_ms: when a heartbeat was last sent that wants an answer.
+        repaired_ms: when the peer was last sent all leaderships.
         used_ms: when work was last sent to or received from the peer.
     """
 
@@ -50,10 +52,11 @@
     ) -> None:
         self.ref = ref
         self.opened_ms = clock()
-        self.heard_ms = -float('inf')
-        self.echoed_ms = -float('inf')
-        self.used_ms = -float('inf')
-        self.asked_ms = -float('inf')
+        self.heard_ms = _NEVER_MS
+        self.echoed_ms = _NEVER_MS
+        self.used_ms = _NEVER_MS
+        self.asked_ms = _NEVER_MS
+        self.repaired_ms = _NEVER_MS
         self.leaving = False
         self._me = me
         self._keys = keys
--- a/packages/router/src/yuccadale_router/_internal/network/peer_links.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -41,6 +41,8 @@
 _RECENT_USE_MS = 5000
 # A change of leadership rides on heartbeats for this long.
 _NEWS_MS = 2000
+# News and their spread differ for a while; repair waits for them in between.
+_REPAIR_INTERVAL_MS = 1000
 # A new peer hears of this many others; it learns the rest from them.
 _INTRODUCTIONS = 32
 # A peer that stays silent this long is forgotten; the list brings it back.
@@ -81,7 +83,7 @@
 
     def send(self, peer_name: str, message: AnyMessage) -> bool:
         """Queues a message for a peer; see ``Peers``."""
-        link = self._link_by_name.get(peer_name)
+        link = self._link(peer_name)
         if link is None:
             return False
         link.used_ms = self._clock()
@@ -98,7 +100,7 @@
 
         Asking starts heartbeats with a peer that exchanges none so far.
         """
-        link = self._link_by_name.get(peer_name)
+        link = self._link(peer_name)
         if link is None:
             return float('inf')
         now = self._clock()
@@ -165,6 +167,19 @@
             for task in self._task_by_name.values():
                 task.cancel()
 
+    def _link(self, peer_name: str) -> PeerLink | None:
+        """Returns a link; opens one to an instance that leads a group.
+
+        Most instances exchange nothing, so that only few links are open.
+        """
+        link = self._link_by_name.get(peer_name)
+        if link is None:
+            reference = self._leaderships.reference(peer_name)
+            if reference is not None:
+                self.learn(reference)
+                link = self._link_by_name.get(peer_name)
+        return link
+
     async def _receive_loop(self, listener: pynng.Pull0) -> None:
         while True:
             sealed = await listener.arecv()
@@ -181,6 +196,9 @@
             self._receive_batch(batch)
 
     def _receive_batch(self, batch: Batch) -> None:
+        if batch.sender == self.me.name:
+            self.counters.count('peer.rejected.same_name')
+            return
         if batch.receiver not in {self.me.name, ''}:
             self.counters.count('peer.rejected.receiver')
             return
@@ -246,8 +264,16 @@
     def _take_heartbeat(self, link: PeerLink, heartbeat: Heartbeat) -> None:
         for leadership in heartbeat.leaderships:
             self._leaderships.learn(leadership)
-        if heartbeat.wants_answer and link not in self._heartbeat_set():
-            link.send(link.next_heartbeat(self._heartbeat(whole=False)))
+        repair = (
+            heartbeat.leadership_digest != self._leaderships.digest
+            and self._clock() - link.repaired_ms > _REPAIR_INTERVAL_MS
+        )
+        if repair:
+            link.repaired_ms = self._clock()
+        if repair or (
+            heartbeat.wants_answer and link not in self._heartbeat_set()
+        ):
+            link.send(link.next_heartbeat(self._heartbeat(whole=repair)))
 
     def _note_news(self, leadership: Leadership) -> None:
         now = self._clock()
@@ -292,12 +318,16 @@
             leaderships=leaderships,
             leaving=self.leaving,
             wants_answer=wants_answer,
+            leadership_digest=self._leaderships.digest,
             configuration_age_ms=self.configuration_age_ms(),
         )
 
     def _heartbeat_set(self) -> list[PeerLink]:
         now = self._clock()
-        ranked = sorted(self._link_by_name.values(), key=self._hash_rank)
+        ranked = sorted(
+            self._link_by_name.values(),
+            key=lambda link: pair_rank(self.me.name, link.ref.name),
+        )
         near = [
             link
             for link in ranked
@@ -315,10 +345,6 @@
         ]
         return near + far + in_use
 
-    def _hash_rank(self, link: PeerLink) -> int:
-        pair = f'{self.me.name}/{link.ref.name}'
-        return xxhash.xxh3_64_intdigest(pair.encode())
-
     def _forget_dead(self) -> None:
         now = self._clock()
         for name, link in list(self._link_by_name.items()):
@@ -326,3 +352,8 @@
                 self._link_by_name.pop(name)
                 self._task_by_name.pop(name).cancel()
                 _log.info('forgot silent peer', peer=name)
+
+
+def pair_rank(name: str, peer_name: str) -> int:
+    """Orders peers differently for each instance."""
+    return xxhash.xxh3_64_intdigest(f'{name}/{peer_name}'.encode())
--- a/packages/router/src/yuccadale_router/_internal/peer_directory.py
+++ b/packages/router/src/yuccadale_router/_internal/peer_directory.py
@@ -9,13 +9,17 @@
 from yuccadale_core.instances import InstanceRef
 from yuccadale_core.platform import InstanceList, ListedInstance
 
-from yuccadale_router._internal.network.peer_links import PeerLinks
+from yuccadale_router._internal.network.peer_links import PeerLinks, pair_rank
 
 _log = structlog.get_logger()
 _READ_INTERVAL_S = 5.0
 # Spreads the readers after an outage of the platform.
 _JITTER_SHARE = 0.5
 _RETRY_INTERVAL_S = 1.0
+# Links to this many instances of the own data centre and of others stay open;
+# at 17,000 instances a link to each would cost each more than all its work.
+_NEAR_LINKS = 32
+_FAR_LINKS = 8
 
 
 def listed_reference(listed: ListedInstance) -> InstanceRef:
@@ -62,7 +66,19 @@
     if fetched.is_error():
         counters.count('platform.list_failed')
         return _RETRY_INTERVAL_S
-    for listed in fetched.ok:
-        if listed.kind == 'entry' and listed.state == 'live':
-            links.learn(listed_reference(listed))
+    for reference in _chosen(fetched.ok, links.me):
+        links.learn(reference)
     return _READ_INTERVAL_S
+
+
+def _chosen(listed: list[ListedInstance], me: InstanceRef) -> list[InstanceRef]:
+    """Chooses the peers to open links to before any work needs them."""
+    live = [
+        listed_reference(instance)
+        for instance in listed
+        if instance.kind == 'entry' and instance.state == 'live'
+    ]
+    live.sort(key=lambda reference: pair_rank(me.name, reference.name))
+    near = [one for one in live if one.data_centre == me.data_centre]
+    far = [one for one in live if one.data_centre != me.data_centre]
+    return near[:_NEAR_LINKS] + far[:_FAR_LINKS]
--- a/tests/builders/peers.py
+++ b/tests/builders/peers.py
@@ -44,6 +44,7 @@
     me: InstanceRef,
     keys: PeerKeys,
     *,
+    leaderships: LeadershipTable | None = None,
     message_limit: int = 1000,
     listen_address: str = '',
 ) -> AsyncIterator[PeerLinks]:
@@ -51,7 +52,7 @@
     links = PeerLinks(
         me,
         keys=keys,
-        leaderships=LeadershipTable(),
+        leaderships=leaderships or LeadershipTable(),
         counters=Counters(),
         clock=monotonic_ms,
         message_limit=message_limit,
--- a/tests/router/network/test_peer_links.py
+++ b/tests/router/network/test_peer_links.py
@@ -12,9 +12,10 @@
     write_peer_keys,
 )
 from yuccadale_bench._internal.tcp_relay import running_relay
-from yuccadale_core.instances import InstanceRef
+from yuccadale_core.instances import GroupId, InstanceRef, Leadership
 from yuccadale_core.messages import Cancel, PeerMessage
 from yuccadale_core.timing import SUSPICION_MS
+from yuccadale_router._internal.contracts import LeadershipTable
 from yuccadale_router._internal.network.peer_links import PeerLinks
 
 _PATIENCE_S = 20
@@ -177,3 +178,30 @@
             while not received.done():
                 sender.send('west-0', Cancel(8))
                 await asyncio.sleep(0.05)
+
+
+async def test_missed_leadership_is_repaired(tmp_path: Path) -> None:
+    """Guards against an instance that keeps a stale leader after a partition.
+
+    News of a change is sent for two seconds only. Here the first heartbeats
+    are lost because the receiver does not listen yet.
+    """
+    keys = write_peer_keys(tmp_path, 'secret')
+    east = instance('east-0', free_address())
+    west = instance('west-0', free_address())
+    group = GroupId('ledger', 'east', 0)
+    known = LeadershipTable()
+    known.learn(Leadership(group, token=4, leader=east, standby=None))
+    async with running_links(east, keys, leaderships=known) as sender:
+        sender.learn(west)
+        async with asyncio.timeout(_PATIENCE_S):
+            while not sender.counters.snapshot().get('peer.dropped'):
+                await asyncio.sleep(0.05)
+        learned = LeadershipTable()
+        async with running_links(west, keys, leaderships=learned):
+            async with asyncio.timeout(_PATIENCE_S):
+                while learned.leadership(group) is None:
+                    await asyncio.sleep(0.05)
+    leadership = learned.leadership(group)
+    assert leadership is not None
+    assert leadership.token == 4
