--- a/packages/router/src/yuccadale_router/_internal/daemon.py
+++ b/packages/router/src/yuccadale_router/_internal/daemon.py
@@ -159,6 +159,7 @@
         declaration_changed,
         operator_keys=operator_keys,
     )
+    links.link_replaced = entry.link_replaced
     links.revision_by_scope = configuration.revision_by_scope
     links.configuration_age_ms = configuration.confirmed_age_ms
     return Parts(
--- a/packages/router/src/yuccadale_router/_internal/network/peer_link.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_link.py
@@ -1,6 +1,7 @@
 """The link to one peer: one task that connects, sends and notices silence."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 import pynng
@@ -47,6 +48,7 @@
         counters: Counters,
         clock: Clock,
         message_limit: int,
+        replaced: Callable[[str], None],
     ) -> None:
         self.ref = ref
         self.opened_ms = clock()
@@ -60,6 +62,7 @@
         self._counters = counters
         self._clock = clock
         self._outbox = PeerOutbox(message_limit)
+        self._replaced = replaced
         self._batch_number = 0
         self._seen_numbers: set[int] = set()
         self._retired_incarnations: set[str] = set()
@@ -156,6 +159,7 @@
             dropped = self._outbox.clear()
             if dropped:
                 self._counters.count('peer.dropped', dropped)
+            self._replaced(self.ref.name)
 
     async def _send_until_silent(self) -> str:
         address = self.ref.peer_address
--- a/packages/router/src/yuccadale_router/_internal/network/peer_links.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -76,6 +76,8 @@
         self._news: list[tuple[float, Leadership]] = []
         self.leaving = False
         self.revision_by_scope: Callable[[], dict[str, int]] = dict
+        # Called with a peer's name when messages to it may have been lost.
+        self.link_replaced: Callable[[str], None] | None = None
         self.configuration_age_ms: Callable[[], float] = lambda: -1
         leaderships.listen(self._note_news)
 
@@ -138,6 +140,7 @@
             counters=self.counters,
             clock=self._clock,
             message_limit=self.message_limit,
+            replaced=self._tell_replaced,
         )
         self._link_by_name[ref.name] = link
         self._task_by_name[ref.name] = asyncio.create_task(
@@ -221,6 +224,10 @@
         link.send(PeersTell(self._introductions()))
         return link
 
+    def _tell_replaced(self, peer_name: str) -> None:
+        if self.link_replaced is not None:
+            self.link_replaced(peer_name)
+
     def _introductions(self) -> list[InstanceRef]:
         return [
             link.ref
--- a/packages/router/src/yuccadale_router/_internal/requests/entry.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/entry.py
@@ -137,6 +137,10 @@
         self._report_drained()
         await drained
 
+    def link_replaced(self, peer_name: str) -> None:
+        """Sends again, where it is allowed, what the old link may have lost."""
+        self._forwarder.link_replaced(peer_name)
+
     def _report_drained(self) -> None:
         if not self._draining or self._open:
             return
--- a/packages/router/src/yuccadale_router/_internal/requests/forwarding.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/forwarding.py
@@ -143,6 +143,12 @@
             if replaced and silent_ms > STANDBY_SILENCE_MS:
                 self._lose(pending)
 
+    def link_replaced(self, leader_name: str) -> None:
+        """Gives up forwards that may have been lost with the old link."""
+        for pending in list(self._pending_by_id.values()):
+            if pending.leader.name == leader_name:
+                self._lose(pending)
+
     def _open(
         self, leader: InstanceRef, errand: Errand, forward_id: int
     ) -> _Pending:
--- a/tests/router/network/test_peer_links.py
+++ b/tests/router/network/test_peer_links.py
@@ -168,6 +168,8 @@
         running_links(east, keys) as sender,
         running_links(west, keys, listen_address=west_listens) as receiver,
     ):
+        replaced: list[str] = []
+        sender.link_replaced = replaced.append
         sender.learn(west)
         await _until_heard(sender, 'west-0')
         await _until_heard(receiver, 'east-0')
@@ -177,3 +179,4 @@
             while not received.done():
                 sender.send('west-0', Cancel(8))
                 await asyncio.sleep(0.05)
+        assert replaced == ['west-0']
--- a/tests/router/requests/test_end_to_end.py
+++ b/tests/router/requests/test_end_to_end.py
@@ -96,3 +96,25 @@
         assert not any(s.runs for s in world.server_by_name.values())
 
     run_virtual(scenario())
+
+
+def test_repeatable_work_survives_a_replaced_link() -> None:
+    """Guards against requests lost on a link that delivered nothing."""
+
+    async def scenario() -> None:
+        world = World()
+        entry, leader = world.node('a'), world.node('b')
+        leader.lead(2, tell=[entry])
+        world.cut_ms_by_link[('a', 'b')] = 0
+        lost = [
+            asyncio.create_task(entry.ask(request))
+            for request in (calendar('stage-7'), deposit('id-1'))
+        ]
+        await asyncio.sleep(0.05)
+        world.mend('a', 'b')
+        entry.entry.link_replaced('b')
+        repeatable, once = await asyncio.gather(*lost)
+        assert repeatable.body == b'stage-7'
+        assert once.refusal.code == ResultCode.link_lost
+
+    run_virtual(scenario())
