--- a/packages/bench/src/yuccadale_bench/_internal/command_line.py
+++ b/packages/bench/src/yuccadale_bench/_internal/command_line.py
@@ -32,6 +32,7 @@
         'placement-cost': _module('placement_cost'),
         'relay': _module('relay'),
         'replay': _module('replay'),
+        'shares': _module('shares'),
         'silent-link': _module('silent_link'),
     }
 )
