--- a/packages/bench/src/yuccadale_bench/_internal/command_line.py
+++ b/packages/bench/src/yuccadale_bench/_internal/command_line.py
@@ -33,6 +33,7 @@
         'relay': _module('relay'),
         'replay': _module('replay'),
         'replay-weights': _module('replay_weights'),
+        'shares': _module('shares'),
         'silent-link': _module('silent_link'),
         'state-cost': _module('state_cost'),
     }
--- a/tests/builders/peers.py
+++ b/tests/builders/peers.py
@@ -41,16 +41,22 @@
 
 @asynccontextmanager
 async def running_links(
-    me: InstanceRef, keys: PeerKeys, *, message_limit: int = 1000
+    me: InstanceRef,
+    keys: PeerKeys,
+    *,
+    leaderships: LeadershipTable | None = None,
+    message_limit: int = 1000,
+    listen_address: str = '',
 ) -> AsyncIterator[PeerLinks]:
     """Runs the links of one instance until the block ends."""
     links = PeerLinks(
         me,
         keys=keys,
-        leaderships=LeadershipTable(),
+        leaderships=leaderships or LeadershipTable(),
         counters=Counters(),
         clock=monotonic_ms,
         message_limit=message_limit,
+        listen_address=listen_address,
     )
     task = asyncio.create_task(links.run())
     try:
