--- a/packages/bench/src/yuccadale_bench/_internal/docs_declarations.py
+++ b/packages/bench/src/yuccadale_bench/_internal/docs_declarations.py
@@ -27,6 +27,9 @@
 - Names are 1 to 40 of `a-z 0-9 -` and start with a letter or digit.
 - A service is declared before `places` and `intent` may name it; `apply`
   submits files in that order.
+- `apply` replaces the revision that is in force when it starts. `--base N`
+  names the revision that the file was made from; then a colleague's revision
+  in between refuses the submission instead of being overwritten.
 - Fixed once in force: the customer, the slot count of a service and the
   region of a data centre.
 - `state = lost` and `[lost_instances]` assert that the processes are stopped.
