--- a/packages/router/src/yuccadale_router/_internal/requests/entry.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/entry.py
@@ -122,6 +122,10 @@
         self._open += 1
         try:
             answer = await self._attempts(looked_up.ok)
+        except asyncio.CancelledError:
+            gone = counter_names.REFUSAL_BY_CODE[ResultCode.caller_gone]
+            self._counters.count(gone)
+            raise
         finally:
             self._open -= 1
             self._report_drained()
--- a/packages/router/src/yuccadale_router/_internal/requests/flights.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/flights.py
@@ -36,13 +36,14 @@
     """All requests at the servers of a group, by slot."""
 
     def __init__(self) -> None:
-        self._flights_by_slot: dict[int, set[Flight]] = {}
+        # Inner dictionaries are sets that keep the order of writing.
+        self._flights_by_slot: dict[int, dict[Flight, None]] = {}
         self._idle_by_slot: dict[int, list[_Idle]] = {}
 
     def start(self, slot: int, server_name: str, deadline_ms: float) -> Flight:
         """Adds a request that is about to be written."""
         flight = Flight(slot, server_name, deadline_ms)
-        self._flights_by_slot.setdefault(slot, set()).add(flight)
+        self._flights_by_slot.setdefault(slot, {})[flight] = None
         return flight
 
     def end(self, flight: Flight) -> None:
@@ -50,7 +51,7 @@
         flights = self._flights_by_slot.get(flight.slot)
         if flights is None:
             return
-        flights.discard(flight)
+        flights.pop(flight, None)
         if flights:
             return
         self._flights_by_slot.pop(flight.slot)
--- a/packages/router/src/yuccadale_router/_internal/requests/keyed_waits.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/keyed_waits.py
@@ -23,7 +23,8 @@
         self._clock = clock
         self._ready = ready
         self._held: set[_Key] = set()
-        self._waits_by_key: dict[_Key, set[_Wait]] = {}
+        # Inner dictionaries are sets that keep the order of arrival.
+        self._waits_by_key: dict[_Key, dict[_Wait, None]] = {}
         self._ticker: asyncio.TimerHandle | None = None
 
     def hold(self, key: _Key) -> None:
@@ -46,7 +47,7 @@
             return
         loop = asyncio.get_running_loop()
         woken: _Wait = loop.create_future()
-        self._waits_by_key.setdefault(key, set()).add(woken)
+        self._waits_by_key.setdefault(key, {})[woken] = None
         self.count += 1
         timer = loop.call_later(seconds(left_ms), _finish, woken)
         if self._ticker is None:
@@ -62,7 +63,7 @@
         waits = self._waits_by_key.get(key)
         if waits is None:
             return
-        waits.discard(woken)
+        waits.pop(woken, None)
         if not waits:
             self._waits_by_key.pop(key)
 
--- a/packages/router/src/yuccadale_router/_internal/requests/once.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/once.py
@@ -223,15 +223,19 @@
         self, job: Job, record: Record, answer: DispatchAnswer
     ) -> DispatchAnswer:
         """Asks the server at once when the connection to it was lost."""
-        while record.state == RecordState.unknown:
+        while (
+            record.state == RecordState.unknown
+            and self.records.find(record.record_id) is record
+        ):
             asked = await self._answer_from(job, record)
             if asked is not None:
                 return answer
-        if answer.refusal is None or record.state == RecordState.started:
+        refusal = answer.refusal
+        if refusal is None or refusal.outcome == Outcome.not_run:
             return answer
         if record.state == RecordState.done and record.answer is not None:
             return _replayed(record.answer, self._parts.where)
-        if answer.refusal.outcome == Outcome.unknown:
+        if record.state == RecordState.not_run:
             return self._refused(
                 ResultCode.server_unreachable,
                 'The connection was lost; the server did not run the work.',
--- a/packages/router/src/yuccadale_router/_internal/requests/outcomes.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/outcomes.py
@@ -93,9 +93,9 @@
             if report.answer is None:
                 return Finding.unknown
             records.finish(record, report.answer)
-        elif report.outcome == ServerOutcome.not_run or (
-            fenced and self._remembered_since(record, report)
-        ):
+        elif fenced and self._remembered_since(record, report):
+            # Without the fence, "not run" may be about an earlier copy of
+            # the id that was refused, while a later copy still waits unread.
             records.drop(record)
         else:
             return Finding.unknown
@@ -105,7 +105,7 @@
     def _remembered_since(self, record: Record, report: OutcomeAnswer) -> bool:
         """Says whether the server's memory reaches back to the record.
 
-        A server that was restarted has never heard of an id that it ran.
+        A server that was restarted does not know what it ran before.
         """
         if report.remembered_ms is None:
             return False
--- a/tests/builders/fake_servers.py
+++ b/tests/builders/fake_servers.py
@@ -23,7 +23,10 @@
     Attributes:
         failures: what the next requests meet, in order; ``lost`` and
             ``malformed`` are met after the work ran.
-        runs: how often the work of each id took effect.
+        late_ms: time for which the next requests wait unread, while their
+            connections are lost at once.
+        runs: how often each work took effect, by its body or else its id.
+        gap: whether the grant in force says that records may be missing.
         slots: slots of its grant, None for all.
     """
 
@@ -31,6 +34,8 @@
         self.name = name
         self.delay_ms = 1.0
         self.failures: deque[TargetFailureKind] = deque()
+        self.late_ms: deque[float] = deque()
+        self.gap = False
         self.runs: Counter[str] = Counter()
         self.running = 0
         self.most_running = 0
@@ -55,9 +60,12 @@
             return _failed(failure)
         if not request.permitted():
             return _failed(TargetFailureKind.not_sent)
-        work = asyncio.create_task(self._serve(request))
+        late_ms = self.late_ms.popleft() if self.late_ms else 0
+        work = asyncio.create_task(self._serve(request, late_ms))
         self._work.add(work)
         work.add_done_callback(self._work.discard)
+        if late_ms:
+            return _failed(TargetFailureKind.lost)
         answer = await asyncio.shield(work)
         if failure is not None and answer.is_ok():
             return _failed(failure)
@@ -66,7 +74,8 @@
     async def cancel(self, request_id: str) -> None:
         """Gives up work that did not take effect yet."""
         await self.thawed.wait()
-        self.cancelled.add(request_id)
+        if request_id in self._outcome_by_id:
+            self.cancelled.add(request_id)
 
     async def outcome(
         self, request_id: str
@@ -81,8 +90,9 @@
         return Result.Ok(self._outcome_by_id.get(request_id, unheard))
 
     async def _serve(
-        self, request: TargetRequest
+        self, request: TargetRequest, late_ms: float
     ) -> Result[TargetAnswer, TargetFailure]:
+        await asyncio.sleep(late_ms / 1000)
         await self.thawed.wait()
         request_id = request.request_id
         if self._refuses(request):
@@ -96,8 +106,9 @@
         self.running -= 1
         if self._refuses(request) or virtual_ms() > deadline_ms:
             return self._refused(request)
-        self.runs[request_id] += 1
-        answer = TargetAnswer(200, {'server': self.name}, request.key.encode())
+        self.runs[request.body.decode() or request_id] += 1
+        body = request.body or request.key.encode()
+        answer = TargetAnswer(200, {'server': self.name}, body)
         self._outcome_by_id[request_id] = OutcomeAnswer(
             ServerOutcome.done, answer
         )
@@ -112,7 +123,8 @@
     def _refused(
         self, request: TargetRequest
     ) -> Result[TargetAnswer, TargetFailure]:
-        if not self.runs[request.request_id]:
+        known = self._outcome_by_id.get(request.request_id)
+        if known is None or known.outcome != ServerOutcome.done:
             self._outcome_by_id[request.request_id] = OutcomeAnswer(
                 ServerOutcome.not_run
             )
--- a/tests/builders/request_world.py
+++ b/tests/builders/request_world.py
@@ -38,7 +38,7 @@
 GROUP = GroupId('ledger', 'lodz-a', 0)
 SLOT_COUNT = 8
 LINK_MS = 1.0
-_Way = deque[tuple[InstanceRef, PeerMessage]]
+_Way = deque[tuple[MessageHandler, InstanceRef, PeerMessage]]
 
 
 def make_service(**changes: Any) -> Service:
@@ -69,9 +69,13 @@
     )
 
 
-def make_instance(name: str, data_centre: str = 'lodz-a') -> InstanceRef:
+def make_instance(
+    name: str, data_centre: str = 'lodz-a', incarnation: str = ''
+) -> InstanceRef:
     """Returns a reference; its incarnation is made from the name."""
-    return InstanceRef(name, f'{name}-1', data_centre, 'rack', 'peer')
+    return InstanceRef(
+        name, incarnation or f'{name}-1', data_centre, 'rack', 'peer'
+    )
 
 
 def deposit(
@@ -259,9 +263,10 @@
     ) -> None:
         """Hands a message over after a delay."""
         way = self._way_by_link.setdefault((sender.name, receiver), deque())
-        way.append((sender, message))
+        handlers = self.peers_by_name[receiver].handler_by_type
+        way.append((handlers[type(message)], sender, message))
         asyncio.get_running_loop().call_later(
-            delay_ms / 1000, self._arrive, way, receiver
+            delay_ms / 1000, self._arrive, way
         )
 
     def cut(self, first: str, second: str) -> None:
@@ -274,8 +279,7 @@
         for link in ((first, second), (second, first)):
             self.cut_ms_by_link.pop(link, None)
 
-    def _arrive(self, way: _Way, receiver: str) -> None:
+    def _arrive(self, way: _Way) -> None:
         # Timers of one moment run in any order; links keep theirs.
-        sender, message = way.popleft()
-        handler_by_type = self.peers_by_name[receiver].handler_by_type
-        handler_by_type[type(message)](sender, message)
+        handler, sender, message = way.popleft()
+        handler(sender, message)
