--- a/packages/bench/src/yuccadale_bench/_internal/cluster.py
+++ b/packages/bench/src/yuccadale_bench/_internal/cluster.py
@@ -15,6 +15,7 @@
 from contextlib import ExitStack, asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 
@@ -335,6 +336,11 @@
     for node in nodes:
         if node.kind == 'server':
             node.command += ['--port', _port(node.addresses['serve'])]
+            # A file keeps the records of a process that is killed.
+            node.command += [
+                '--records',
+                str(directory / f'{node.name}.records'),
+            ]
         elif node.kind == 'entry':
             settings = write_settings(directory, node, cluster.platform_url)
             node.command += ['-m', 'yuccadale_router', 'run', str(settings)]
@@ -350,18 +356,29 @@
     return cluster
 
 
+async def start_nodes(cluster: Cluster) -> None:
+    """Starts the platform, then all servers, then all entry instances."""
+    await cluster.start('platform')
+    for kind in ('server', 'entry'):
+        await asyncio.gather(
+            *(cluster.start(node.name) for node in cluster.nodes(kind))
+        )
+
+
 @asynccontextmanager
 async def running_cluster(
     plan: ClusterPlan, directory: Path
 ) -> AsyncIterator[Cluster]:
     """Runs the platform, all servers and all entry instances."""
-    cluster = plan_cluster(plan, directory)
+    async with running_nodes(plan_cluster(plan, directory)) as cluster:
+        yield cluster
+
+
+@asynccontextmanager
+async def running_nodes(cluster: Cluster) -> AsyncIterator[Cluster]:
+    """Runs the processes of a planned cluster."""
     try:
-        await cluster.start('platform')
-        for kind in ('server', 'entry'):
-            await asyncio.gather(
-                *(cluster.start(node.name) for node in cluster.nodes(kind))
-            )
+        await start_nodes(cluster)
         yield cluster
     finally:
         await cluster.stop_all()
@@ -395,7 +412,7 @@
     return text
 
 
-async def fetch_json(session: aiohttp.ClientSession, url: str) -> object:
+async def fetch_json(session: aiohttp.ClientSession, url: str) -> Any:
     """Reads a JSON document; raises on any other status than 200."""
     async with session.get(url) as answer:
         if answer.status != _HTTP_OK:
--- a/packages/router/src/yuccadale_router/_internal/daemon.py
+++ b/packages/router/src/yuccadale_router/_internal/daemon.py
@@ -19,7 +19,9 @@
 from yuccadale_core.settings import Settings, split_address
 
 from yuccadale_router._internal.clock import monotonic_ms
-from yuccadale_router._internal.configuration import ConfigurationService
+from yuccadale_router._internal.configuration.service import (
+    ConfigurationService,
+)
 from yuccadale_router._internal.contracts import LeadershipTable
 from yuccadale_router._internal.network.caller_api import CallerApi
 from yuccadale_router._internal.network.http_app import make_app, serve_app
@@ -101,6 +103,7 @@
         counters=counters,
         clock=monotonic_ms,
         message_limit=settings.limits.peer_queue_messages,
+        listen_address=settings.instance.peer_listen_address,
     )
     targets = TargetPool(monotonic_ms)
     placements = Placements(monotonic_ms)
@@ -156,7 +159,9 @@
         declaration_changed,
         operator_keys=operator_keys,
     )
+    links.link_replaced = entry.link_replaced
     links.revision_by_scope = configuration.revision_by_scope
+    links.configuration_age_ms = configuration.confirmed_age_ms
     return Parts(
         me=me,
         counters=counters,
--- a/packages/router/src/yuccadale_router/_internal/placement/decision.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/decision.py
@@ -41,7 +41,9 @@
         movable: which slots may move, by slot.
         sources: servers that have too much, by server.
         banned: pairs of slot number and server name that are not chosen.
-        most_after: highest relative load of a destination after a move.
+        most_after: highest relative load of a destination after a move; a
+            new server's is lower by its ramp. Slots that a new server got
+            when another was drained do not count as too many.
     """
 
     view: GroupView
@@ -89,7 +91,9 @@
             return None
         gain = self._gains(moving, servers, source, relative)
         price = self.prices.price(self.view, moving, servers)
-        margin = self.prices.policy.gain_margin
+        policy = self.prices.policy
+        urgent = relative[source] > policy.bound
+        margin = 1 if urgent else policy.gain_margin
         worth = np.where(
             gain > margin * price, (gain - price) / (price + _OVERHEAD), 0
         )
@@ -118,7 +122,8 @@
         gain = self.prices.gain(
             np.sqrt(squares / len(relative)), variation_after
         )
-        return np.where(server_after <= self.most_after, gain, 0)
+        most_after = self.most_after * self.view.ramp[servers]
+        return np.where(server_after <= most_after, gain, 0)
 
     def _first_allowed(
         self,
--- a/packages/router/src/yuccadale_router/_internal/placement/view.py
+++ b/packages/router/src/yuccadale_router/_internal/placement/view.py
@@ -10,6 +10,7 @@
 from yuccadale_router._internal.contracts import Candidate
 from yuccadale_router._internal.placement.policy import (
     IMBALANCE_PERIOD_S,
+    UNAVAILABLE_UNIT_S,
     PlacementPolicy,
 )
 
@@ -26,7 +27,8 @@
     Attributes:
         load: busy milliseconds per second, by slot.
         key_share: share of all keys, by slot.
-        capacity: by server, ramped up while it is new.
+        capacity: by server.
+        ramp: share of the capacity that chosen moves may fill, by server.
         factor: correction of the observed load, by server.
         cold: whether a server has just started.
     """
@@ -37,6 +39,7 @@
     key_share: Floats
     servers: Sequence[Candidate]
     capacity: Floats
+    ramp: Floats
     factor: Floats
     cold: NDArray[np.bool_]
 
@@ -59,8 +62,13 @@
         return counted.astype(np.float64)
 
     def mean_load(self) -> float:
-        """Returns the load per unit of capacity; never 0."""
-        return max(float(self.load.sum() / self.capacity.sum()), 1e-9)
+        """Returns the load per unit of ramped capacity; never 0.
+
+        A new server lowers the mean by degrees, so that the others do not
+        count as overloaded at the moment it joins.
+        """
+        ramped = float((self.capacity * self.ramp).sum())
+        return max(float(self.load.sum()) / ramped, 1e-9)
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,8 +108,8 @@
         churn = np.expand_dims(view.key_share[moving], 1)
         pause = self.pause_s(load, view.cold[servers])
         unavailable = pause * load / max(float(view.load.sum()), 1e-9)
-        price = self.weights.unavailable_time * unavailable
-        return price + self.weights.churn * churn
+        worth = self.weights.unavailable_time / UNAVAILABLE_UNIT_S
+        return worth * unavailable + self.weights.churn * churn
 
 
 def owner_indices(
--- a/tests/builders/peers.py
+++ b/tests/builders/peers.py
@@ -29,24 +29,34 @@
 
 
 def instance(
-    name: str, address: str, *, incarnation: str = 'first'
+    name: str,
+    address: str,
+    data_centre: str = 'east',
+    *,
+    incarnation: str = 'first',
 ) -> InstanceRef:
-    """Returns a reference to an entry instance in data centre ``east``."""
-    return InstanceRef(name, incarnation, 'east', 'rack-0', address)
+    """Returns a reference to an entry instance."""
+    return InstanceRef(name, incarnation, data_centre, 'rack-0', address)
 
 
 @asynccontextmanager
 async def running_links(
-    me: InstanceRef, keys: PeerKeys, *, message_limit: int = 1000
+    me: InstanceRef,
+    keys: PeerKeys,
+    *,
+    leaderships: LeadershipTable | None = None,
+    message_limit: int = 1000,
+    listen_address: str = '',
 ) -> AsyncIterator[PeerLinks]:
     """Runs the links of one instance until the block ends."""
     links = PeerLinks(
         me,
         keys=keys,
-        leaderships=LeadershipTable(),
+        leaderships=leaderships or LeadershipTable(),
         counters=Counters(),
         clock=monotonic_ms,
         message_limit=message_limit,
+        listen_address=listen_address,
     )
     task = asyncio.create_task(links.run())
     try:
--- a/tests/router/network/test_peer_links.py
+++ b/tests/router/network/test_peer_links.py
@@ -1,6 +1,8 @@
 """Links deliver to the right peer, and refuse strangers and old processes."""
 
 import asyncio
+import itertools
+from contextlib import AsyncExitStack
 from pathlib import Path
 
 from tests.builders.peers import (
@@ -9,8 +11,11 @@
     running_links,
     write_peer_keys,
 )
-from yuccadale_core.instances import InstanceRef
+from yuccadale_bench._internal.tcp_relay import running_relay
+from yuccadale_core.instances import GroupId, InstanceRef, Leadership
 from yuccadale_core.messages import Cancel, PeerMessage
+from yuccadale_core.timing import SUSPICION_MS
+from yuccadale_router._internal.contracts import LeadershipTable
 from yuccadale_router._internal.network.peer_links import PeerLinks
 
 _PATIENCE_S = 20
@@ -111,3 +116,95 @@
         altered = bytearray(sealed)
         altered[position] = byte ^ 1
         assert keys.open(bytes(altered)) is None
+
+
+async def _until_all_heard(all_links: list[PeerLinks]) -> None:
+    """Asks every instance for every other one until all have answered."""
+    names = [links.me.name for links in all_links]
+    async with asyncio.timeout(_PATIENCE_S):
+        while any(
+            links.silence_ms(name) > SUSPICION_MS
+            for links in all_links
+            for name in names
+            if name != links.me.name
+        ):
+            await asyncio.sleep(0.05)
+
+
+async def test_peer_outside_the_heartbeat_set_answers_when_asked(
+    tmp_path: Path,
+) -> None:
+    """Guards against a leader in another data centre that looks dead.
+
+    Heartbeats go to few peers. A forward to any other one waited until its
+    deadline, because nothing made that peer answer.
+    """
+    keys = write_peer_keys(tmp_path, 'secret')
+    references = [
+        instance(f'instance-{number}', free_address(), f'centre-{number % 4}')
+        for number in range(10)
+    ]
+    async with AsyncExitStack() as stack:
+        all_links = [
+            await stack.enter_async_context(running_links(me, keys))
+            for me in references
+        ]
+        for learner, other in itertools.product(all_links, references):
+            learner.learn(other)
+        await _until_all_heard(all_links)
+        counts = [links.counters.snapshot() for links in all_links]
+        assert not any('peer.reconnect.silent' in count for count in counts)
+
+
+async def test_connection_that_stops_delivering_is_replaced(
+    tmp_path: Path,
+) -> None:
+    """Guards against a peer's outdated echoes that hide a silent link."""
+    keys = write_peer_keys(tmp_path, 'secret')
+    east = instance('east-0', free_address())
+    west = instance('west-0', free_address())
+    west_listens = free_address()
+    async with (
+        running_relay(west.peer_address, west_listens) as relay,
+        running_links(east, keys) as sender,
+        running_links(west, keys, listen_address=west_listens) as receiver,
+    ):
+        replaced: list[str] = []
+        sender.link_replaced = replaced.append
+        sender.learn(west)
+        await _until_heard(sender, 'west-0')
+        await _until_heard(receiver, 'east-0')
+        received = await _receive_one(receiver)
+        assert relay.silence_open()
+        async with asyncio.timeout(_PATIENCE_S):
+            while not received.done():
+                sender.send('west-0', Cancel(8))
+                await asyncio.sleep(0.05)
+        assert replaced == ['west-0']
+
+
+async def test_missed_leadership_is_repaired(tmp_path: Path) -> None:
+    """Guards against an instance that keeps a stale leader after a partition.
+
+    News of a change is sent for two seconds only. Here the first heartbeats
+    are lost because the receiver does not listen yet.
+    """
+    keys = write_peer_keys(tmp_path, 'secret')
+    east = instance('east-0', free_address())
+    west = instance('west-0', free_address())
+    group = GroupId('ledger', 'east', 0)
+    known = LeadershipTable()
+    known.learn(Leadership(group, token=4, leader=east, standby=None))
+    async with running_links(east, keys, leaderships=known) as sender:
+        sender.learn(west)
+        async with asyncio.timeout(_PATIENCE_S):
+            while not sender.counters.snapshot().get('peer.dropped'):
+                await asyncio.sleep(0.05)
+        learned = LeadershipTable()
+        async with running_links(west, keys, leaderships=learned):
+            async with asyncio.timeout(_PATIENCE_S):
+                while learned.leadership(group) is None:
+                    await asyncio.sleep(0.05)
+    leadership = learned.leadership(group)
+    assert leadership is not None
+    assert leadership.token == 4
