Kill the instance that leads by its answers, not by the row

After a takeover without the table the row still named the lost leader, so that 6 of 20 losses hit an instance that led nothing.

--- a/packages/bench/src/yuccadale_bench/_internal/probes.py
+++ b/packages/bench/src/yuccadale_bench/_internal/probes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 import time
 from bisect import bisect_right
 from collections import Counter, defaultdict
@@ -22,6 +23,7 @@
 # probes; shorter delays are the ordinary scatter of a busy machine.
 GAP_S = 0.3
 _DEADLINE_S = 1.0
+_LEADER = re.compile('desc="leader ([^"]+)"')
 _IN_FLIGHT_PER_KEY = 20
 
 
@@ -32,6 +34,7 @@
         served_by_key: times of the answers, in order.
         refusals_by_code: failed probes by code.
         wrong: answers that belong to another request.
+        leader: instance that sent the newest answered probe to its server.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         self.served_by_key: dict[str, list[float]] = defaultdict(list)
         self.refusals_by_code: Counter[str] = Counter()
         self.wrong = 0
+        self.leader = ''
         self.last_served_by_server: dict[str, float] = {}
         self._keys = keys
         self._service = service
@@ -116,6 +120,7 @@
                 timeout=aiohttp.ClientTimeout(total=_DEADLINE_S + 1),
             ) as response:
                 body = await response.read()
+                timing = response.headers.get('Server-Timing', '')
                 judged = judge_answer(
                     item, response.status, response.headers, body
                 )
@@ -123,13 +128,16 @@
             self.refusals_by_code[type(error).__name__] += 1
             return
         if judged.outcome == AttemptOutcome.done:
-            self._served(key, body)
+            self._served(key, body, timing)
         elif judged.outcome == AttemptOutcome.wrong:
             self.wrong += 1
         else:
             self.refusals_by_code[judged.code] += 1
 
-    def _served(self, key: str, body: bytes) -> None:
+    def _served(self, key: str, body: bytes, timing: str) -> None:
         now_s = time.monotonic()
+        leader = _LEADER.search(timing)
+        if leader is not None:
+            self.leader = leader.group(1)
         self.served_by_key[key].append(now_s)
         self.last_served_by_server[json.loads(body)['server']] = now_s
