--- a/packages/router/src/yuccadale_router/_internal/network/peer_link.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_link.py
@@ -37,7 +37,6 @@
         echoed_ms: when the peer last acknowledged a new heartbeat.
         leaving: whether the peer said that it is shutting down.
         asked_ms: when a heartbeat was last sent that wants an answer.
-        repaired_ms: when the peer was last sent all leaderships.
         used_ms: when work was last sent to or received from the peer.
     """
 
@@ -58,7 +57,7 @@
         self.echoed_ms = _NEVER_MS
         self.used_ms = _NEVER_MS
         self.asked_ms = _NEVER_MS
-        self.repaired_ms = _NEVER_MS
+        self._differs_since_ms: float | None = None
         self.leaving = False
         self._me = me
         self._keys = keys
@@ -148,6 +147,17 @@
                 None if message.echo == self._heartbeat_number else now
             )
 
+    def needs_repair(self, *, same: bool, after_ms: float) -> bool:
+        """Says whether the peer has known other leaders for too long."""
+        now = self._clock()
+        if same or self._differs_since_ms is None:
+            self._differs_since_ms = None if same else now
+            return False
+        if now - self._differs_since_ms < after_ms:
+            return False
+        self._differs_since_ms = now
+        return True
+
     def is_silent(self) -> bool:
         """Whether heartbeats have stayed unacknowledged for too long."""
         oldest = self._oldest_unechoed_ms
--- a/packages/router/src/yuccadale_router/_internal/network/peer_links.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -41,8 +41,9 @@
 _RECENT_USE_MS = 5000
 # A change of leadership rides on heartbeats for this long.
 _NEWS_MS = 2000
-# News and their spread differ for a while; repair waits for them in between.
-_REPAIR_INTERVAL_MS = 1000
+# Digests differ while news spreads; only a difference that lasts longer is
+# repaired, because a repair sends all leaderships.
+_REPAIR_AFTER_MS = 2 * _NEWS_MS
 # A new peer hears of this many others; it learns the rest from them.
 _INTRODUCTIONS = 32
 # A peer that stays silent this long is forgotten; the list brings it back.
@@ -271,12 +272,8 @@
     def _take_heartbeat(self, link: PeerLink, heartbeat: Heartbeat) -> None:
         for leadership in heartbeat.leaderships:
             self._leaderships.learn(leadership)
-        repair = (
-            heartbeat.leadership_digest != self._leaderships.digest
-            and self._clock() - link.repaired_ms > _REPAIR_INTERVAL_MS
-        )
-        if repair:
-            link.repaired_ms = self._clock()
+        same = heartbeat.leadership_digest == self._leaderships.digest
+        repair = link.needs_repair(same=same, after_ms=_REPAIR_AFTER_MS)
         if repair or (
             heartbeat.wants_answer and link not in self._heartbeat_set()
         ):
