End links whose cancellation a finished operation swallowed

Cause: pynng returns a message that arrived together with a cancellation and drops the cancellation, and so does asyncio.wait_for in Python 3.11. Change: both operations raise the pending cancellation afterwards.

--- a/packages/router/src/yuccadale_router/_internal/network/peer_link.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_link.py
@@ -1,6 +1,5 @@
 """The link to one peer: one task that connects, sends and notices silence."""
 
-import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -20,7 +19,10 @@
 
 from yuccadale_router._internal.clock import Clock
 from yuccadale_router._internal.network.peer_outbox import PeerOutbox
-from yuccadale_router._internal.network.peer_transport import open_dialer
+from yuccadale_router._internal.network.peer_transport import (
+    open_dialer,
+    send,
+)
 
 _NEVER_MS = -float('inf')
 # A numbered batch that arrives this much after newer ones is a late duplicate.
@@ -183,9 +185,7 @@
                     return 'silent'
                 sealed = self._sealed(messages)
                 try:
-                    await asyncio.wait_for(
-                        dialer.asend(sealed), seconds(LINK_SILENCE_MS)
-                    )
+                    await send(dialer, sealed, seconds(LINK_SILENCE_MS))
                 except TimeoutError:
                     return 'blocked'
                 except pynng.NNGException:
--- a/packages/router/src/yuccadale_router/_internal/network/peer_links.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_links.py
@@ -31,7 +31,10 @@
     MessageHandler,
 )
 from yuccadale_router._internal.network.peer_link import PeerLink
-from yuccadale_router._internal.network.peer_transport import open_listener
+from yuccadale_router._internal.network.peer_transport import (
+    open_listener,
+    receive,
+)
 
 _log = structlog.get_logger()
 # Heartbeats go to this many peers of the same data centre and this many
@@ -186,7 +189,7 @@
 
     async def _receive_loop(self, listener: pynng.Pull0) -> None:
         while True:
-            sealed = await listener.arecv()
+            sealed = await receive(listener)
             encoded = self._keys.open(sealed)
             if encoded is None:
                 self.counters.count('peer.rejected.mac')
--- a/packages/router/src/yuccadale_router/_internal/network/peer_transport.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_transport.py
@@ -4,6 +4,7 @@
 which repeats a request after a lost connection.
 """
 
+import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -49,3 +50,28 @@
     ) as dialer:
         dialer.dial(f'tcp://{address}', block=False)
         yield dialer
+
+
+async def receive(listener: pynng.Pull0) -> bytes:
+    """Waits for the next batch of any peer."""
+    sealed: bytes = await listener.arecv()
+    _raise_if_cancelled()
+    return sealed
+
+
+async def send(dialer: pynng.Push0, sealed: bytes, timeout_s: float) -> None:
+    """Hands a batch over; raises ``TimeoutError`` when nobody takes it."""
+    await asyncio.wait_for(dialer.asend(sealed), timeout_s)
+    _raise_if_cancelled()
+
+
+def _raise_if_cancelled() -> None:
+    """Raises the cancellation that a finished operation has swallowed.
+
+    pynng returns the message when it arrived together with the cancellation,
+    and so does ``asyncio.wait_for`` in Python 3.11. The task would run on, and
+    whoever waits for its end would wait for ever.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
--- a/tests/builders/peers.py
+++ b/tests/builders/peers.py
@@ -13,6 +13,9 @@
 from yuccadale_router._internal.contracts import LeadershipTable
 from yuccadale_router._internal.network.peer_links import PeerLinks
 
+# Long enough for a loaded machine; a task that runs on never ends.
+_END_LIMIT_S = 10
+
 
 def write_peer_keys(directory: Path, *keys: str) -> PeerKeys:
     """Writes a key file and reads it."""
@@ -62,5 +65,15 @@
     try:
         yield links
     finally:
+        await _end(task)
+
+
+async def _end(task: asyncio.Task[None]) -> None:
+    """Cancels a task once; one that runs on is an error of its own."""
+    task.cancel()
+    ended, _ = await asyncio.wait({task}, timeout=_END_LIMIT_S)
+    while not task.done():
         task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0)
+    if not ended:
+        raise RuntimeError('the links ran on after their cancellation')
--- a/tests/router/network/test_peer_links.py
+++ b/tests/router/network/test_peer_links.py
@@ -208,3 +208,27 @@
     leadership = learned.leadership(group)
     assert leadership is not None
     assert leadership.token == 4
+
+
+async def _flood(sender: PeerLinks) -> None:
+    while True:
+        sender.send('west-0', Cancel(1))
+        await asyncio.sleep(0)
+
+
+async def test_links_end_while_messages_arrive(tmp_path: Path) -> None:
+    """Guards against a shutdown that hangs.
+
+    pynng returns a message that came together with the cancellation and
+    drops the cancellation.
+    """
+    keys = write_peer_keys(tmp_path, 'secret')
+    for _ in range(10):
+        east = instance('east-0', free_address())
+        west = instance('west-0', free_address())
+        async with running_links(east, keys) as sender:
+            sender.learn(west)
+            flood = asyncio.create_task(_flood(sender))
+            async with running_links(west, keys) as receiver:
+                await _until_heard(receiver, 'east-0')
+            flood.cancel()
