--- a/packages/router/src/yuccadale_router/_internal/network/peer_link.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_link.py
@@ -1,6 +1,6 @@
 """The link to one peer: one task that connects, sends and notices silence."""
 
-import asyncio
+from collections.abc import Callable
 
 import msgspec
 import pynng
@@ -19,8 +19,12 @@
 
 from yuccadale_router._internal.clock import Clock
 from yuccadale_router._internal.network.peer_outbox import PeerOutbox
-from yuccadale_router._internal.network.peer_transport import open_dialer
+from yuccadale_router._internal.network.peer_transport import (
+    open_dialer,
+    send,
+)
 
+_NEVER_MS = -float('inf')
 # A numbered batch that arrives this much after newer ones is a late duplicate.
 _NUMBER_WINDOW = 1024
 
@@ -47,25 +51,29 @@
         counters: Counters,
         clock: Clock,
         message_limit: int,
+        replaced: Callable[[str], None],
     ) -> None:
         self.ref = ref
         self.opened_ms = clock()
-        self.heard_ms = -float('inf')
-        self.echoed_ms = -float('inf')
-        self.used_ms = -float('inf')
-        self.asked_ms = -float('inf')
+        self.heard_ms = _NEVER_MS
+        self.echoed_ms = _NEVER_MS
+        self.used_ms = _NEVER_MS
+        self.asked_ms = _NEVER_MS
+        self._differs_since_ms: float | None = None
         self.leaving = False
         self._me = me
         self._keys = keys
         self._counters = counters
         self._clock = clock
         self._outbox = PeerOutbox(message_limit)
+        self._replaced = replaced
         self._batch_number = 0
         self._seen_numbers: set[int] = set()
         self._retired_incarnations: set[str] = set()
         self._newest_number = 0
         self._heartbeat_number = 0
         self._heartbeat_received = 0
+        self._echoed_number = 0
         self._oldest_unechoed_ms: float | None = None
 
     @property
@@ -133,12 +141,25 @@
             return
         self.leaving = message.leaving
         self._heartbeat_received = max(self._heartbeat_received, message.number)
-        if 0 < message.echo <= self._heartbeat_number:
+        # A peer that hears nothing any more repeats the last number it got.
+        if self._echoed_number < message.echo <= self._heartbeat_number:
+            self._echoed_number = message.echo
             self.echoed_ms = now
             self._oldest_unechoed_ms = (
                 None if message.echo == self._heartbeat_number else now
             )
 
+    def needs_repair(self, *, same: bool, after_ms: float) -> bool:
+        """Says whether the peer has known other leaders for too long."""
+        now = self._clock()
+        if same or self._differs_since_ms is None:
+            self._differs_since_ms = None if same else now
+            return False
+        if now - self._differs_since_ms < after_ms:
+            return False
+        self._differs_since_ms = now
+        return True
+
     def is_silent(self) -> bool:
         """Whether heartbeats have stayed unacknowledged for too long."""
         oldest = self._oldest_unechoed_ms
@@ -153,6 +174,7 @@
             dropped = self._outbox.clear()
             if dropped:
                 self._counters.count('peer.dropped', dropped)
+            self._replaced(self.ref.name)
 
     async def _send_until_silent(self) -> str:
         address = self.ref.peer_address
@@ -163,9 +185,7 @@
                     return 'silent'
                 sealed = self._sealed(messages)
                 try:
-                    await asyncio.wait_for(
-                        dialer.asend(sealed), seconds(LINK_SILENCE_MS)
-                    )
+                    await send(dialer, sealed, seconds(LINK_SILENCE_MS))
                 except TimeoutError:
                     return 'blocked'
                 except pynng.NNGException:
--- a/packages/router/src/yuccadale_router/_internal/requests/entry.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/entry.py
@@ -122,6 +122,10 @@
         self._open += 1
         try:
             answer = await self._attempts(looked_up.ok)
+        except asyncio.CancelledError:
+            gone = counter_names.REFUSAL_BY_CODE[ResultCode.caller_gone]
+            self._counters.count(gone)
+            raise
         finally:
             self._open -= 1
             self._report_drained()
@@ -137,6 +141,10 @@
         self._report_drained()
         await drained
 
+    def link_replaced(self, peer_name: str) -> None:
+        """Sends again, where it is allowed, what the old link may have lost."""
+        self._forwarder.link_replaced(peer_name)
+
     def _report_drained(self) -> None:
         if not self._draining or self._open:
             return
