Pass slots between groups after a new declaration

Cause: a declaration that changed capacities, drained or lost a data centre moved slots in the declared mapping only; the groups that owned them kept them, and callers were refused by the groups that did not. Two groups that were created under different declarations could have owned the same slot. Change: the first mapping is recorded once for each service; later a group marks, drains, revokes and releases its slots, and only the group that the release names takes them. A leader of another group does it for a data centre that an operator declared lost. Entries ask the group that still owns a slot.

--- a/packages/core/src/yuccadale_core/_internal/mapping.py
+++ b/packages/core/src/yuccadale_core/_internal/mapping.py
@@ -79,11 +79,11 @@
 
 
 def build_group_map(declaration: Declaration, service: Service) -> GroupMap:
-    """Computes the map of one service; data centres that are lost get none."""
+    """Computes the map of one service; only live data centres get slots."""
     weight_by_name = {
         data_centre.name: data_centre.capacity_by_service[service.name]
         for data_centre in declaration.data_centre_by_name.values()
-        if data_centre.state != 'lost'
+        if data_centre.state == 'live'
         and data_centre.capacity_by_service.get(service.name, 0) > 0
     }
     slots = np.arange(service.slot_count, dtype=np.uint64)
--- a/packages/core/src/yuccadale_core/_internal/messages.py
+++ b/packages/core/src/yuccadale_core/_internal/messages.py
@@ -210,6 +210,7 @@
         code: result code; 0 when the server answered.
         body_length: whole length of the body, checked on arrival.
         body_pieces: number of ``BodyPiece`` messages that follow.
+        other_group: the group to ask instead, after a refusal.
     """
 
     forward_id: int
@@ -224,6 +225,7 @@
     body_length: int
     hops: list[Hop]
     body_pieces: int = 0
+    other_group: GroupId | None = None
 
 
 class Cancel(PeerMessage, frozen=True, tag=12):
--- a/packages/core/src/yuccadale_core/_internal/refusals.py
+++ b/packages/core/src/yuccadale_core/_internal/refusals.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from yuccadale_core._internal.codes import CODE_TABLE, Outcome, ResultCode
+from yuccadale_core._internal.instances import GroupId
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,12 +15,14 @@
         where: the hop that refused, such as ``entry lodz-a-1``.
         detail: one sentence about this case.
         retry_after_s: seconds to wait before another attempt, if it helps.
+        other_group: the group to ask instead, where the refuser knows it.
     """
 
     code: ResultCode
     where: str
     detail: str = ''
     retry_after_s: float | None = None
+    other_group: GroupId | None = None
 
     @property
     def outcome(self) -> Outcome:
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/ownership/exchange.py
@@ -0,0 +1,431 @@
+"""Slots that pass from one group to another after a new declaration.
+
+A slot is owned in one row, or the entry about it with the highest number in
+a row's ``released`` names the only group that may take it. So two groups that
+act on different declarations never take the same slot. The giving group first
+marks the slots as ``leaving``, in a record that is certain: from then on no
+leader of that group grants them, whatever later writes of its row do. Only
+then it removes and releases them. A group decides on one read of all rows.
+"""
+
+import asyncio
+from collections.abc import Container, Iterable, Mapping, Sequence
+from dataclasses import replace
+from typing import TypeVar
+
+from yuccadale_core.declaration import Declaration
+from yuccadale_core.instances import GroupId
+from yuccadale_core.keys import slot_of_key
+from yuccadale_core.mapping import GroupMap, build_group_map
+from yuccadale_router._internal.contracts import Assignment, ServerState
+from yuccadale_router._internal.ownership.grants import FOREIGN_TTL_MS
+from yuccadale_router._internal.ownership.group_rows import (
+    GroupRows,
+    decode_group_rows,
+)
+from yuccadale_router._internal.ownership.leader_state import (
+    LeaderState,
+    wait_out,
+)
+from yuccadale_router._internal.ownership.lease import FOREIGN_TERM_MS
+from yuccadale_router._internal.ownership.moving import (
+    candidates,
+    until_revoked,
+)
+from yuccadale_router._internal.ownership.pacing import sleep_jittered
+from yuccadale_router._internal.ownership.recording import always, record
+from yuccadale_router._internal.ownership.rows import (
+    GroupRow,
+    Release,
+    encode_row,
+)
+
+IDLE_INTERVAL_MS = 1000
+BUSY_INTERVAL_MS = 200
+# Slots that are held at a time while work under way for them ends.
+SLOTS_AT_ONCE = 64
+# An earlier leader of a lost data centre may hold its lease and grants.
+LOST_CENTRE_WAIT_MS = FOREIGN_TERM_MS + FOREIGN_TTL_MS
+ARRIVAL_MS = 30_000
+# Slots can be released to a group that is not declared to own them any more.
+# It must take them and pass them on, so it looks for this long after each
+# change of the declaration.
+LOOK_MS = 60_000
+_REASON_ADOPTED = 'declared for this group'
+
+_Value = TypeVar('_Value')
+
+
+class _Schedule:
+    """Says when to look at the rows, and on which mapping to act."""
+
+    def __init__(self, state: LeaderState) -> None:
+        self._state = state
+        self._declaration: Declaration | None = None
+        self._look_until = state.started_at
+        self.interval_ms: float = IDLE_INTERVAL_MS
+
+    def due_map(self) -> GroupMap | None:
+        """Returns the declared mapping when a round is due."""
+        state = self._state
+        self.interval_ms = IDLE_INTERVAL_MS
+        service = state.context.service(state.group)
+        if service is None or not _may_exchange(state):
+            return None
+        now = state.context.clock()
+        if self._declaration is not state.context.declaration:
+            self._declaration = state.context.declaration
+            self._look_until = now + LOOK_MS
+        group_map = build_group_map(self._declaration, service)
+        wanted = now < self._look_until or _is_needed(state, group_map)
+        if not group_map.groups or not wanted:
+            return None
+        self.interval_ms = BUSY_INTERVAL_MS
+        return group_map
+
+
+async def run_exchange(state: LeaderState) -> None:
+    """Gives up and takes slots as the declaration says, until the end."""
+    schedule = _Schedule(state)
+    while not state.ended.is_set():
+        await sleep_jittered(schedule.interval_ms, state.context.chooser)
+        group_map = schedule.due_map()
+        if group_map is not None:
+            await exchange_once(state, group_map)
+
+
+def resume_leaving(state: LeaderState) -> None:
+    """Keeps the slots that an earlier leader began to give up out of use."""
+    for slot in state.row.leaving:
+        state.moving.add(slot)
+        state.book.target_by_slot[slot] = state.row.owner_by_slot[slot]
+
+
+async def exchange_once(state: LeaderState, group_map: GroupMap) -> None:
+    """Makes one round, on one read of all rows of the service."""
+    read = await state.context.table.read_prefix(
+        f'group/{state.group.service}/'
+    )
+    if read.is_error():
+        return
+    rows = decode_group_rows(read.ok)
+    _note_other_groups(state, group_map, rows)
+    await _forget_arrived(state, rows)
+    # What follows changes the own row, and the read would be out of date.
+    await _adopt_released(state, rows)
+    await _release_for_lost_centres(state, group_map, rows)
+    await _mark_leaving(state, group_map)
+    await _release_leaving(state)
+
+
+def _may_exchange(state: LeaderState) -> bool:
+    return (
+        state.may_move()
+        and not state.handing_over
+        and not state.book.waiting
+        and not state.context.table.is_down()
+    )
+
+
+def _is_needed(state: LeaderState, group_map: GroupMap) -> bool:
+    declared = set(group_map.slots_of_group(state.group))
+    return bool(
+        declared - state.row.owner_by_slot.keys()
+        or _surplus(state, group_map)
+        or state.row.released
+    )
+
+
+def _note_other_groups(
+    state: LeaderState, group_map: GroupMap, rows: GroupRows
+) -> None:
+    """Remembers whom callers of slots that are not here can ask."""
+    state.other_group_by_slot = {
+        slot: owner
+        for slot in group_map.slots_of_group(state.group)
+        if slot not in state.row.owner_by_slot
+        and (owner := rows.owner_group(slot)) is not None
+    }
+
+
+def _surplus(state: LeaderState, group_map: GroupMap) -> list[int]:
+    """Returns the slots that another group is declared to own."""
+    service = state.context.service(state.group)
+    if service is None:
+        return []
+    return [
+        slot
+        for slot in sorted(state.row.owner_by_slot)
+        if slot < service.slot_count
+        and group_map.group_of_slot(slot) != state.group
+    ]
+
+
+async def _mark_leaving(state: LeaderState, group_map: GroupMap) -> None:
+    """Drains and revokes slots that are declared elsewhere, and marks them."""
+    chosen = [
+        slot
+        for slot in _surplus(state, group_map)
+        if slot not in state.moving and not state.book.is_held(slot)
+    ][:SLOTS_AT_ONCE]
+    if not chosen:
+        return
+    held = chosen + _pins_of(state, set(chosen))
+    state.moving.update(held)
+    await _drain(state, held)
+    marked = {slot: group_map.group_of_slot(slot) for slot in chosen}
+    marked.update({slot: state.group for slot in held if slot not in marked})
+    recorded = await record(
+        state,
+        lambda row: replace(row, leaving={**row.leaving, **marked}),
+        [],
+        needs_table=always,
+    )
+    if not recorded:
+        # Nobody acts on the mark alone, so the slots can be served again.
+        _serve_again(state, held)
+
+
+def _pins_of(state: LeaderState, slots: set[int]) -> list[int]:
+    """Returns the pins whose keys belong to the slots."""
+    service = state.context.service(state.group)
+    if service is None:
+        return []
+    return [
+        pin_slot
+        for key, pin_slot in state.row.pins.items()
+        if slot_of_key(key, service.slot_count) in slots
+    ]
+
+
+async def _drain(state: LeaderState, slots: Sequence[int]) -> None:
+    """Waits for the work under way and takes the slots out of all grants."""
+    await asyncio.gather(*(state.dispatcher.hold_slot(slot) for slot in slots))
+    for slot in slots:
+        owner = state.row.owner_by_slot[slot]
+        state.book.target_by_slot[slot] = owner
+        state.poke(owner)
+    for slot in slots:
+        await until_revoked(state, state.row.owner_by_slot[slot], slot)
+
+
+def _serve_again(state: LeaderState, slots: Iterable[int]) -> None:
+    for slot in slots:
+        state.moving.discard(slot)
+        state.book.target_by_slot.pop(slot, None)
+        state.dispatcher.release_slot(slot)
+    state.poke_all()
+
+
+async def _release_leaving(state: LeaderState) -> None:
+    """Removes marked slots from the row and names their next groups."""
+    leaving = dict(state.row.leaving)
+    if not leaving:
+        return
+    recorded = await record(
+        state,
+        lambda row: _without_slots(row, leaving, state.group),
+        [],
+        needs_table=always,
+    )
+    if not recorded:
+        return
+    for slot, next_group in leaving.items():
+        state.moving.discard(slot)
+        state.book.target_by_slot.pop(slot, None)
+        state.other_group_by_slot[slot] = next_group
+        state.dispatcher.release_slot(slot)
+    state.context.counters.count('ownership.slots_released', len(leaving))
+
+
+def _without_slots(
+    row: GroupRow, group_by_slot: Mapping[int, GroupId], group: GroupId
+) -> GroupRow:
+    """Returns the row without the slots; pins end, other slots pass on."""
+    released = {
+        slot: Release(next_group, row.passes.get(slot, 0) + 1)
+        for slot, next_group in group_by_slot.items()
+        if next_group != group
+    }
+    return replace(
+        row,
+        owner_by_slot=_outside(row.owner_by_slot, group_by_slot),
+        successor_by_slot=_outside(row.successor_by_slot, group_by_slot),
+        pins={
+            key: slot
+            for key, slot in row.pins.items()
+            if slot not in group_by_slot
+        },
+        leaving={},
+        released={**row.released, **released},
+        passes=_outside(row.passes, group_by_slot),
+    )
+
+
+def _outside(
+    value_by_slot: Mapping[int, _Value], slots: Container[int]
+) -> dict[int, _Value]:
+    return {
+        slot: found
+        for slot, found in value_by_slot.items()
+        if slot not in slots
+    }
+
+
+async def _release_for_lost_centres(
+    state: LeaderState, group_map: GroupMap, rows: GroupRows
+) -> None:
+    """Passes on the slots of data centres that an operator declared lost.
+
+    Their own leaders cannot. The row then names a leader outside its data
+    centre, which tells takers to wait for the former leader's rights to end.
+    """
+    for group, row in rows.row_by_group.items():
+        passed = _with_pending(row, rows.released_to(group))
+        if not passed.owner_by_slot or not _is_lost(state, group):
+            continue
+        group_by_slot = _groups_after_loss(group, passed, group_map)
+        released = replace(
+            _without_slots(passed, group_by_slot, group),
+            term=row.term + 1,
+            leader=state.context.me,
+            standby=None,
+        )
+        if await _write_foreign_row(state, rows, group, released):
+            state.context.counters.count(
+                'ownership.lost_centre_slots', len(group_by_slot)
+            )
+
+
+def _is_lost(state: LeaderState, group: GroupId) -> bool:
+    centres = state.context.declaration.data_centre_by_name
+    centre = centres.get(group.data_centre)
+    return centre is not None and centre.state == 'lost'
+
+
+def _with_pending(row: GroupRow, pending: Mapping[int, Release]) -> GroupRow:
+    """Returns the row as if its group had taken what was released to it."""
+    return replace(
+        row,
+        owner_by_slot={**dict.fromkeys(pending, ''), **row.owner_by_slot},
+        passes={**row.passes, **_numbers(pending)},
+    )
+
+
+def _numbers(releases: Mapping[int, Release]) -> dict[int, int]:
+    return {slot: entry.number for slot, entry in releases.items()}
+
+
+def _groups_after_loss(
+    group: GroupId, row: GroupRow, group_map: GroupMap
+) -> dict[int, GroupId]:
+    """Returns where the slots go; a mark binds, it may have been acted on."""
+    pins = set(row.pins.values())
+    return {
+        slot: group
+        if slot in pins
+        else row.leaving.get(slot, group_map.group_of_slot(slot))
+        for slot in row.owner_by_slot
+    }
+
+
+async def _write_foreign_row(
+    state: LeaderState, rows: GroupRows, group: GroupId, row: GroupRow
+) -> bool:
+    written = await state.context.table.write(
+        group.row_name,
+        encode_row(row),
+        rows.version_by_group[group],
+        f'{state.context.holder}/{group}/{rows.version_by_group[group]}',
+    )
+    return written.is_ok()
+
+
+async def _adopt_released(state: LeaderState, rows: GroupRows) -> None:
+    """Takes the slots that were released to this group.
+
+    Nobody else may take them, so that a slot that is now declared for another
+    group is taken too, and passed on.
+    """
+    entries = _outside(rows.takeable(state.group), state.row.owner_by_slot)
+    usable = [
+        candidate
+        for candidate in candidates(state)
+        if candidate.state == ServerState.live
+    ]
+    if not entries or not usable:
+        return
+    if rows.from_lost_centre(entries):
+        await wait_out(state, LOST_CENTRE_WAIT_MS)
+    assignment = state.placement.assign(sorted(entries), usable)
+    if not await record(
+        state,
+        lambda row: _with_slots(row, assignment, _numbers(entries)),
+        [],
+        needs_table=always,
+    ):
+        return
+    for slot, owner in assignment.owner_by_slot.items():
+        state.book.begin_tenure(slot, complete=False)
+        state.book.record(slot, owner, state.token, _REASON_ADOPTED)
+        state.other_group_by_slot.pop(slot, None)
+    state.context.counters.count('ownership.slots_adopted', len(entries))
+    state.poke_all()
+
+
+def _with_slots(
+    row: GroupRow, assignment: Assignment, number_by_slot: Mapping[int, int]
+) -> GroupRow:
+    return replace(
+        row,
+        owner_by_slot={**assignment.owner_by_slot, **row.owner_by_slot},
+        successor_by_slot={
+            **assignment.successor_by_slot,
+            **row.successor_by_slot,
+        },
+        passes={**row.passes, **number_by_slot},
+    )
+
+
+async def _forget_arrived(state: LeaderState, rows: GroupRows) -> None:
+    """Drops entries about slots that their next groups surely got."""
+    arrived = _arrived(state, state.row, rows)
+    if arrived:
+        await record(
+            state,
+            lambda row: _without_entries(row, arrived),
+            [],
+            needs_table=always,
+        )
+    for group, row in rows.row_by_group.items():
+        if row.leader.data_centre == group.data_centre:
+            continue
+        # Nobody leads this row.
+        old_entries = _arrived(state, row, rows)
+        if old_entries:
+            await _write_foreign_row(
+                state, rows, group, _without_entries(row, old_entries)
+            )
+
+
+def _arrived(state: LeaderState, row: GroupRow, rows: GroupRows) -> set[int]:
+    """Returns the slots whose entries in the row are of no use any more.
+
+    The taking leader may still write an older row over the one that was seen,
+    so that a slot must be seen at its next group for a while.
+    """
+    now = state.context.clock()
+    arrived = set()
+    for slot, entry in row.released.items():
+        place = (slot, entry.number)
+        if rows.passed_on(slot, entry.number):
+            arrived.add(slot)
+        elif not rows.has_arrived(slot, entry.number):
+            state.arrival_seen_at.pop(place, None)
+        elif now - state.arrival_seen_at.setdefault(place, now) > ARRIVAL_MS:
+            arrived.add(slot)
+    return arrived
+
+
+def _without_entries(row: GroupRow, slots: set[int]) -> GroupRow:
+    return replace(row, released=_outside(row.released, slots))
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader.py
@@ -29,6 +29,10 @@
 from yuccadale_router._internal.ownership.activation import begin_slots
 from yuccadale_router._internal.ownership.context import InstanceContext
 from yuccadale_router._internal.ownership.granting import run_server
+from yuccadale_router._internal.ownership.exchange import (
+    resume_leaving,
+    run_exchange,
+)
 from yuccadale_router._internal.ownership.leader_state import (
     Inheritance,
     LeaderState,
@@ -95,7 +99,14 @@
             return self._refuse(ResultCode.not_leader, state.end_reason)
         owner = state.row.owner_by_slot.get(slot)
         if owner is None:
-            return self._refuse(ResultCode.slot_not_ours, f'slot {slot}')
+            refusal = Refusal(
+                ResultCode.slot_not_ours,
+                state.where,
+                f'slot {slot}',
+                RETRY_AFTER_S,
+                state.other_group_by_slot.get(slot),
+            )
+            return Result.Error(refusal)
         if slot in state.book.target_by_slot:
             return self._refuse(ResultCode.slot_moving, f'slot {slot}')
         if slot in state.book.waiting:
@@ -214,12 +225,14 @@
             for slot, successor in row.successor_by_slot.items():
                 state.other_successors.setdefault(slot, set()).add(successor)
         begin_slots(state)
+        resume_leaving(state)
         state.announce()
         state.tasks.start(recording.run_replication(state))
         state.tasks.start(self._keep_lease())
         state.tasks.start(self._keep_servers())
         state.tasks.start(self._tend())
         state.tasks.start(self._plan())
+        state.tasks.start(run_exchange(state))
         if state.is_odd:
             state.tasks.start(self._commit_odd_takeover())
 
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
@@ -128,6 +128,10 @@
         # Slots whose forced move has begun and is not recorded yet.
         self.forced_slots: set[int] = set()
         self.idle_rounds_by_pin: dict[str, int] = {}
+        # Declared slots that another group still owns, and that group.
+        self.other_group_by_slot: dict[int, GroupId] = {}
+        # Since when a released slot was seen in its next group's row.
+        self.arrival_seen_at: dict[tuple[int, int], float] = {}
         # Pins to be moved back to the server of their base slot.
         self.returning_pins: dict[int, str] = {}
         self.members_changed = asyncio.Event()
--- a/packages/router/src/yuccadale_router/_internal/ownership/member.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/member.py
@@ -44,6 +44,7 @@
     FOREIGN_TERM_MS,
     StandbyPromise,
 )
+from yuccadale_router._internal.ownership.origin import first_slots
 from yuccadale_router._internal.ownership.pacing import (
     Backoff,
     sleep_jittered,
@@ -492,6 +493,9 @@
     def _shows_life(self, instance: InstanceRef) -> bool:
         if instance.name == self._context.me.name:
             return False
+        if instance.data_centre != self.group.data_centre:
+            # It released the slots of a lost data centre and leads nothing.
+            return False
         if self._context.is_gone(instance):
             return False
         silence_ms = self._context.peers.silence_ms(instance.name)
@@ -585,21 +589,18 @@
         }
         if service is None or not servers:
             return None
-        rows = await context.table.read_prefix(f'group/{service.name}/')
-        if rows.is_error():
-            return None
-        # Slots of another group stay there until that group gives them up.
-        taken = {
-            slot
-            for other in rows.ok
-            for slot in decode_row(other.text).owner_by_slot
-        }
         group_map = build_group_map(context.declaration, service)
-        slots = [
-            slot
-            for slot in group_map.slots_of_group(self.group)
-            if slot not in taken
-        ]
+        if self.group not in group_map.groups:
+            return None
+        slots = await first_slots(
+            context.table,
+            context.declaration,
+            service,
+            self.group,
+            f'{context.holder}/origin/{service.name}',
+        )
+        if slots is None:
+            return None
         assignment = context.placement_factory(self.group).assign(
             slots,
             [
--- a/packages/router/src/yuccadale_router/_internal/ownership/moving.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/moving.py
@@ -150,7 +150,7 @@
         return
     state.book.target_by_slot[slot] = proposal.new_owner
     state.poke(old_owner)
-    await _until_revoked(state, old_owner, slot)
+    await until_revoked(state, old_owner, slot)
     while not state.ended.is_set():
         target = _reachable_target(state, slot)
         if await _record_moves(state, {slot: target}, proposal.reason):
@@ -158,6 +158,20 @@
         await wait_out(state, RECORD_PAUSE_MS)
 
 
+async def until_revoked(state: LeaderState, old_owner: str, slot: int) -> None:
+    """Waits until the old owner's grant has no such slot or is over.
+
+    The end of the last grant bounds the wait; a paused task waits longer.
+    """
+    grants = state.ledger.of_server(old_owner)
+
+    def is_over() -> bool:
+        return grants.slot_over_at(slot) <= state.context.clock()
+
+    while not (state.ended.is_set() or is_over()):
+        await wait_until(is_over, state, REVOKE_WAIT_MS)
+
+
 async def finish_interrupted_moves(state: LeaderState) -> None:
     """Repeats records of forced moves that failed halfway.
 
@@ -390,20 +404,6 @@
     return over_at <= state.context.clock()
 
 
-async def _until_revoked(state: LeaderState, old_owner: str, slot: int) -> None:
-    """Waits until the old owner's grant has no such slot or is over.
-
-    The end of the last grant bounds the wait; a paused task waits longer.
-    """
-    grants = state.ledger.of_server(old_owner)
-
-    def is_over() -> bool:
-        return grants.slot_over_at(slot) <= state.context.clock()
-
-    while not (state.ended.is_set() or is_over()):
-        await wait_until(is_over, state, REVOKE_WAIT_MS)
-
-
 def _reachable_target(state: LeaderState, slot: int) -> str:
     """Returns where a revoked slot goes; R5 while the table is down."""
     target = state.book.target_by_slot[slot]
--- /dev/null
+++ b/packages/router/src/yuccadale_router/_internal/ownership/origin.py
@@ -0,0 +1,85 @@
+"""The first mapping of a service, on which all groups create their rows.
+
+Instances may act on different declarations while the first rows are written.
+The first of them records the mapping in the row ``origin/<service>``; later
+changes pass slots from row to row.
+"""
+
+from dataclasses import replace
+
+import msgspec
+
+from yuccadale_core.declaration import DataCentre, Declaration, Service
+from yuccadale_core.instances import GroupId
+from yuccadale_core.mapping import build_group_map
+from yuccadale_core.platform import TableFailureKind
+from yuccadale_router._internal.ownership.pacing import PacedTable
+
+
+class _Origin(msgspec.Struct, frozen=True):
+    slot_count: int
+    groups_per_data_centre: int
+    capacity_by_centre: dict[str, float]
+
+
+async def first_slots(
+    table: PacedTable,
+    declaration: Declaration,
+    service: Service,
+    group: GroupId,
+    write_id: str,
+) -> tuple[int, ...] | None:
+    """Returns the slots that a new group's row starts with.
+
+    None means that the table did not answer.
+    """
+    name = f'origin/{service.name}'
+    read = await table.read(name)
+    if read.is_error():
+        return None
+    row = read.ok
+    if row is None:
+        proposed = msgspec.json.encode(_origin(declaration, service)).decode()
+        written = await table.write(name, proposed, 0, write_id)
+        if written.is_ok():
+            row = written.ok
+        elif written.error.kind == TableFailureKind.conflict:
+            row = written.error.row
+    if row is None:
+        return None
+    origin = msgspec.json.decode(row.text, type=_Origin)
+    return _mapped_slots(origin, service, group)
+
+
+def _origin(declaration: Declaration, service: Service) -> _Origin:
+    return _Origin(
+        service.slot_count,
+        service.groups_per_data_centre,
+        {
+            centre.name: centre.capacity_by_service[service.name]
+            for centre in declaration.data_centre_by_name.values()
+            if centre.state == 'live'
+            and centre.capacity_by_service.get(service.name, 0) > 0
+        },
+    )
+
+
+def _mapped_slots(
+    origin: _Origin, service: Service, group: GroupId
+) -> tuple[int, ...]:
+    first_service = replace(
+        service,
+        slot_count=origin.slot_count,
+        groups_per_data_centre=origin.groups_per_data_centre,
+    )
+    first_declaration = Declaration(
+        data_centre_by_name={
+            name: DataCentre(
+                name, '', capacity_by_service={service.name: capacity}
+            )
+            for name, capacity in origin.capacity_by_centre.items()
+        }
+    )
+    return build_group_map(first_declaration, first_service).slots_of_group(
+        group
+    )
--- a/packages/router/src/yuccadale_router/_internal/ownership/rows.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/rows.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from yuccadale_core.instances import InstanceRef, ServerRef
+from yuccadale_core.instances import GroupId, InstanceRef, ServerRef
 
 MAX_SERVERS = 254
 _NO_SUCCESSOR = 255
@@ -17,6 +17,18 @@
 _CONTINUES = 0x80
 
 
+class Release(msgspec.Struct, frozen=True, array_like=True):
+    """Names the only group that may take a slot.
+
+    Attributes:
+        number: how often the slot will have changed groups then. Of several
+            entries about a slot only the one with the highest number counts.
+    """
+
+    group: GroupId
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class GroupRow:
     """A group as the table records it.
@@ -27,6 +39,10 @@
         owner_by_slot: server names; the keys are the group's slots.
         successor_by_slot: committed successors; slots without one are absent.
         pins: own slot of each pinned key.
+        leaving: owned slots that no server may be granted any more, and the
+            groups that get them; pins have the own group.
+        released: slots that this group gave up, until they have arrived.
+        passes: how often an owned slot changed groups; absent for never.
     """
 
     term: int
@@ -36,6 +52,9 @@
     owner_by_slot: Mapping[int, str]
     successor_by_slot: Mapping[int, str]
     pins: Mapping[str, int] = field(default_factory=dict)
+    leaving: Mapping[int, GroupId] = field(default_factory=dict)
+    released: Mapping[int, Release] = field(default_factory=dict)
+    passes: Mapping[int, int] = field(default_factory=dict)
 
     @property
     def token(self) -> int:
@@ -65,6 +84,9 @@
     owner_by_slot: bytes
     successor_by_slot: bytes
     pins: dict[str, int]
+    leaving: dict[int, GroupId] = {}
+    released: dict[int, Release] = {}
+    passes: dict[int, int] = {}
 
 
 _encoder = msgspec.json.Encoder()
@@ -92,6 +114,9 @@
             for slot in slots
         ),
         pins=dict(row.pins),
+        leaving=dict(row.leaving),
+        released=dict(row.released),
+        passes=dict(row.passes),
     )
     return _encoder.encode(encoded).decode()
 
@@ -117,6 +142,9 @@
             slots, encoded.successor_by_slot, names
         ),
         pins=encoded.pins,
+        leaving=encoded.leaving,
+        released=encoded.released,
+        passes=encoded.passes,
     )
 
 
--- a/packages/router/src/yuccadale_router/_internal/requests/entry.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/entry.py
@@ -222,11 +222,19 @@
                 return answer
             if refusal.outcome == Outcome.unknown:
                 unknown = answer
+            errand = self._redirected(errand, refusal)
             if not await self._pause_for_retry(errand, refusal, attempt):
                 # A later "not run" does not undo an earlier "unknown".
                 return unknown or answer
             attempt += 1
 
+    def _redirected(self, errand: Errand, refusal: Refusal) -> Errand:
+        """Turns to the group that still owns the slot, or owns it now."""
+        if refusal.other_group in {None, errand.group}:
+            return errand
+        self._counters.count(counter_names.REDIRECTED)
+        return replace(errand, group=refusal.other_group)
+
     async def _pause_for_retry(
         self, errand: Errand, refusal: Refusal, attempt: int
     ) -> bool:
@@ -237,7 +245,8 @@
         next_ms = self._clock() + delay_ms
         if next_ms >= errand.deadline_ms:
             return False
-        if not self._budget.take():
+        # A redirect is not repeated work: nothing was asked to run before.
+        if refusal.other_group is None and not self._budget.take():
             self._counters.count(counter_names.RETRY_DENIED)
             return False
         self._counters.count(counter_names.RETRY_BY_CODE[refusal.code])
--- a/packages/router/src/yuccadale_router/_internal/requests/forward_server.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/forward_server.py
@@ -16,6 +16,7 @@
     ForwardAnswer,
     PeerMessage,
 )
+from yuccadale_core.refusals import Refusal
 from yuccadale_core.timing import seconds
 from yuccadale_router._internal.contracts import Peers
 from yuccadale_router._internal.requests import counter_names
@@ -47,6 +48,10 @@
     timer: asyncio.TimerHandle
 
 
+# Stands for the refusal of an answer that a server gave.
+_NO_REFUSAL = Refusal(ResultCode.done, '')
+
+
 class ForwardServer:
     """The leader's side of a forward."""
 
@@ -176,15 +181,15 @@
 def _answer_message(
     sender: InstanceRef, forward_id: int, answer: DispatchAnswer
 ) -> ForwardAnswer:
-    refusal = answer.refusal
     pieces = piece_count(len(answer.body))
-    retry_after_s = None if refusal is None else refusal.retry_after_s
+    refusal = answer.refusal or _NO_REFUSAL
+    retry_after_s = refusal.retry_after_s
     return ForwardAnswer(
         forward_id=forward_id,
         incarnation=sender.incarnation,
-        code=ResultCode.done if refusal is None else refusal.code,
-        where='' if refusal is None else refusal.where,
-        detail='' if refusal is None else refusal.detail,
+        code=refusal.code,
+        where=refusal.where,
+        detail=refusal.detail,
         retry_after_s=-1 if retry_after_s is None else retry_after_s,
         status=answer.status,
         headers=dict(answer.headers),
@@ -192,6 +197,7 @@
         body_length=len(answer.body),
         hops=list(answer.hops),
         body_pieces=pieces,
+        other_group=refusal.other_group,
     )
 
 
--- a/packages/router/src/yuccadale_router/_internal/requests/forwarding.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/forwarding.py
@@ -245,6 +245,7 @@
                 answer.where,
                 answer.detail,
                 None if answer.retry_after_s < 0 else answer.retry_after_s,
+                answer.other_group,
             ),
         )
 
--- a/tests/builders/removed_rules.py
+++ b/tests/builders/removed_rules.py
@@ -53,7 +53,7 @@
     async def go_on(*arguments: object) -> None:
         """Waits for nothing."""
 
-    with mock.patch.object(moving, '_until_revoked', go_on):
+    with mock.patch.object(moving, 'until_revoked', go_on):
         yield
 
 
--- a/tests/builders/simulated_group.py
+++ b/tests/builders/simulated_group.py
@@ -620,6 +620,8 @@
                 self._slots_in_table.add(slot)
 
     def _row_written(self, written: Row) -> None:
+        if not written.name.startswith('group/'):
+            return
         row = decode_row(written.text)
         if row.term < self._term:
             raise Violation(f'term fell from {self._term} to {row.term}')
--- /dev/null
+++ b/tests/router/ownership/test_exchange.py
@@ -0,0 +1,156 @@
+"""Slots that pass between groups have one owner and are never lost."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from contextlib import AbstractContextManager
+from dataclasses import dataclass
+from types import MappingProxyType
+from unittest import mock
+
+import pytest
+
+from tests.builders.exchange_world import SLOTS, ExchangeWorld
+from yuccadale_router._internal.ownership import exchange
+from yuccadale_router._internal.ownership.group_rows import GroupRows
+from yuccadale_router._internal.ownership.rows import Release
+
+SEQUENCES = 1500
+_STEPS = 30
+_WEIGHT_BY_ACTION = MappingProxyType(
+    {
+        'declare': 2,
+        'learn': 5,
+        'exchange': 12,
+        'rewrite': 8,
+        'replace': 6,
+        'lose': 1,
+    }
+)
+_WEIGHT_BY_OUTCOME = MappingProxyType(
+    {'written': 6, 'answer lost': 4, 'not written': 1}
+)
+
+
+@dataclass(frozen=True)
+class _Step:
+    action: str
+    index: int
+    seed: int
+    outcomes: tuple[str, ...]
+
+
+def _random_steps(seed: int) -> list[_Step]:
+    chooser = random.Random(seed)
+    begin = [_Step('declare', 0, seed, ())]
+    begin += [_Step('learn', index, 0, ()) for index in range(3)]
+    return begin + [
+        _Step(
+            action=_weighted(chooser, _WEIGHT_BY_ACTION),
+            index=chooser.randrange(3),
+            seed=chooser.randrange(1000),
+            outcomes=tuple(
+                _weighted(chooser, _WEIGHT_BY_OUTCOME) for _ in range(3)
+            ),
+        )
+        for _ in range(_STEPS)
+    ]
+
+
+def _weighted(chooser: random.Random, weight_by_name: Mapping[str, int]) -> str:
+    return chooser.choices(list(weight_by_name), list(weight_by_name.values()))[
+        0
+    ]
+
+
+async def _take_step(world: ExchangeWorld, step: _Step) -> None:
+    if step.action == 'exchange':
+        await world.exchange(step.index, step.outcomes)
+    elif step.action == 'rewrite':
+        await world.rewrite(step.index, step.outcomes)
+    else:
+        _change(world, step)
+
+
+def _change(world: ExchangeWorld, step: _Step) -> None:
+    change_by_action = {
+        'declare': lambda: world.declare(step.seed),
+        'learn': lambda: world.learn(step.index),
+        'replace': lambda: world.replace_leader(step.index),
+        'lose': lambda: world.lose_centre(step.index, step.seed),
+    }
+    change_by_action[step.action]()
+
+
+def _misplaced(world: ExchangeWorld) -> str:
+    for slot in range(SLOTS):
+        owners = [
+            leader.group for leader in world.leaders if slot in leader.serving()
+        ]
+        if owners != [world.group_map.group_of_slot(slot)]:
+            return f'slot {slot} is at {owners}'
+    return ''
+
+
+async def _violation(steps: list[_Step]) -> str:
+    world = ExchangeWorld()
+    for step in steps:
+        await _take_step(world, step)
+        twice = world.served_twice()
+        if twice:
+            return f'slots {twice} have two owners'
+    await world.settle()
+    return _misplaced(world)
+
+
+def first_violation(sequences: int) -> tuple[int, str] | None:
+    """Returns the first seed that breaks an invariant, and how."""
+    for seed in range(sequences):
+        violation = asyncio.run(_violation(_random_steps(seed)))
+        if violation:
+            return seed, violation
+    return None
+
+
+def test_each_slot_has_one_owner_and_arrives() -> None:
+    """Guards against two groups that own a slot, and slots nobody owns."""
+    assert first_violation(SEQUENCES) is None
+
+
+def _without_mark() -> AbstractContextManager[object]:
+    """The next leader grants slots whose removal may be in the table."""
+    return mock.patch(
+        'tests.builders.exchange_world.exchange.resume_leaving',
+        lambda state: None,
+    )
+
+
+def _without_numbers() -> AbstractContextManager[object]:
+    """Any entry counts, although a newer one names another group."""
+
+    def released_to(rows: GroupRows, group: object) -> dict[int, Release]:
+        return {
+            slot: entry
+            for row in rows.row_by_group.values()
+            for slot, entry in row.released.items()
+            if entry.group == group
+        }
+
+    return mock.patch.object(GroupRows, 'released_to', released_to)
+
+
+def _without_arrival_time() -> AbstractContextManager[object]:
+    """An entry is dropped once the slot was seen at its next group."""
+    return mock.patch.object(exchange, 'ARRIVAL_MS', -1)
+
+
+@pytest.mark.parametrize(
+    'remove_rule',
+    [_without_mark, _without_numbers, _without_arrival_time],
+)
+def test_missing_rule_is_found(
+    remove_rule: Callable[[], AbstractContextManager[object]],
+) -> None:
+    """Guards against a check that would not see a missing rule."""
+    with remove_rule():
+        assert first_violation(SEQUENCES) is not None
