--- a/packages/bench/src/yuccadale_bench/_internal/command_line.py
+++ b/packages/bench/src/yuccadale_bench/_internal/command_line.py
@@ -24,6 +24,7 @@
     {
         'capacity': _module('capacity'),
         'configuration': _module('configuration'),
+        'control-cost': _module('control_cost'),
         'demo': _module('demo'),
         'docs': _module('docs'),
         'failover': _module('failover'),
--- a/packages/router/src/yuccadale_router/_internal/ownership/activation.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/activation.py
@@ -106,5 +106,5 @@
     holder = f'{predecessor.name}/{predecessor.incarnation}'
     if report.holder != holder:
         return
-    for slot in state.row.slots_of(server_name):
+    for slot in state.slots_of(server_name):
         state.book.begin_tenure(slot, complete=True)
--- a/packages/router/src/yuccadale_router/_internal/ownership/granting.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/granting.py
@@ -71,7 +71,7 @@
     """Makes the next grant with the lifetimes that R3 allows."""
     slots = [
         slot
-        for slot in state.row.slots_of(server_name)
+        for slot in state.slots_of(server_name)
         if not state.book.is_held(slot)
     ]
     lease_end = -math.inf if state.is_odd else state.lease.valid_until
@@ -93,8 +93,8 @@
     reported = set(report.slots) if report is not None else set()
     moving = {
         slot
-        for slot in state.row.slots_of(server_name)
-        if slot in state.book.target_by_slot
+        for slot in state.book.target_by_slot
+        if state.row.owner_by_slot.get(slot) == server_name
     }
     return moving | (reported & state.book.waiting)
 
@@ -155,7 +155,7 @@
 
 def _release_ready(state: LeaderState, server_name: str) -> None:
     """Lets the dispatcher send what waited for slots that became usable."""
-    for slot in state.row.slots_of(server_name):
+    for slot in state.slots_of(server_name):
         if not state.ledger.may_use(server_name, slot):
             state.released.discard(slot)
         elif slot not in state.released:
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import enum
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any, TypeVar
 
@@ -132,6 +132,8 @@
         self.returning_pins: dict[int, str] = {}
         self.members_changed = asyncio.Event()
         self.row_token_before = (start.row.term - 1) * 2
+        self._indexed_row: GroupRow | None = None
+        self._slots_by_server: dict[str, list[int]] = {}
         self._poke_by_server: dict[str, asyncio.Event] = {}
         self._write_number = 0
         self._own_write_ids: set[str] = set()
@@ -229,6 +231,19 @@
         """Returns the event that the server's grant loop waits on."""
         return self._poke_by_server.setdefault(server_name, asyncio.Event())
 
+    def slots_of(self, server_name: str) -> Sequence[int]:
+        """Returns the slots that a server owns by the present row.
+
+        Each grant asks for them; going through all slots of the group each
+        time made the cost of a grant grow with the whole group.
+        """
+        if self._indexed_row is not self.row:
+            self._indexed_row = self.row
+            self._slots_by_server.clear()
+            for slot, owner in self.row.owner_by_slot.items():
+                self._slots_by_server.setdefault(owner, []).append(slot)
+        return self._slots_by_server.get(server_name, ())
+
     def owner(self, slot: int) -> str:
         """Returns the owner of one of the group's slots."""
         return self.row.owner_by_slot[slot]
--- a/packages/router/src/yuccadale_router/_internal/ownership/moving.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/moving.py
@@ -298,7 +298,7 @@
     """R5: a slot of a lost server goes only to its committed successor."""
     return {
         slot: state.row.successor_by_slot[slot]
-        for slot in state.row.slots_of(server_name)
+        for slot in state.slots_of(server_name)
         if slot in state.row.successor_by_slot
         and slot not in state.moving
         and slot not in state.book.waiting
