End a leadership when one of its tasks fails

A leader whose grant or lease task had failed went on with the others. Its leadership now ends, and a failed task of the service ends the process.

--- a/packages/router/src/yuccadale_router/_internal/ownership/context.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/context.py
@@ -66,9 +66,12 @@
         return self.declaration.service_by_name.get(group.service)
 
     def checks_grants(self, group: GroupId) -> bool:
-        """Says whether the group's servers check who sends to them."""
+        """Says whether the group's servers check who sends to them.
+
+        A service that the declaration dropped keeps the stricter rules.
+        """
         service = self.service(group)
-        return service is not None and service.checks_grants
+        return service is None or service.checks_grants
 
     def listed_servers(self, group: GroupId) -> dict[str, ListedServer]:
         """Returns the servers that the list assigns to the group."""
@@ -173,8 +176,9 @@
 class TaskSet:
     """Tasks that end together with their owner."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_failure: Callable[[], None] | None = None) -> None:
         self._tasks: set[asyncio.Task[None]] = set()
+        self._on_failure = on_failure
 
     def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Runs a coroutine; a failure stays visible in the loop's log."""
@@ -193,6 +197,8 @@
     def _finished(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
+            if self._on_failure is not None:
+                self._on_failure()
             asyncio.get_running_loop().call_exception_handler(
                 {
                     'message': 'ownership task failed',
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
@@ -104,7 +104,8 @@
         self.placement: Placement = context.placement_factory(group)
         self.log = self._new_log()
         self.lock = asyncio.Lock()
-        self.tasks = TaskSet()
+        # Without one of its tasks a leader must not go on.
+        self.tasks = TaskSet(lambda: self.end('a task failed'))
         self.ended = asyncio.Event()
         self.end_reason = ''
         self.started_at = clock()
--- a/packages/router/src/yuccadale_router/_internal/ownership/member.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/member.py
@@ -309,7 +309,9 @@
         replica = self.replica
         if replica is None or replica.row is None:
             return
-        server = replica.row.server_by_name[server_name]
+        server = replica.row.server_by_name.get(server_name)
+        if server is None:
+            return
         target = self._context.target_factory(server)
         if (await call_server(target.hello())).is_ok():
             self._silent_since_by_server.pop(server_name, None)
--- a/packages/router/src/yuccadale_router/_internal/ownership/service.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/service.py
@@ -121,7 +121,8 @@
             chooser=chooser or random.Random(),
         )
         self._member_by_group: dict[GroupId, GroupMember] = {}
-        self._tasks = TaskSet()
+        self._tasks = TaskSet(self._task_failed)
+        self._has_failed = False
         self._running = False
         leaderships.listen(self._learned)
         self._handle_messages()
@@ -178,13 +179,18 @@
                     self._tasks.start(member.run())
 
     async def _follow_list(self) -> None:
-        while True:  # noqa: WPS457
+        while not self._has_failed:
             fetched = await self._instance_list.fetch()
             if fetched.is_ok():
                 self._context.listed = {
                     instance.name: instance for instance in fetched.ok
                 }
             await sleep_jittered(LIST_INTERVAL_MS, self._context.chooser)
+        raise RuntimeError('a task of ownership failed')
+
+    def _task_failed(self) -> None:
+        """Ends the process soon: it must not look alive without a group."""
+        self._has_failed = True
 
     def _learned(self, leadership: Leadership) -> None:
         member = self._member_by_group.get(leadership.group)
