--- a/packages/router/src/yuccadale_router/_internal/ownership/granting.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/granting.py
@@ -14,9 +14,13 @@
 )
 from yuccadale_core.timing import GRANT_INTERVAL_MS, seconds
 from yuccadale_router._internal.ownership.activation import take_report
-from yuccadale_router._internal.ownership.grants import latest_ends
+from yuccadale_router._internal.ownership.grants import (
+    FOREIGN_TTL_MS,
+    latest_ends,
+)
 from yuccadale_router._internal.ownership.leader_state import (
     LeaderState,
+    Origin,
     call_server,
 )
 
@@ -73,6 +77,7 @@
         slot
         for slot in state.slots_of(server_name)
         if not state.book.is_held(slot)
+        and not _awaits_restart(state, server_name, slot)
     ]
     lease_end = -math.inf if state.is_odd else state.lease.valid_until
     answered_by_slot = {slot: _answered_at(state, slot) for slot in slots}
@@ -83,6 +88,27 @@
     )
 
 
+def _awaits_restart(state: LeaderState, server_name: str, slot: int) -> bool:
+    """Whether a restarted server could serve a slot too early.
+
+    The new process does not know that it has to wait for an earlier holder
+    whose grant to the slot's former owner relied on its answers.
+    """
+    grants = state.ledger.of_server(server_name)
+    seen_at = grants.incarnation_seen_at
+    if state.context.clock() >= seen_at + FOREIGN_TTL_MS:
+        return False
+    if grants.previous_grant is not None:
+        # It told of an earlier leader's grant, so it has not restarted.
+        return False
+    moved_at = state.moved_at.get(slot)
+    if moved_at is not None:
+        return moved_at >= seen_at - FOREIGN_TTL_MS
+    if state.start.origin == Origin.created:
+        return False
+    return seen_at < state.started_at + FOREIGN_TTL_MS
+
+
 def _retained_slots(state: LeaderState, server_name: str) -> set[int]:
     """Returns held slots that the server must go on reporting as its own.
 
@@ -91,12 +117,13 @@
     """
     report = state.reports.get(server_name)
     reported = set(report.slots) if report is not None else set()
-    moving = {
+    not_granted = {
         slot
-        for slot in state.book.target_by_slot
-        if state.row.owner_by_slot.get(slot) == server_name
+        for slot in state.slots_of(server_name)
+        if slot in state.book.target_by_slot
+        or _awaits_restart(state, server_name, slot)
     }
-    return moving | (reported & state.book.waiting)
+    return not_granted | (reported & state.book.waiting)
 
 
 async def _offer_grant(state: LeaderState, server_name: str) -> bool:
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader.py
@@ -50,6 +50,8 @@
 PLAN_INTERVAL_MS = 1000
 GAP_WAIT_MS = 500
 RETRY_AFTER_S = 0.2
+# How long an instance that handed over may still look alive.
+LEAVING_MS = 3000
 # Leadership goes to the standby at most this often for a bad server link.
 LINK_HANDOVER_PAUSE_MS = 10_000
 
@@ -251,7 +253,7 @@
             return
         if state.handing_over:
             return
-        excluded = frozenset((standby.name,))
+        excluded = self._leaving_names() | {standby.name}
         replacement = self._context.choose_standby(
             state.group, excluded=excluded
         )
@@ -261,6 +263,19 @@
         state.tasks.start(self._replace_standby(replacement))
         await asyncio.sleep(self._backoff.next_delay_s())
 
+    def _leaving_names(self) -> frozenset[str]:
+        """Returns the instance that just handed the group over.
+
+        Its heartbeats may still make it look like a standby.
+        """
+        start = self.state.start
+        age_ms = self._context.clock() - self.state.started_at
+        if start.origin != Origin.handed_over or start.predecessor is None:
+            return frozenset()
+        if age_ms >= LEAVING_MS:
+            return frozenset()
+        return frozenset((start.predecessor.name,))
+
     def _restarted_peer(self, name: str) -> InstanceRef | None:
         standby = self.state.row.standby
         for peer in self._context.local_peers():
@@ -275,7 +290,7 @@
     async def _renew_by_table(self) -> None:
         state = self.state
         replacement = self._context.choose_standby(
-            state.group, excluded=frozenset()
+            state.group, excluded=self._leaving_names()
         )
         if replacement is not None or state.standby_change_in_doubt():
             done = await recording.change_standby(state, replacement)
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
@@ -123,6 +123,8 @@
         # that an instance without replicated state took over.
         self.reports: dict[str, LastGrant | None] = {}
         self.released: set[int] = set()
+        # When slots moved, for servers that restart soon afterwards.
+        self.moved_at: dict[int, float] = {}
         self.lost_servers: set[str] = set()
         # Slots with a planned move, from the hold until the record.
         self.moving: set[int] = set()
--- a/packages/router/src/yuccadale_router/_internal/ownership/moving.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/moving.py
@@ -331,6 +331,7 @@
     if not recorded:
         return False
     for slot, target in target_by_slot.items():
+        state.moved_at[slot] = state.context.clock()
         state.book.target_by_slot.pop(slot, None)
         state.forced_slots.discard(slot)
         state.book.record(slot, target, state.token, reason)
