--- a/tests/router/requests/test_faults.py
+++ b/tests/router/requests/test_faults.py
@@ -1,6 +1,7 @@
 """What callers are told when a caller, a peer or a server misbehaves."""
 
 import asyncio
+from pathlib import Path
 from types import MappingProxyType
 
 import pytest
@@ -19,10 +20,12 @@
 from yuccadale_core.messages import Cancel, ForwardAnswer, RecordChange
 from yuccadale_core.targets import TargetFailureKind
 from yuccadale_router._internal.contracts import Tenure
+from yuccadale_router._internal.requests import counter_names
 from yuccadale_router._internal.requests.parsing import (
     CallerRequest,
     parse_caller_request,
 )
+from yuccadale_router._internal.requests.replay_window import ReplayWindow
 
 _KEY = MappingProxyType({'yuccadale-key': 'k'})
 
@@ -432,3 +435,24 @@
     )
     entry.peers.handler_by_type[ForwardAnswer](sender, answer)
     leader.peers.handler_by_type[Cancel](sender, Cancel(99))
+
+
+def test_every_counter_is_documented() -> None:
+    """Guards against a counter that operators cannot look up."""
+    root = Path(__file__).parents[3]
+    page = (root / 'docs/operators/slow-requests.md').read_text('utf-8')
+    for name, meaning in counter_names.MEANING_BY_NAME.items():
+        assert f'| `{name}` | {meaning} |' in page
+
+
+def test_forward_that_comes_twice_is_served_once() -> None:
+    """Guards against a refused request that runs by a copy of its message."""
+    window = ReplayWindow()
+    assert [window.is_new(number) for number in (5, 5, 4, 4, 2000, 5)] == [
+        True,
+        False,
+        True,
+        False,
+        True,
+        False,
+    ]
