--- a/packages/bench/src/yuccadale_bench/_internal/command_line.py
+++ b/packages/bench/src/yuccadale_bench/_internal/command_line.py
@@ -32,8 +32,10 @@
         'placement-cost': _module('placement_cost'),
         'relay': _module('relay'),
         'replay': _module('replay'),
+        'replay-weights': _module('replay_weights'),
         'shares': _module('shares'),
         'silent-link': _module('silent_link'),
+        'state-cost': _module('state_cost'),
     }
 )
 
--- a/packages/router/src/yuccadale_router/_internal/network/peer_link.py
+++ b/packages/router/src/yuccadale_router/_internal/network/peer_link.py
@@ -1,6 +1,5 @@
 """The link to one peer: one task that connects, sends and notices silence."""
 
-import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -20,7 +19,10 @@
 
 from yuccadale_router._internal.clock import Clock
 from yuccadale_router._internal.network.peer_outbox import PeerOutbox
-from yuccadale_router._internal.network.peer_transport import open_dialer
+from yuccadale_router._internal.network.peer_transport import (
+    open_dialer,
+    send,
+)
 
 _NEVER_MS = -float('inf')
 # A numbered batch that arrives this much after newer ones is a late duplicate.
@@ -37,7 +39,6 @@
         echoed_ms: when the peer last acknowledged a new heartbeat.
         leaving: whether the peer said that it is shutting down.
         asked_ms: when a heartbeat was last sent that wants an answer.
-        repaired_ms: when the peer was last sent all leaderships.
         used_ms: when work was last sent to or received from the peer.
     """
 
@@ -58,7 +59,7 @@
         self.echoed_ms = _NEVER_MS
         self.used_ms = _NEVER_MS
         self.asked_ms = _NEVER_MS
-        self.repaired_ms = _NEVER_MS
+        self._differs_since_ms: float | None = None
         self.leaving = False
         self._me = me
         self._keys = keys
@@ -148,6 +149,17 @@
                 None if message.echo == self._heartbeat_number else now
             )
 
+    def needs_repair(self, *, same: bool, after_ms: float) -> bool:
+        """Says whether the peer has known other leaders for too long."""
+        now = self._clock()
+        if same or self._differs_since_ms is None:
+            self._differs_since_ms = None if same else now
+            return False
+        if now - self._differs_since_ms < after_ms:
+            return False
+        self._differs_since_ms = now
+        return True
+
     def is_silent(self) -> bool:
         """Whether heartbeats have stayed unacknowledged for too long."""
         oldest = self._oldest_unechoed_ms
@@ -173,9 +185,7 @@
                     return 'silent'
                 sealed = self._sealed(messages)
                 try:
-                    await asyncio.wait_for(
-                        dialer.asend(sealed), seconds(LINK_SILENCE_MS)
-                    )
+                    await send(dialer, sealed, seconds(LINK_SILENCE_MS))
                 except TimeoutError:
                     return 'blocked'
                 except pynng.NNGException:
