--- a/tests/builders/fake_servers.py
+++ b/tests/builders/fake_servers.py
@@ -72,7 +72,6 @@
         return answer
 
     async def cancel(self, request_id: str) -> None:
-        """Gives up work that did not take effect yet."""
         await self.thawed.wait()
         if request_id in self._outcome_by_id:
             self.cancelled.add(request_id)
@@ -80,7 +79,6 @@
     async def outcome(
         self, request_id: str
     ) -> Result[OutcomeAnswer, TargetFailure]:
-        """Reports what became of an id."""
         await self.thawed.wait()
         if not self.outcome_answers:
             return _failed(TargetFailureKind.lost)
--- a/tests/builders/fuzz_world.py
+++ b/tests/builders/fuzz_world.py
@@ -72,7 +72,6 @@
 
     @property
     def current(self) -> bool:
-        """Whether no later leader was made."""
         return self.fuzz.ownership is self
 
     def permit(self, slot: int) -> Result[SendPermit, Refusal]:
@@ -85,7 +84,6 @@
         return permitted
 
     def tenure(self, slot: int) -> Tenure:
-        """Returns what the records cover at the slot's server."""
         complete, began_ms = self.tenure_by_slot.get(
             slot, (False, virtual_ms())
         )
@@ -150,7 +148,6 @@
             self.ownership.tenure_by_slot[slot] = (True, 0)
 
     def slots_of(self, server_name: str) -> set[int]:
-        """Returns the slots that the server owns."""
         return {
             slot
             for slot, owner in self.owner_by_slot.items()
@@ -158,11 +155,9 @@
         }
 
     def standby_in_reach(self) -> bool:
-        """Whether replication reaches the standby."""
         return (self.leader, self.standby) not in self.cut_ms_by_link
 
     def apply(self, changes: list[RecordChange]) -> None:
-        """Takes replicated changes over at the standby."""
         for change in changes:
             record_id = (change.slot, change.request_id)
             if change.state == 'not run':
@@ -171,7 +166,6 @@
                 self.copy_by_id[record_id] = change
 
     def replace_leader(self, leader: str, standby: str) -> None:
-        """Makes another instance leader, as the former standby or not."""
         node = self.node_by_name[leader]
         inherits = leader == self.standby
         self.token += 2
@@ -193,7 +187,6 @@
         self.tell_leadership()
 
     def full_copy(self) -> None:
-        """Gives the standby all records."""
         self.copy_by_id.clear()
         if self.standby_in_reach():
             self.apply(self.dispatcher.export_records())
@@ -202,7 +195,6 @@
             server.gap = True
 
     def tell_leadership(self) -> None:
-        """Lets the instances in the leader's reach know of it."""
         leader = self.node_by_name[self.leader].me
         leadership = Leadership(GROUP, self.token, leader, None)
         for name, node in self.node_by_name.items():
@@ -224,7 +216,6 @@
         self.tell_leadership()
 
     def mend_all(self) -> None:
-        """Lets all links deliver, and renews the copy at the standby."""
         if not self.cut_ms_by_link:
             return
         self.cut_ms_by_link.clear()
@@ -235,7 +226,6 @@
         self.tell_leadership()
 
     def freeze(self, name: str) -> None:
-        """Stops a server in the middle of its work."""
         self.server_by_name[name].thawed.clear()
         self.frozen_ms_by_server.setdefault(name, virtual_ms())
 
@@ -270,7 +260,6 @@
             self.dispatcher.release_slot(slot)
 
     async def move_slot(self, slot: int, name: str) -> None:
-        """Moves a slot by plan."""
         ownership, dispatcher = self.ownership, self.dispatcher
         await dispatcher.hold_slot(slot)
         old = self.server_by_name[self.owner_by_slot[slot]]
@@ -305,7 +294,6 @@
                 self._deliver_late(sender, other, message, 0)
 
     def replay(self, number: int) -> None:
-        """Delivers an old message once more."""
         if self.old_messages:
             sender, receiver, message = self.old_messages[
                 -1 - number % len(self.old_messages)
@@ -319,7 +307,6 @@
                 self._deliver_late(sender, receiver.name, message, 0)
 
     def ask(self, work: Work, name: str) -> None:
-        """Sends work through an instance, with its true age."""
         node = self.node_by_name[name]
         age_ms = virtual_ms() - work.first_sent_ms if work.aged else -1
         request = replace(work.request, first_sent_ago_ms=age_ms)
@@ -328,7 +315,6 @@
         )
 
     def violations(self) -> list[str]:
-        """Compares what callers were told with what servers ran."""
         found: list[str] = []
         for work in self.works:
             request = work.request
@@ -362,7 +348,6 @@
             new.slots.add(slot)
 
     def _take_fault(self, message: PeerMessage) -> str:
-        """Takes the fault that waits; only an answer can cross."""
         fault = self.faults[-1] if self.faults else ''
         if fault == 'cross' and not isinstance(message, ForwardAnswer):
             return ''
--- a/tests/builders/request_world.py
+++ b/tests/builders/request_world.py
@@ -102,7 +102,6 @@
         self.full = False
 
     def send(self, peer_name: str, message: PeerMessage) -> bool:
-        """Queues a message on its way to the peer."""
         if self.full or peer_name not in self.world.peers_by_name:
             return False
         self.world.carry(self.me, peer_name, message)
@@ -111,16 +110,13 @@
     def handle(
         self, message_type: type[PeerMessage], handler: MessageHandler
     ) -> None:
-        """Registers a handler."""
         self.handler_by_type[message_type] = handler
 
     def silence_ms(self, peer_name: str) -> float:
-        """Returns the time since the link to the peer was cut."""
         cut_ms = self.world.cut_ms_by_link.get((peer_name, self.me.name))
         return 0 if cut_ms is None else virtual_ms() - cut_ms
 
     def live_peers(self) -> Sequence[InstanceRef]:
-        """Returns all other instances that are heard."""
         return [
             peers.me
             for peers in self.world.peers_by_name.values()
@@ -142,24 +138,20 @@
         self.replicate_refusal: ResultCode | None = None
 
     def effective_slot(self, slot: int, key: str) -> int:
-        """Returns the slot of a pin, or the slot."""
         return self.pinned.get(key, slot)
 
     def permit(self, slot: int) -> Result[SendPermit, Refusal]:
-        """Returns the owner, or the refusal that the test set."""
         if self.refusal is not None:
             return Result.Error(Refusal(self.refusal, 'ownership'))
         name = self.world.owner_by_slot[slot]
         return Result.Ok(SendPermit(ServerRef(name, name, 'rack'), self.token))
 
     def tenure(self, slot: int) -> Tenure:
-        """Returns the tenure that the test set."""
         return self.tenure_value
 
     async def replicate(
         self, server_name: str, changes: list[RecordChange]
     ) -> Result[None, Refusal]:
-        """Keeps the changes after one way to the standby and back."""
         await asyncio.sleep(2 * LINK_MS / 1000)
         if self.replicate_refusal is not None:
             return Result.Error(Refusal(self.replicate_refusal, 'ownership'))
@@ -167,7 +159,6 @@
         return Result.Ok(None)
 
     def report_sight(self, server_name: str, sight: ServerSight) -> None:
-        """Keeps what was seen."""
         self.sights.append(sight)
 
 
@@ -203,15 +194,12 @@
         self.entry.declaration_changed(world.declaration)
 
     def observe(self, sample: object) -> None:
-        """Implements ``LoadObserver``."""
         self.samples.append(sample)
 
     async def ask(self, request: CallerRequest) -> CallerAnswer:
-        """Sends a request as a caller."""
         return await self.entry.handle(request)
 
     def lead(self, token: int, tell: 'Sequence[Node]' = ()) -> FakeOwnership:
-        """Makes this node the leader and tells the others."""
         ownership = FakeOwnership(self.peers.world, token)
         self.dispatchers(GROUP, ownership)
         for node in (self, *tell):
@@ -239,17 +227,14 @@
         }
 
     def target(self, server: ServerRef) -> Target:
-        """Implements ``TargetFactory``."""
         return cast(Target, self.server_by_name[server.name])
 
     def node(self, name: str, data_centre: str = 'lodz-a') -> Node:
-        """Starts an entry instance."""
         return Node(self, make_instance(name, data_centre))
 
     def carry(
         self, sender: InstanceRef, receiver: str, message: PeerMessage
     ) -> None:
-        """Delivers a message after the way, unless the link is cut."""
         if (sender.name, receiver) in self.cut_ms_by_link:
             return
         self.deliver(sender, receiver, message, LINK_MS)
@@ -261,7 +246,6 @@
         message: PeerMessage,
         delay_ms: float,
     ) -> None:
-        """Hands a message over after a delay."""
         way = self._way_by_link.setdefault((sender.name, receiver), deque())
         handlers = self.peers_by_name[receiver].handler_by_type
         way.append((handlers[type(message)], sender, message))
@@ -270,12 +254,10 @@
         )
 
     def cut(self, first: str, second: str) -> None:
-        """Stops a link in both directions."""
         for link in ((first, second), (second, first)):
             self.cut_ms_by_link[link] = virtual_ms()
 
     def mend(self, first: str, second: str) -> None:
-        """Lets a link deliver again."""
         for link in ((first, second), (second, first)):
             self.cut_ms_by_link.pop(link, None)
 
--- a/tests/builders/virtual_time.py
+++ b/tests/builders/virtual_time.py
@@ -1,11 +1,10 @@
 """An event loop whose time jumps to the next timer; nothing waits."""
 
 import asyncio
+import functools
 import selectors
-from collections.abc import Coroutine
-from typing import Any, TypeVar
-
-_Value = TypeVar('_Value')
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 
 class _JumpingSelector(selectors.SelectSelector):
@@ -40,7 +39,14 @@
     return asyncio.get_running_loop().time() * 1000
 
 
-def run_virtual(work: Coroutine[Any, Any, _Value]) -> _Value:
-    """Runs a coroutine to its end in virtual time."""
-    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-        return runner.run(work)
+def in_virtual_time(
+    scenario: Callable[..., Coroutine[Any, Any, None]],
+) -> Callable[..., None]:
+    """Makes a test of a coroutine; it runs to its end in virtual time."""
+
+    @functools.wraps(scenario)
+    def run(*args: Any, **named: Any) -> None:
+        with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+            runner.run(scenario(*args, **named))
+
+    return run
--- a/tests/router/requests/test_faults.py
+++ b/tests/router/requests/test_faults.py
@@ -15,7 +15,7 @@
     make_instance,
     make_service,
 )
-from tests.builders.virtual_time import run_virtual, virtual_ms
+from tests.builders.virtual_time import in_virtual_time, virtual_ms
 from yuccadale_core.codes import Outcome, ResultCode
 from yuccadale_core.messages import Cancel, ForwardAnswer, RecordChange
 from yuccadale_core.targets import TargetFailureKind
@@ -83,23 +83,20 @@
         (deposit('i', deadline_ms=0), ResultCode.deadline_passed),
     ],
 )
-def test_request_that_cannot_run(
+@in_virtual_time
+async def test_request_that_cannot_run(
     request_made: CallerRequest, code: ResultCode
 ) -> None:
     """Guards against work that starts although its request is not valid."""
-
-    async def scenario() -> None:
-        world = World()
-        node = world.node('a')
-        node.lead(2)
-        answer = await node.ask(request_made)
-        assert answer.refusal
-        # A passed deadline may be noticed by the estimate first.
-        code_seen = answer.refusal.code
-        assert code_seen in {code, ResultCode.deadline_too_short}
-        assert not _runs(world)
-
-    run_virtual(scenario())
+    world = World()
+    node = world.node('a')
+    node.lead(2)
+    answer = await node.ask(request_made)
+    assert answer.refusal
+    # A passed deadline may be noticed by the estimate first.
+    code_seen = answer.refusal.code
+    assert code_seen in {code, ResultCode.deadline_too_short}
+    assert not _runs(world)
 
 
 @pytest.mark.parametrize(
@@ -120,7 +117,8 @@
     ],
 )
 @pytest.mark.parametrize('local', [True, False])
-def test_server_failure(
+@in_virtual_time
+async def test_server_failure(
     kind: TargetFailureKind,
     repeatable: bool,  # noqa: FBT001
     outcome: str,
@@ -128,62 +126,52 @@
     local: bool,  # noqa: FBT001
 ) -> None:
     """Guards the rule on what each failure of a server says about the work."""
-
-    async def scenario() -> None:
-        world = World(servers=1)
-        entry, leader = world.node('a'), world.node('b')
-        leader.lead(2, tell=[entry])
-        world.server_by_name['s0'].failures.append(kind)
-        request = calendar(body=b'w') if repeatable else deposit('w')
-        answer = await (leader if local else entry).ask(request)
-        seen = answer.refusal.outcome.value if answer.refusal else 'done'
-        assert seen == outcome
-        assert _runs(world) == most_runs
-
-    run_virtual(scenario())
-
-
-def test_silent_server_makes_the_outcome_unknown() -> None:
+    world = World(servers=1)
+    entry, leader = world.node('a'), world.node('b')
+    leader.lead(2, tell=[entry])
+    world.server_by_name['s0'].failures.append(kind)
+    request = calendar(body=b'w') if repeatable else deposit('w')
+    answer = await (leader if local else entry).ask(request)
+    seen = answer.refusal.outcome.value if answer.refusal else 'done'
+    assert seen == outcome
+    assert _runs(world) == most_runs
+
+
+@in_virtual_time
+async def test_silent_server_makes_the_outcome_unknown() -> None:
     """Guards against a guess when the server cannot be asked."""
-
-    async def scenario() -> None:
-        world = World(servers=1)
-        node = world.node('a')
-        node.lead(2)
-        server = world.server_by_name['s0']
-        server.outcome_answers = False
-        server.failures.append(TargetFailureKind.lost)
-        for _ in range(2):
-            answer = await node.ask(deposit('w'))
-            assert answer.refusal
-            assert answer.refusal.outcome == Outcome.unknown
-        assert _runs(world) == 1
-
-    run_virtual(scenario())
+    world = World(servers=1)
+    node = world.node('a')
+    node.lead(2)
+    server = world.server_by_name['s0']
+    server.outcome_answers = False
+    server.failures.append(TargetFailureKind.lost)
+    for _ in range(2):
+        answer = await node.ask(deposit('w'))
+        assert answer.refusal
+        assert answer.refusal.outcome == Outcome.unknown
+    assert _runs(world) == 1
 
 
-def test_late_copy_after_a_refused_one_runs_once() -> None:
+@in_virtual_time
+async def test_late_copy_after_a_refused_one_runs_once() -> None:
     """Guards against a "not run" report that is about an earlier copy.
 
     The fuzzer found it: the server reports the refused first copy while the
     second one still waits unread.
     """
-
-    async def scenario() -> None:
-        world = World(servers=1)
-        node = world.node('a')
-        node.lead(2)
-        server = world.server_by_name['s0']
-        server.slots = set()
-        await node.ask(deposit('w', deadline_ms=20))
-        server.slots = None
-        server.late_ms.append(200)
-        await node.ask(deposit('w', deadline_ms=100))
-        await node.ask(deposit('w', deadline_ms=100))
-        await asyncio.sleep(1)
-        assert _runs(world) == 1
-
-    run_virtual(scenario())
+    world = World(servers=1)
+    node = world.node('a')
+    node.lead(2)
+    server = world.server_by_name['s0']
+    server.slots = set()
+    await node.ask(deposit('w', deadline_ms=20))
+    server.slots = None
+    server.late_ms.append(200)
+    await node.ask(deposit('w', deadline_ms=100))
+    await node.ask(deposit('w', deadline_ms=100))
+    await asyncio.sleep(1)
+    assert _runs(world) == 1
 
 
 @pytest.mark.parametrize(
@@ -199,24 +187,19 @@
         (False, 700_000, 650_000, ResultCode.request_id_too_old),
     ],
 )
-def test_tenure_rule(
+@in_virtual_time
+async def test_tenure_rule(
     complete: bool,  # noqa: FBT001
     age_ms: float,
     first_sent_ago_ms: float,
     code: ResultCode | None,
 ) -> None:
     """Guards against a run of an id that an earlier leader may have run."""
-
-    async def scenario() -> None:
-        world = World()
-        node = world.node('a')
-        node.lead(2).tenure_value = Tenure(complete, age_ms)
-        answer = await node.ask(
-            deposit('w', first_sent_ago_ms=first_sent_ago_ms)
-        )
-        assert (answer.refusal and answer.refusal.code) == code
-
-    run_virtual(scenario())
+    world = World()
+    node = world.node('a')
+    node.lead(2).tenure_value = Tenure(complete, age_ms)
+    answer = await node.ask(deposit('w', first_sent_ago_ms=first_sent_ago_ms))
+    assert (answer.refusal and answer.refusal.code) == code
 
 
 @pytest.mark.parametrize(
@@ -227,43 +210,40 @@
         ('not run', 1, None),
     ],
 )
-def test_inherited_record(
+@in_virtual_time
+async def test_inherited_record(
     state: str, runs: int, code: ResultCode | None
 ) -> None:
     """Guards against a run of an id that an earlier leader has started."""
-
-    async def scenario() -> None:
-        world = World(servers=1)
-        first = world.node('a')
-        ownership = first.lead(2)
-        await first.ask(deposit('w'))
-        # The outcome is replicated after the answer.
-        await asyncio.sleep(0.01)
-        change = ownership.replicated[-1]
-        for server in world.server_by_name.values():
-            server.runs.clear()
-            server.outcome_answers = False
-        second = world.node('b')
-        second.lead(4)
-        dispatcher = second.dispatchers.find(GROUP)
-        assert dispatcher
-        inherited = RecordChange(
-            change.slot,
-            change.request_id,
-            state,
-            change.fingerprint,
-            change.server,
-            age_ms=5,
-            status=change.status,
-            headers=change.headers,
-            body=change.body,
-        )
-        dispatcher.import_records([inherited])
-        answer = await second.ask(deposit('w'))
-        assert (answer.refusal and answer.refusal.code) == code
-        assert _runs(world) == runs
-
-    run_virtual(scenario())
+    world = World(servers=1)
+    first = world.node('a')
+    ownership = first.lead(2)
+    await first.ask(deposit('w'))
+    # The outcome is replicated after the answer.
+    await asyncio.sleep(0.01)
+    change = ownership.replicated[-1]
+    for server in world.server_by_name.values():
+        server.runs.clear()
+        server.outcome_answers = False
+    second = world.node('b')
+    second.lead(4)
+    dispatcher = second.dispatchers.find(GROUP)
+    assert dispatcher
+    inherited = RecordChange(
+        change.slot,
+        change.request_id,
+        state,
+        change.fingerprint,
+        change.server,
+        age_ms=5,
+        status=change.status,
+        headers=change.headers,
+        body=change.body,
+    )
+    dispatcher.import_records([inherited])
+    answer = await second.ask(deposit('w'))
+    assert (answer.refusal and answer.refusal.code) == code
+    assert _runs(world) == runs
 
 
 @pytest.mark.parametrize(
@@ -280,145 +260,127 @@
         ('wrong incarnation', False, None),
     ],
 )
-def test_peer_fault(
+@in_virtual_time
+async def test_peer_fault(
     fault: str,
     repeatable: bool,  # noqa: FBT001
     code: ResultCode | None,
 ) -> None:
     """Guards what is known about work when the peer link fails."""
-
-    async def scenario() -> None:
-        world = World(servers=1)
-        entry, leader = world.node('a'), world.node('b')
-        leader.lead(2, tell=[entry])
-        world.server_by_name['s0'].delay_ms = 20
-        if fault == 'cut before':
-            world.cut('a', 'b')
-            await asyncio.sleep(0.7)
-        entry.peers.full = fault == 'full'
-        request = calendar() if repeatable else deposit('w')
-        asked = asyncio.create_task(entry.ask(request))
-        await asyncio.sleep(0.005)
-        if fault == 'cut after':
-            world.cut('a', 'b')
-        elif fault.startswith('wrong'):
-            _send_wrong_answer(entry, leader, fault)
-        answer = await asked
-        assert (answer.refusal and answer.refusal.code) == code
-        if answer.refusal is None:
-            assert answer.body == b'stage-1'
-
-    run_virtual(scenario())
-
-
-def test_held_requests_leave_when_a_leader_comes() -> None:
-    """Guards against requests that wait on although there is a new leader."""
-
-    async def scenario() -> None:
-        world = World()
-        entry, old, new = (world.node(name) for name in 'abc')
-        old.lead(2, tell=[entry])
+    world = World(servers=1)
+    entry, leader = world.node('a'), world.node('b')
+    leader.lead(2, tell=[entry])
+    world.server_by_name['s0'].delay_ms = 20
+    if fault == 'cut before':
         world.cut('a', 'b')
         await asyncio.sleep(0.7)
-        asked = [
-            asyncio.create_task(entry.ask(deposit(f'w{number}')))
-            for number in range(20)
-        ]
-        await asyncio.sleep(0.3)
-        new.lead(4, tell=[entry])
-        told_ms = virtual_ms()
-        answers = await asyncio.gather(*asked)
-        assert not any(answer.refusal for answer in answers)
-        # 10 rounds at 2 servers of concurrency 2, and the ways.
-        assert virtual_ms() - told_ms < 30
+    entry.peers.full = fault == 'full'
+    request = calendar() if repeatable else deposit('w')
+    asked = asyncio.create_task(entry.ask(request))
+    await asyncio.sleep(0.005)
+    if fault == 'cut after':
+        world.cut('a', 'b')
+    elif fault.startswith('wrong'):
+        _send_wrong_answer(entry, leader, fault)
+    answer = await asked
+    assert (answer.refusal and answer.refusal.code) == code
+    if answer.refusal is None:
+        assert answer.body == b'stage-1'
 
-    run_virtual(scenario())
+
+@in_virtual_time
+async def test_held_requests_leave_when_a_leader_comes() -> None:
+    """Guards against requests that wait on although there is a new leader."""
+    world = World()
+    entry, old, new = (world.node(name) for name in 'abc')
+    old.lead(2, tell=[entry])
+    world.cut('a', 'b')
+    await asyncio.sleep(0.7)
+    asked = [
+        asyncio.create_task(entry.ask(deposit(f'w{number}')))
+        for number in range(20)
+    ]
+    await asyncio.sleep(0.3)
+    new.lead(4, tell=[entry])
+    told_ms = virtual_ms()
+    answers = await asyncio.gather(*asked)
+    assert not any(answer.refusal for answer in answers)
+    # 10 rounds at 2 servers of concurrency 2, and the ways.
+    assert virtual_ms() - told_ms < 30
 
 
 @pytest.mark.parametrize('written', [True, False])
-def test_caller_that_goes_away(written: bool) -> None:  # noqa: FBT001
+@in_virtual_time
+async def test_caller_that_goes_away(written: bool) -> None:  # noqa: FBT001
     """Guards against work that runs for nobody, and against a lost record."""
-
-    async def scenario() -> None:
-        world = World(make_service(concurrency=1), servers=1)
-        entry, leader = world.node('a'), world.node('b')
-        leader.lead(2, tell=[entry])
-        world.server_by_name['s0'].delay_ms = 30
-        if not written:
-            asyncio.create_task(leader.ask(calendar()))
-            await asyncio.sleep(0.001)
-        asked = asyncio.create_task(entry.ask(deposit('w', key='stage-2')))
-        await asyncio.sleep(0.01)
-        asked.cancel()
-        await asyncio.sleep(0.1)
-        assert world.server_by_name['s0'].runs['w'] == int(written)
-        again = await entry.ask(deposit('w', key='stage-2'))
-        assert again.status == 200
-        assert world.server_by_name['s0'].runs['w'] == 1
-
-    run_virtual(scenario())
-
-
-def test_large_bodies_pass_in_pieces() -> None:
+    world = World(make_service(concurrency=1), servers=1)
+    entry, leader = world.node('a'), world.node('b')
+    leader.lead(2, tell=[entry])
+    world.server_by_name['s0'].delay_ms = 30
+    if not written:
+        asyncio.create_task(leader.ask(calendar()))
+        await asyncio.sleep(0.001)
+    asked = asyncio.create_task(entry.ask(deposit('w', key='stage-2')))
+    await asyncio.sleep(0.01)
+    asked.cancel()
+    await asyncio.sleep(0.1)
+    assert world.server_by_name['s0'].runs['w'] == int(written)
+    again = await entry.ask(deposit('w', key='stage-2'))
+    assert again.status == 200
+    assert world.server_by_name['s0'].runs['w'] == 1
+
+
+@in_virtual_time
+async def test_large_bodies_pass_in_pieces() -> None:
     """Guards against bodies over 64 KiB that arrive cut or mixed."""
-
-    async def scenario() -> None:
-        world = World()
-        entry, leader = world.node('a'), world.node('b')
-        leader.lead(2, tell=[entry])
-        bodies = [bytes([number]) * (200_000 + number) for number in (65, 66)]
-        answers = await asyncio.gather(
-            *(entry.ask(deposit(f'w{body[0]}', body=body)) for body in bodies)
-        )
-        assert [answer.body for answer in answers] == bodies
-
-    run_virtual(scenario())
+    world = World()
+    entry, leader = world.node('a'), world.node('b')
+    leader.lead(2, tell=[entry])
+    bodies = [bytes([number]) * (200_000 + number) for number in (65, 66)]
+    answers = await asyncio.gather(
+        *(entry.ask(deposit(f'w{body[0]}', body=body)) for body in bodies)
+    )
+    assert [answer.body for answer in answers] == bodies
 
 
-def test_held_slot_sends_to_its_new_owner() -> None:
+@in_virtual_time
+async def test_held_slot_sends_to_its_new_owner() -> None:
     """Guards against work at the old owner after a planned move."""
-
-    async def scenario() -> None:
-        world = World()
-        node = world.node('a')
-        node.lead(2)
-        dispatcher = node.dispatchers.find(GROUP)
-        assert dispatcher
-        first = await node.ask(calendar())
-        old = first.headers['server']
-        asked = [asyncio.create_task(node.ask(calendar())) for _ in range(9)]
-        await asyncio.sleep(0)
-        slots = [s for s, owner in world.owner_by_slot.items() if owner == old]
-        for slot in slots:
-            await dispatcher.hold_slot(slot)
-            assert not world.server_by_name[old].running
-        before = world.server_by_name[old].runs.total()
-        for slot in slots:
-            world.owner_by_slot[slot] = 's0' if old == 's1' else 's1'
-            dispatcher.release_slot(slot)
-        answers = await asyncio.gather(*asked)
-        assert not any(answer.refusal for answer in answers)
-        assert world.server_by_name[old].runs.total() == before
-
-    run_virtual(scenario())
-
-
-def test_drain_finishes_what_was_taken() -> None:
+    world = World()
+    node = world.node('a')
+    node.lead(2)
+    dispatcher = node.dispatchers.find(GROUP)
+    assert dispatcher
+    first = await node.ask(calendar())
+    old = first.headers['server']
+    asked = [asyncio.create_task(node.ask(calendar())) for _ in range(9)]
+    await asyncio.sleep(0)
+    slots = [s for s, owner in world.owner_by_slot.items() if owner == old]
+    for slot in slots:
+        await dispatcher.hold_slot(slot)
+        assert not world.server_by_name[old].running
+    before = world.server_by_name[old].runs.total()
+    for slot in slots:
+        world.owner_by_slot[slot] = 's0' if old == 's1' else 's1'
+        dispatcher.release_slot(slot)
+    answers = await asyncio.gather(*asked)
+    assert not any(answer.refusal for answer in answers)
+    assert world.server_by_name[old].runs.total() == before
+
+
+@in_virtual_time
+async def test_drain_finishes_what_was_taken() -> None:
     """Guards against requests that a shutdown interrupts."""
-
-    async def scenario() -> None:
-        world = World()
-        node = world.node('a')
-        node.lead(2)
-        asked = [asyncio.create_task(node.ask(calendar())) for _ in range(20)]
-        await asyncio.sleep(0)
-        await node.entry.drain()
-        assert all(task.done() and not task.result().refusal for task in asked)
-        late = await node.ask(calendar())
-        assert late.refusal
-        assert late.refusal.code == ResultCode.instance_draining
-
-    run_virtual(scenario())
+    world = World()
+    node = world.node('a')
+    node.lead(2)
+    asked = [asyncio.create_task(node.ask(calendar())) for _ in range(20)]
+    await asyncio.sleep(0)
+    await node.entry.drain()
+    assert all(task.done() and not task.result().refusal for task in asked)
+    late = await node.ask(calendar())
+    assert late.refusal
+    assert late.refusal.code == ResultCode.instance_draining
 
 
 def _runs(world: World) -> int:
--- a/tests/router/requests/test_limits.py
+++ b/tests/router/requests/test_limits.py
@@ -13,7 +13,7 @@
     deposit,
     make_service,
 )
-from tests.builders.virtual_time import run_virtual, virtual_ms
+from tests.builders.virtual_time import in_virtual_time, virtual_ms
 from yuccadale_core.codes import Outcome, ResultCode
 from yuccadale_core.counters import Counters
 from yuccadale_core.instances import ServerRef
@@ -39,139 +39,118 @@
     return [answer.refusal and answer.refusal.code for answer in answers]
 
 
-def test_queue_is_bounded_and_keeps_the_urgent() -> None:
+@in_virtual_time
+async def test_queue_is_bounded_and_keeps_the_urgent() -> None:
     """Guards against browsing that keeps deposits out of a full queue."""
-
-    async def scenario() -> None:
-        _, node = _one_server(10, queue_limit=4)
-        browsing = [
-            asyncio.create_task(node.ask(calendar(f'k{number}')))
-            for number in range(7)
-        ]
-        await asyncio.sleep(0.001)
-        deposits = await asyncio.gather(
-            *(
-                node.ask(deposit(f'd{number}', f'd{number}'))
-                for number in (1, 2)
-            )
-        )
-        assert _codes(deposits) == [None, None]
-        codes = _codes(await asyncio.gather(*browsing))
-        # One is at the server, four wait, and the deposits push two out.
-        assert codes.count(ResultCode.queue_full) == 4
-        assert codes.count(None) == 3
-
-    run_virtual(scenario())
-
-
-def test_key_gets_half_of_the_queue() -> None:
+    _, node = _one_server(10, queue_limit=4)
+    browsing = [
+        asyncio.create_task(node.ask(calendar(f'k{number}')))
+        for number in range(7)
+    ]
+    await asyncio.sleep(0.001)
+    deposits = await asyncio.gather(
+        *(node.ask(deposit(f'd{number}', f'd{number}')) for number in (1, 2))
+    )
+    assert _codes(deposits) == [None, None]
+    codes = _codes(await asyncio.gather(*browsing))
+    # One is at the server, four wait, and the deposits push two out.
+    assert codes.count(ResultCode.queue_full) == 4
+    assert codes.count(None) == 3
+
+
+@in_virtual_time
+async def test_key_gets_half_of_the_queue() -> None:
     """Guards against one hot key that fills the queue of all others."""
+    _, node = _one_server(10, queue_limit=8)
+    hot = [asyncio.create_task(node.ask(calendar())) for _ in range(9)]
+    await asyncio.sleep(0.001)
+    other = await node.ask(calendar('stage-2'))
+    assert other.refusal is None
+    codes = _codes(await asyncio.gather(*hot))
+    assert codes.count(ResultCode.key_share_exceeded) == 4
 
-    async def scenario() -> None:
-        _, node = _one_server(10, queue_limit=8)
-        hot = [asyncio.create_task(node.ask(calendar())) for _ in range(9)]
-        await asyncio.sleep(0.001)
-        other = await node.ask(calendar('stage-2'))
-        assert other.refusal is None
-        codes = _codes(await asyncio.gather(*hot))
-        assert codes.count(ResultCode.key_share_exceeded) == 4
-
-    run_virtual(scenario())
 
-
-def test_key_yields_to_others_after_half_of_the_time() -> None:
+@in_virtual_time
+async def test_key_yields_to_others_after_half_of_the_time() -> None:
     """Guards against a hot key that takes all turns of a server."""
+    _, node = _one_server(10)
+    ended: list[str] = []
 
-    async def scenario() -> None:
-        _, node = _one_server(10)
-        ended: list[str] = []
-
-        async def ask(key: str, deadline_ms: float) -> None:
-            await node.ask(calendar(key, deadline_ms=deadline_ms))
-            ended.append(key)
+    async def ask(key: str, deadline_ms: float) -> None:
+        await node.ask(calendar(key, deadline_ms=deadline_ms))
+        ended.append(key)
 
-        # The hot key's deadlines are earlier, so that order alone prefers it.
-        await asyncio.gather(
-            *(ask('hot', 3000) for _ in range(20)),
-            *(ask(f'k{number}', 4000) for number in range(10)),
-        )
-        assert ended[:12].count('hot') <= 7
+    # The hot key's deadlines are earlier, so that order alone prefers it.
+    await asyncio.gather(
+        *(ask('hot', 3000) for _ in range(20)),
+        *(ask(f'k{number}', 4000) for number in range(10)),
+    )
+    assert ended[:12].count('hot') <= 7
 
-    run_virtual(scenario())
 
-
-def test_hopeless_work_is_refused_early() -> None:
+@in_virtual_time
+async def test_hopeless_work_is_refused_early() -> None:
     """Guards against work that waits only to miss its deadline."""
-
-    async def scenario() -> None:
-        world, node = _one_server(20)
-        for _ in range(30):
-            await node.ask(calendar())
-        asked = [
-            asyncio.create_task(node.ask(calendar(f'k{n}', deadline_ms=100)))
-            for n in range(20)
-        ]
-        await asyncio.sleep(0.001)
-        refused = [task.result() for task in asked if task.done()]
-        assert len(refused) >= 14
-        assert set(_codes(refused)) == {ResultCode.deadline_too_short}
-        served = _codes(await asyncio.gather(*asked)).count(None)
-        assert served == 4
-        assert world.server_by_name['s0'].runs.total() == 30 + served
-
-    run_virtual(scenario())
-
-
-def test_overload_keeps_the_goodput() -> None:
+    world, node = _one_server(20)
+    for _ in range(30):
+        await node.ask(calendar())
+    asked = [
+        asyncio.create_task(node.ask(calendar(f'k{n}', deadline_ms=100)))
+        for n in range(20)
+    ]
+    await asyncio.sleep(0.001)
+    refused = [task.result() for task in asked if task.done()]
+    assert len(refused) >= 14
+    assert set(_codes(refused)) == {ResultCode.deadline_too_short}
+    served = _codes(await asyncio.gather(*asked)).count(None)
+    assert served == 4
+    assert world.server_by_name['s0'].runs.total() == 30 + served
+
+
+@in_virtual_time
+async def test_overload_keeps_the_goodput() -> None:
     """Guards against a server that is busy with work nobody waits for."""
-
-    async def scenario() -> None:
-        world, node = _one_server(10)
-        asked = []
-        for number in range(400):
-            request = calendar(f'k{number}', deadline_ms=60)
-            asked.append(asyncio.create_task(node.ask(request)))
-            await asyncio.sleep(0.005)
-        answers = await asyncio.gather(*asked)
-        delivered = _codes(answers).count(None)
-        # 2,000 ms at 10 ms each are 200; the target is 90 %.
-        assert delivered >= 180
-        assert delivered >= 0.9 * world.server_by_name['s0'].runs.total()
-
-    run_virtual(scenario())
+    world, node = _one_server(10)
+    asked = []
+    for number in range(400):
+        request = calendar(f'k{number}', deadline_ms=60)
+        asked.append(asyncio.create_task(node.ask(request)))
+        await asyncio.sleep(0.005)
+    answers = await asyncio.gather(*asked)
+    delivered = _codes(answers).count(None)
+    # 2,000 ms at 10 ms each are 200; the target is 90 %.
+    assert delivered >= 180
+    assert delivered >= 0.9 * world.server_by_name['s0'].runs.total()
 
 
 @pytest.mark.parametrize('reason', ['cold', 'shedding'])
-def test_rate_starts_low_and_rises(reason: str) -> None:
+@in_virtual_time
+async def test_rate_starts_low_and_rises(reason: str) -> None:
     """Guards against full load on a server that cannot carry it yet."""
-
-    async def scenario() -> None:
-        world, node = _one_server(5)
-        server = world.server_by_name['s0']
-        await node.ask(calendar())
-        if reason == 'cold':
-            dispatcher = node.dispatchers.find(GROUP)
-            assert dispatcher
-            dispatcher.server_added(ServerRef('s0', 's0', 'rack'), cold=True)
-        else:
-            server.failures.extend(repeat(TargetFailureKind.shedding, 4))
-            await asyncio.gather(
-                *(node.ask(calendar(deadline_ms=50)) for _ in range(4))
-            )
-        runs = []
-        asked = [asyncio.create_task(node.ask(calendar())) for _ in range(90)]
-        for _ in range(4):
-            before = server.runs.total()
-            await asyncio.sleep(0.1)
-            runs.append(server.runs.total() - before)
-        # At full rate a server takes 20 in 100 ms.
-        assert runs[0] < 12
-        assert runs[-1] > runs[0]
-        for task in asked:
-            task.cancel()
-        await asyncio.gather(*asked, return_exceptions=True)
-
-    run_virtual(scenario())
+    world, node = _one_server(5)
+    server = world.server_by_name['s0']
+    await node.ask(calendar())
+    if reason == 'cold':
+        dispatcher = node.dispatchers.find(GROUP)
+        assert dispatcher
+        dispatcher.server_added(ServerRef('s0', 's0', 'rack'), cold=True)
+    else:
+        server.failures.extend(repeat(TargetFailureKind.shedding, 4))
+        await asyncio.gather(
+            *(node.ask(calendar(deadline_ms=50)) for _ in range(4))
+        )
+    runs = []
+    asked = [asyncio.create_task(node.ask(calendar())) for _ in range(90)]
+    for _ in range(4):
+        before = server.runs.total()
+        await asyncio.sleep(0.1)
+        runs.append(server.runs.total() - before)
+    # At full rate a server takes 20 in 100 ms.
+    assert runs[0] < 12
+    assert runs[-1] > runs[0]
+    for task in asked:
+        task.cancel()
+    await asyncio.gather(*asked, return_exceptions=True)
 
 
 def test_retries_are_a_tenth_of_first_attempts() -> None:
@@ -186,70 +165,61 @@
     assert 95 <= taken <= 100
 
 
-def test_spent_budget_does_not_hide_the_outcome() -> None:
+@in_virtual_time
+async def test_spent_budget_does_not_hide_the_outcome() -> None:
     """Guards against a "not run" for work that an earlier attempt started."""
+    world, node = _one_server(1)
+    server = world.server_by_name['s0']
+    server.failures.append(TargetFailureKind.lost)
+    server.failures.extend(repeat(TargetFailureKind.shedding, 40))
+    answer = await node.ask(calendar())
+    assert answer.refusal
+    assert answer.refusal.outcome == Outcome.unknown
 
-    async def scenario() -> None:
-        world, node = _one_server(1)
-        server = world.server_by_name['s0']
-        server.failures.append(TargetFailureKind.lost)
-        server.failures.extend(repeat(TargetFailureKind.shedding, 40))
-        answer = await node.ask(calendar())
-        assert answer.refusal
-        assert answer.refusal.outcome == Outcome.unknown
-
-    run_virtual(scenario())
 
-
-def test_region_link_serves_the_urgent_first() -> None:
+@in_virtual_time
+async def test_region_link_serves_the_urgent_first() -> None:
     """Guards against browsing that delays deposits between regions."""
-
-    async def scenario() -> None:
-        counters = Counters()
-        budget = RegionBudget(virtual_ms, counters, lambda: 100_000)
-        order: list[int] = []
-
-        async def send(priority: int, limit_ms: float) -> bool:
-            admitted = await budget.admit(
-                'pl-south',
-                'ledger',
-                priority=priority,
-                body_bytes=1800,
-                limit_ms=limit_ms,
-            )
-            if admitted:
-                order.append(priority)
-            return admitted
-
-        browsing = [asyncio.create_task(send(3, 300)) for _ in range(50)]
-        await asyncio.sleep(0.01)
-        started_ms = virtual_ms()
-        assert await send(1, 300)
-        assert virtual_ms() - started_ms < 25
-        sent = sum(await asyncio.gather(*browsing))
-        # The reserve leaves 7,000 bytes at once, then 100 bytes a ms.
-        assert 12 <= sent <= 18
-        count = counters.snapshot()['region_bytes.ledger.pl-south']
-        assert count == len(order) * 2000
-
-    run_virtual(scenario())
-
-
-def test_forward_between_regions_is_counted() -> None:
+    counters = Counters()
+    budget = RegionBudget(virtual_ms, counters, lambda: 100_000)
+    order: list[int] = []
+
+    async def send(priority: int, limit_ms: float) -> bool:
+        admitted = await budget.admit(
+            'pl-south',
+            'ledger',
+            priority=priority,
+            body_bytes=1800,
+            limit_ms=limit_ms,
+        )
+        if admitted:
+            order.append(priority)
+        return admitted
+
+    browsing = [asyncio.create_task(send(3, 300)) for _ in range(50)]
+    await asyncio.sleep(0.01)
+    started_ms = virtual_ms()
+    assert await send(1, 300)
+    assert virtual_ms() - started_ms < 25
+    sent = sum(await asyncio.gather(*browsing))
+    # The reserve leaves 7,000 bytes at once, then 100 bytes a ms.
+    assert 12 <= sent <= 18
+    count = counters.snapshot()['region_bytes.ledger.pl-south']
+    assert count == len(order) * 2000
+
+
+@in_virtual_time
+async def test_forward_between_regions_is_counted() -> None:
     """Guards against a link whose bytes nobody accounts for."""
-
-    async def scenario() -> None:
-        world = World()
-        entry = world.node('a', 'krakow-a')
-        leader = world.node('b')
-        leader.lead(2, tell=[entry])
-        answer = await entry.ask(calendar(body=b'x' * 1000))
-        assert answer.refusal is None
-        name = 'region_bytes.ledger.pl-{}'
-        assert entry.counters.snapshot()[name.format('central')] == 1200
-        assert leader.counters.snapshot()[name.format('south')] == 1200
-
-    run_virtual(scenario())
+    world = World()
+    entry = world.node('a', 'krakow-a')
+    leader = world.node('b')
+    leader.lead(2, tell=[entry])
+    answer = await entry.ask(calendar(body=b'x' * 1000))
+    assert answer.refusal is None
+    name = 'region_bytes.ledger.pl-{}'
+    assert entry.counters.snapshot()[name.format('central')] == 1200
+    assert leader.counters.snapshot()[name.format('south')] == 1200
 
 
 def test_slow_requests_are_bounded_and_expire() -> None:
@@ -266,18 +236,15 @@
     assert not slow.slowest('ledger')
 
 
-def test_records_expire_and_their_memory_is_bounded() -> None:
+@in_virtual_time
+async def test_records_expire_and_their_memory_is_bounded() -> None:
     """Guards against records that are dropped early or kept for ever."""
-
-    async def scenario() -> None:
-        world, node = _one_server(1, retry_window_s=10)
-        await node.ask(deposit('w'))
-        await asyncio.sleep(11)
-        again = await node.ask(deposit('w', first_sent_ago_ms=9_900))
-        assert [hop.name for hop in again.hops] == ['record', 'entry']
-        await asyncio.sleep(2)
-        dispatcher = node.dispatchers.find(GROUP)
-        assert dispatcher
-        assert not dispatcher.export_records()
-
-    run_virtual(scenario())
+    world, node = _one_server(1, retry_window_s=10)
+    await node.ask(deposit('w'))
+    await asyncio.sleep(11)
+    again = await node.ask(deposit('w', first_sent_ago_ms=9_900))
+    assert [hop.name for hop in again.hops] == ['record', 'entry']
+    await asyncio.sleep(2)
+    dispatcher = node.dispatchers.find(GROUP)
+    assert dispatcher
+    assert not dispatcher.export_records()
