--- a/packages/router/src/yuccadale_router/_internal/requests/delivery.py
+++ b/packages/router/src/yuccadale_router/_internal/requests/delivery.py
@@ -307,16 +307,18 @@
             job.slot, queue.server.name, job.deadline_ms
         )
         target = self._target_by_server[queue.server.name]
+        answered: Result[TargetAnswer, TargetFailure] | None = None
         try:
             async with asyncio.timeout(seconds(request.remaining_ms)) as limit:
                 flight.limit = limit
                 answered = await target.run(request)
         except TimeoutError:
-            self._abandon(job, queue, flight)
             return self._unanswered(queue, flight)
-        except asyncio.CancelledError:
-            self._abandon(job, queue, flight)
-            raise
+        finally:
+            # Also when the caller went, or an adapter raised by mistake: the
+            # server's place must come back.
+            if answered is None:
+                self._abandon(job, queue, flight)
         service_ms = self._clock() - sent_ms
         self.flights.end(flight)
         queue.release(job.forward.key, service_ms)
--- a/tests/router/requests/test_faults.py
+++ b/tests/router/requests/test_faults.py
@@ -418,3 +418,18 @@
         True,
         False,
     ]
+
+
+@in_virtual_time
+async def test_adapter_that_raises_gives_the_place_back() -> None:
+    """Guards against a server that gets no work after one wrong call."""
+    world = World(make_service(concurrency=1), servers=1)
+    node = world.node('a')
+    node.lead(2)
+    # The fake server raises for what is no kind of failure.
+    failures = world.server_by_name['s0'].failures
+    failures.append('none')  # type: ignore[arg-type]
+    with pytest.raises(AttributeError):
+        await node.ask(calendar())
+    answer = await node.ask(calendar())
+    assert answer.refusal is None
--- a/tests/router/requests/test_fuzz.py
+++ b/tests/router/requests/test_fuzz.py
@@ -103,14 +103,12 @@
 
     @rule(number=st.integers(0, 5))
     def caller_goes(self, number: int) -> None:
-        """Ends a connection of a caller."""
         tasks = [task for work in self.world.works for task in work.tasks]
         for task in tasks[-1 - number : len(tasks) - number]:
             self.do(task.cancel)
 
     @rule(passed_ms=_pauses)
     def wait(self, passed_ms: int) -> None:
-        """Lets time pass."""
         self.loop.run_until_complete(asyncio.sleep(passed_ms / 1000))
 
     @rule(keep_records=st.booleans())
@@ -144,18 +142,15 @@
 
     @rule(name=_nodes)
     def restart(self, name: str) -> None:
-        """Replaces the process of an instance."""
         self.do(self.world.restart, name)
 
     @rule(slot=st.integers(0, SLOT_COUNT - 1), server=_servers)
     def move_slot(self, slot: int, server: str) -> None:
-        """Moves a slot."""
         work = self.world.move_slot(slot, server)
         self.tasks.append(self.loop.create_task(work))
 
     @rule(server=_servers, kind=st.sampled_from(TargetFailureKind))
     def fail_next(self, server: str, kind: TargetFailureKind) -> None:
-        """Lets the next request to a server fail."""
         self.world.server_by_name[server].failures.append(kind)
 
     @rule(server=_servers, late_ms=st.sampled_from((5, 200, 900)))
@@ -165,33 +160,27 @@
 
     @rule(server=_servers, frozen=st.booleans())
     def freeze_or_thaw(self, server: str, frozen: bool) -> None:  # noqa: FBT001
-        """Freezes a server or lets it go on."""
         self.do(self.world.freeze if frozen else self.world.thaw, server)
 
     @rule(server=_servers)
     def give_up_server(self, server: str) -> None:
-        """Moves the slots of a frozen server."""
         self.do(self.world.give_up_server, server)
 
     @rule(first=_nodes, second=_nodes)
     def cut(self, first: str, second: str) -> None:
-        """Cuts a link."""
         if first != second:
             self.do(self.world.cut, first, second)
 
     @rule()
     def mend(self) -> None:
-        """Mends all links."""
         self.do(self.world.mend_all)
 
     @rule(fault=st.sampled_from(('drop', 'delay', 'duplicate', 'cross')))
     def disturb_link(self, fault: str) -> None:
-        """Disturbs the next message between instances."""
         self.world.faults.append(fault)
 
     @rule(number=st.integers(0, 20))
     def replay(self, number: int) -> None:
-        """Delivers an old message again."""
         self.do(self.world.replay, number)
 
     @invariant()
