--- a/packages/bench/src/yuccadale_bench/_internal/capacity.py
+++ b/packages/bench/src/yuccadale_bench/_internal/capacity.py
@@ -88,7 +88,7 @@
         '',
         _sums(lines),
         '',
-        '## What is not measured',
+        '## Other measurements, and what is missing',
         '',
         *_unmeasured(slopes),
         '',
@@ -265,7 +265,7 @@
 def _unmeasured(slopes: Slopes) -> Iterator[str]:
     for name, meaning in (
         ('control_cost', 'transport of control messages'),
-        ('request_cost', 'requests per core and hop'),
+        ('request_cost', 'entry and dispatch without network'),
     ):
         measured = slopes.get(name)
         command = name.replace('_', '-')
@@ -274,6 +274,10 @@
         else:
             yield f'- {meaning} (`{command}`): measured, see below.'
             yield from _listed(measured)
+    yield (
+        '- Requests per core and hop with HTTP and peer links: '
+        f'{_NOT_MEASURED} here.'
+    )
     yield (
         '- Memory of a running process as a whole, and the store reader and '
         f'the client in operation: {_NOT_MEASURED}.'
@@ -338,17 +342,20 @@
     )
 
 
-def _throughput(request_cost: Any) -> str:
-    need = f'{_REQUESTS_PER_NODE:,} requests a second a node over two hops'
-    rate = None
-    if isinstance(request_cost, dict):
-        rate = request_cost.get('requests_per_core_per_hop')
-    if rate is None:
-        return f'- {need}: requests per core and hop are {_NOT_MEASURED}.'
-    cores = 2 * _REQUESTS_PER_NODE / rate
+def _throughput(request_cost: Mapping[str, float] | None) -> str:
+    need = f'{_REQUESTS_PER_NODE:,} requests a second a node'
+    with_network = (
+        'requests per core and hop with HTTP and peer links are '
+        f'{_NOT_MEASURED} here'
+    )
+    if request_cost is None:
+        return f'- {need}: {with_network}.'
+    rate = request_cost['entries_with_dispatch_per_cpu_s']
     return (
-        f'- {need}: at {rate:,.0f} requests a second per core and hop this '
-        f'takes {cores:.1f} cores (`request-cost`).'
+        f'- {need}: entry and dispatch alone carry {rate:,.0f} a second of '
+        'processor time without network, so they take '
+        f'{_REQUESTS_PER_NODE / rate:.2f} of a core (`request-cost`); '
+        f'{with_network}, so it is not shown that a node carries them.'
     )
 
 
--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -19,11 +19,16 @@
     """Guards against a page that is silent about what nobody measured."""
     slopes = read_slopes(SLOPES_PATH)
     slopes.pop('request_cost', None)
-    assert 'requests per core and hop are not measured' in capacity_page(slopes)
+    slopes.pop('control_cost', None)
+    page = capacity_page(slopes)
+    assert '(`request-cost`): not measured' in page
+    assert '(`control-cost`): not measured' in page
 
 
-def test_measured_throughput_is_turned_into_cores():
-    """Guards against a rate for one hop that is read as one for the path."""
+def test_cost_without_network_is_not_taken_for_throughput():
+    """Guards against a bound for a part that is read as one for the path."""
     slopes = read_slopes(SLOPES_PATH)
-    slopes['request_cost'] = {'requests_per_core_per_hop': 2820}
-    assert 'takes 10.0 cores' in capacity_page(slopes)
+    slopes['request_cost'] = {'entries_with_dispatch_per_cpu_s': 28_200}
+    page = capacity_page(slopes)
+    assert 'take 0.50 of a core' in page
+    assert 'not shown that a node carries them' in page
