Inherit incomplete tenures, and ask for permission once connected

Causes, found by reading: a standby took over with complete tenures although its predecessor's were incomplete, so that an id from before a gap could run twice after a second takeover; and the lease check came before a connection was made, which can take longer than the lease. Changes: replication names the slots whose records are missing, and the next leader begins their tenure anew; the HTTP client asks for permission after connecting, directly before the write. Both tests fail without the change.

--- a/packages/core/src/yuccadale_core/_internal/http_attempts.py
+++ b/packages/core/src/yuccadale_core/_internal/http_attempts.py
@@ -7,15 +7,41 @@
 ``AttemptLostError``, which the library hands to its caller.
 """
 
+from collections.abc import Callable
+from contextvars import ContextVar
 from types import SimpleNamespace
 
 import aiohttp
+from aiohttp.connector import Connection
+
+# Asked by the request that the current task sends, directly before it writes.
+PERMISSION: ContextVar[Callable[[], bool] | None] = ContextVar(
+    'permission to send', default=None
+)
 
 
 class AttemptLostError(aiohttp.ClientError):
     """The connection was lost after the request may have been sent."""
 
 
+class NotPermittedError(aiohttp.ClientError):
+    """The right to send ended while a connection was made; nothing was sent."""
+
+
+class _PermittedRequest(aiohttp.ClientRequest):
+    """Asks for permission once a connection is there.
+
+    Waiting for a connection can take longer than the right to send lasts.
+    """
+
+    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
+        """Writes the request, unless the right to send has ended."""
+        permission = PERMISSION.get()
+        if permission is not None and not permission():
+            raise NotPermittedError('the right to send has ended')
+        return await super().send(conn)
+
+
 class Attempt:
     """What is known about one request on its way out.
 
@@ -73,4 +99,5 @@
         timeout=aiohttp.ClientTimeout(total=timeout_s),
         middlewares=(_send_once,),
         trace_configs=[trace],
+        request_class=_PermittedRequest,
     )
--- a/packages/core/src/yuccadale_core/_internal/messages.py
+++ b/packages/core/src/yuccadale_core/_internal/messages.py
@@ -108,6 +108,8 @@
         row_committed: whether the table is known to hold that row.
         unsettled: slots of the row whose owners the leader does not know
             yet, because owner or successor did not report.
+        incomplete: slots whose records from before the leader's tenure are
+            missing, sent with the row.
     """
 
     group: GroupId
@@ -119,6 +121,7 @@
     row_text: str = ''
     row_committed: bool = False
     unsettled: list[int] = []
+    incomplete: list[int] = []
 
 
 class ReplicateAck(PeerMessage, frozen=True, tag=5):
--- a/packages/core/src/yuccadale_core/_internal/targets_http.py
+++ b/packages/core/src/yuccadale_core/_internal/targets_http.py
@@ -19,8 +19,10 @@
 from expression import Result
 
 from yuccadale_core._internal.http_attempts import (
+    PERMISSION,
     Attempt,
     AttemptLostError,
+    NotPermittedError,
     single_attempt_session,
 )
 from yuccadale_core._internal.instances import ServerRef
@@ -201,7 +203,11 @@
         self, request: TargetRequest
     ) -> Result[TargetAnswer, TargetFailure]:
         """Sends a request once and waits for its complete answer."""
-        called = await self._fly(request)
+        token = PERMISSION.set(request.permitted)
+        try:
+            called = await self._fly(request)
+        finally:
+            PERMISSION.reset(token)
         if called.is_error():
             return called
         return _checked(request, called.ok)
@@ -465,7 +471,7 @@
     attempt.silent = attempt.connected and isinstance(
         error, asyncio.TimeoutError
     )
-    if not attempt.connected:
+    if isinstance(error, NotPermittedError) or not attempt.connected:
         return TargetFailure(TargetFailureKind.not_sent, detail)
     if isinstance(error, _LOST_ERRORS):
         return TargetFailure(TargetFailureKind.lost, detail)
--- a/packages/router/src/yuccadale_router/_internal/ownership/activation.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/activation.py
@@ -14,7 +14,9 @@
     """Starts the tenures; a leader without state waits for reports."""
     complete = state.start.origin in {Origin.created, Origin.handed_over}
     for slot, owner in state.row.owner_by_slot.items():
-        state.book.begin_tenure(slot, complete=complete)
+        state.book.begin_tenure(
+            slot, complete=complete and slot not in state.start.incomplete
+        )
         state.book.record(slot, owner, state.token, state.start.origin.value)
     for move in state.start.moves:
         state.book.record(move.slot, move.new_server, state.token, move.reason)
@@ -107,4 +109,5 @@
     if report.holder != holder:
         return
     for slot in state.slots_of(server_name):
-        state.book.begin_tenure(slot, complete=True)
+        if slot not in state.start.incomplete:
+            state.book.begin_tenure(slot, complete=True)
--- a/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/leader_state.py
@@ -17,7 +17,7 @@
     TargetFailure,
     TargetFailureKind,
 )
-from yuccadale_core.timing import seconds
+from yuccadale_core.timing import milliseconds, seconds
 from yuccadale_router._internal.contracts import GroupRequests, Placement
 from yuccadale_router._internal.ownership.context import (
     InstanceContext,
@@ -62,6 +62,7 @@
         other_rows: rows that the table may hold instead.
         moves: moves of the earlier leader, for the history.
         unsettled: slots whose owners the earlier leader did not know.
+        incomplete: slots whose earlier records that leader did not have.
     """
 
     origin: Origin
@@ -74,6 +75,7 @@
     other_rows: tuple[GroupRow, ...] = ()
     moves: tuple[SlotMove, ...] = ()
     unsettled: frozenset[int] = frozenset()
+    incomplete: frozenset[int] = frozenset()
 
 
 class LeaderState:
@@ -292,9 +294,23 @@
             self.group.row_name, encode_row(row), version, write_id
         )
 
+    def _incomplete_slots(self) -> list[int]:
+        """Returns the slots whose records do not cover the retry window."""
+        service = self.context.service(self.group)
+        window_ms = milliseconds(service.retry_window_s) if service else 0
+        tenures = {
+            slot: self.book.tenure(slot) for slot in self.row.owner_by_slot
+        }
+        return [
+            slot
+            for slot, tenure in tenures.items()
+            if not tenure.complete and tenure.age_ms < window_ms
+        ]
+
     def _new_log(self) -> ReplicationLog:
         log = ReplicationLog(self.group, self.token, encode_row(self.row))
         log.unsettled = self.book.waiting
+        log.incomplete = self._incomplete_slots
         return log
 
 
--- a/packages/router/src/yuccadale_router/_internal/ownership/member.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/member.py
@@ -417,6 +417,7 @@
             other_rows=tuple(replica.other_rows),
             moves=tuple(replica.moves),
             unsettled=replica.unsettled,
+            incomplete=replica.incomplete,
         )
 
     async def _accept_handover(self, message: Handover) -> None:
--- a/packages/router/src/yuccadale_router/_internal/ownership/replication.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/replication.py
@@ -37,6 +37,7 @@
 
     Attributes:
         unsettled: slots that wait for reports; sent with the row.
+        incomplete: returns slots with missing records; sent with the row.
         queued: serial of the newest change that was queued.
         acknowledged: serial up to which the standby has everything.
         synced: whether a full copy was acknowledged and none is due.
@@ -54,6 +55,7 @@
         self._copying = False
         self._under_way: OutgoingBatch | None = None
         self.unsettled: set[int] = set()
+        self.incomplete: Callable[[], list[int]] = list
         self.queued = 0
         self.acknowledged = 0
         self.synced = False
@@ -144,6 +146,7 @@
             row_text=self._row_text if sends_row else '',
             row_committed=self._row_committed,
             unsettled=sorted(self.unsettled) if sends_row else [],
+            incomplete=self.incomplete() if sends_row else [],
         )
         if is_last:
             self._moves = []
@@ -160,6 +163,7 @@
         in_sequence: whether every message since a full copy began arrived.
         row: the newest row of the leader, written or about to be.
         unsettled: slots of the row whose owners the leader did not know.
+        incomplete: slots whose earlier records the leader did not have.
         other_rows: earlier rows that the table may still hold; their
             successors bind as well.
     """
@@ -172,6 +176,7 @@
     row: GroupRow | None = None
     row_committed: bool = False
     unsettled: frozenset[int] = frozenset()
+    incomplete: frozenset[int] = frozenset()
     other_rows: list[GroupRow] = field(default_factory=list)
     moves: list[SlotMove] = field(default_factory=list)
     record_by_id: dict[str, tuple[RecordChange, float]] = field(
@@ -231,6 +236,7 @@
         self.row = decode_row(message.row_text)
         self.row_committed = message.row_committed
         self.unsettled = frozenset(message.unsettled)
+        self.incomplete = frozenset(message.incomplete)
         if message.row_committed:
             self.other_rows.clear()
 
--- a/tests/core/test_single_attempt.py
+++ b/tests/core/test_single_attempt.py
@@ -1,6 +1,7 @@
 """No request may leave the process twice, whatever its method."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -78,3 +79,15 @@
         TargetFailureKind.not_sent
     }
     assert connections == 3
+
+
+async def test_ended_right_is_noticed_once_connected() -> None:
+    """Guards against a write after a lease that ended while connecting."""
+    async with run_raw_server(_hold) as raw:
+        target = build_target(raw.address)
+        request = replace(build_request(), permitted=lambda: False)
+        refused = await target.run(request)
+        await target.close()
+    assert refused.error.kind == TargetFailureKind.not_sent
+    assert not raw.heads
+    assert raw.connections == 1
--- a/tests/router/ownership/test_records.py
+++ b/tests/router/ownership/test_records.py
@@ -85,6 +85,29 @@
     assert cluster.leader.dispatchers[-1].imported
 
 
+@pytest.mark.parametrize('handover', [False, True])
+def test_missing_records_are_inherited_too(cluster, handover):
+    """Guards against a leader that takes an incomplete tenure for complete.
+
+    The records from before a gap were missing at the second leader; the third
+    one trusted its copy of them, and work could have run twice.
+    """
+    test_gap_starts_a_new_tenure(cluster)
+    cluster.heal()
+    cluster.run(4000)
+    second = cluster.leader
+    assert second.leader.state.row.standby is not None
+    if handover:
+        second.leaving = True
+        second.start(second.service.hand_over())
+        cluster.run_until(lambda: cluster.leader not in {None, second}, 1000)
+        cluster.run_until(cluster.all_served, 1000)
+    else:
+        _take_over(cluster)
+    assert cluster.leader is not second
+    assert not cluster.leader.leader.tenure(0).complete
+
+
 def test_server_without_report_starts_a_new_tenure(cluster):
     """Guards against trust in a server that restarted."""
     cluster.server_by_name['s0'].restart()
