--- a/packages/core/src/yuccadale_core/_internal/declaration_checks.py
+++ b/packages/core/src/yuccadale_core/_internal/declaration_checks.py
@@ -16,6 +16,7 @@
 from yuccadale_core._internal.ini_lines import DeclarationError
 
 _LOST = 'lost'
+_FIXED_COUNTS = ('slot_count', 'groups_per_data_centre')
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +69,7 @@
             )
         )
     if isinstance(declaration, ServiceScope):
-        errors += _check_slot_count(candidate, declaration, in_force)
+        errors += _check_fixed_counts(candidate, declaration, in_force)
     if isinstance(declaration, PlacesScope):
         before = in_force if isinstance(in_force, PlacesScope) else None
         errors += _check_regions(candidate, declaration, before)
@@ -150,19 +151,24 @@
     return candidate.error_at(section, key, found, allowed)
 
 
-def _check_slot_count(
+def _check_fixed_counts(
     candidate: ScopeFile,
     declaration: ServiceScope,
     in_force: ScopeDeclaration | None,
 ) -> list[DeclarationError]:
+    """Checks the counts that decide where a key's slot and server belong."""
     if not isinstance(in_force, ServiceScope):
         return []
-    fixed = in_force.service.slot_count
-    found = declaration.service.slot_count
-    if found == fixed:
-        return []
-    allowed = f'{fixed}, which is in force and fixed'
-    return [candidate.error_at('service', 'slot_count', str(found), allowed)]
+    errors = []
+    for key in _FIXED_COUNTS:
+        fixed = getattr(in_force.service, key)
+        found = getattr(declaration.service, key)
+        if found != fixed:
+            allowed = f'{fixed}, which is in force and fixed'
+            errors.append(
+                candidate.error_at('service', key, str(found), allowed)
+            )
+    return errors
 
 
 def _check_regions(
--- a/tests/core/test_declaration_ini.py
+++ b/tests/core/test_declaration_ini.py
@@ -119,6 +119,18 @@
     ]
 
 
+def test_group_count_in_force_cannot_change() -> None:
+    """Guards against servers that two groups' leaders send to."""
+    in_force = _read(service_text()).declaration
+    text = service_text().replace(
+        'slot_count', 'groups_per_data_centre = 2\nslot_count', 1
+    )
+    errors = check_succession(_read(text), in_force, lost_confirmed=False)
+    assert [(error.key, error.found) for error in errors] == [
+        ('groups_per_data_centre', '2')
+    ]
+
+
 def test_lost_needs_a_confirmation() -> None:
     """Guards against a second owner in a data centre that still runs."""
     in_force = _read(places_text()).declaration
