--- a/packages/bench/src/yuccadale_bench/_internal/capacity.py
+++ b/packages/bench/src/yuccadale_bench/_internal/capacity.py
@@ -303,7 +303,7 @@
                 f'a second for each peer or server would fit, {_PER_SECOND} '
                 'are sent. Grants that travel on requests and name slots only '
                 'when they change, and heartbeats that leave out unchanged '
-                'fields, would lower it; neither is built.'
+                'revisions, would lower it; neither is built.'
             )
         if line.core_percent > _CORE_LIMIT_PERCENT:
             yield (
@@ -338,7 +338,9 @@
         f'- Two peers that know different leaders send each other all '
         f'{_GROUPS:,}: {whole:,.0f} bytes each way, '
         f'{whole / _BYTES_LIMIT_PER_S:.0f} s of the limit (`state-cost`). '
-        'Each change of a leader makes peers differ for a moment.'
+        'They do so only after they have differed for 4 s; the news of a '
+        'change is passed on for 2 s. Digests of parts of the table would '
+        'lower it; they are not built.'
     )
 
 
