--- a/packages/bench/src/yuccadale_bench/_internal/replay.py
+++ b/packages/bench/src/yuccadale_bench/_internal/replay.py
@@ -136,7 +136,7 @@
 
 def _plot(replayed: Sequence[ReplayedSequence], directory: Path) -> None:
     # matplotlib takes a second to load and is needed only here.
-    from yuccadale_bench._internal.replay_plot import (  # noqa: WPS433
+    from yuccadale_bench._internal.replay_plot import (
         plot_customer,
     )
 
--- a/packages/bench/src/yuccadale_bench/_internal/replay_plot.py
+++ b/packages/bench/src/yuccadale_bench/_internal/replay_plot.py
@@ -4,16 +4,15 @@
 from pathlib import Path
 from typing import Any
 
-import matplotlib as mpl
 import numpy as np
+from matplotlib import pyplot as plt
 
 from yuccadale_bench._internal.replay_measures import Measures
 from yuccadale_bench._internal.replay_strategies import BASELINES
 from yuccadale_bench._internal.replay_targets import Replayed
 
-mpl.use('Agg')
-
-from matplotlib import pyplot as plt  # noqa: E402
+# Draws into files; there is no screen.
+plt.switch_backend('Agg')
 
 _ROWS = (
     ('maximum over mean load', 'max_over_mean', False),
--- a/packages/bench/src/yuccadale_bench/_internal/replay_weights.py
+++ b/packages/bench/src/yuccadale_bench/_internal/replay_weights.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from types import MappingProxyType
 
-import matplotlib as mpl
+from matplotlib import pyplot as plt
 
 from yuccadale_bench._internal.replay_measures import Measures, replay
 from yuccadale_bench._internal.replay_sequences import (
@@ -17,9 +17,8 @@
 from yuccadale_core.declaration import Weights
 from yuccadale_router.placement import PlacementPolicy
 
-mpl.use('Agg')
-
-from matplotlib import pyplot as plt  # noqa: E402
+# Draws into files; there is no screen.
+plt.switch_backend('Agg')
 
 _SEQUENCES = ('dawn', 'rolling')
 _VALUES = (0.1, 0.3, 1, 3, 10, 30)
--- a/packages/router/src/yuccadale_router/_internal/ownership/member.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/member.py
@@ -99,7 +99,7 @@
     async def run(self) -> None:
         """Takes part in the group until cancelled."""
         try:
-            while True:  # noqa: WPS457
+            while True:
                 await self._step()
         finally:
             await self._probes.stop()
--- a/tests/builders/request_world.py
+++ b/tests/builders/request_world.py
@@ -213,7 +213,7 @@
     def __init__(
         self, service: Service | None = None, servers: int = 2
     ) -> None:
-        self.random = random.Random(1)  # noqa: S311
+        self.random = random.Random(1)
         self.declaration = make_declaration(service or make_service())
         self.peers_by_name: dict[str, FakePeers] = {}
         self.cut_ms_by_link: dict[tuple[str, str], float] = {}
--- a/tests/router/requests/test_faults.py
+++ b/tests/router/requests/test_faults.py
@@ -120,10 +120,10 @@
 @in_virtual_time
 async def test_server_failure(
     kind: TargetFailureKind,
-    repeatable: bool,  # noqa: FBT001
+    repeatable: bool,
     outcome: str,
     most_runs: int,
-    local: bool,  # noqa: FBT001
+    local: bool,
 ) -> None:
     """Guards the rule on what each failure of a server says about the work."""
     world = World(servers=1)
@@ -189,7 +189,7 @@
 )
 @in_virtual_time
 async def test_tenure_rule(
-    complete: bool,  # noqa: FBT001
+    complete: bool,
     age_ms: float,
     first_sent_ago_ms: float,
     code: ResultCode | None,
@@ -263,7 +263,7 @@
 @in_virtual_time
 async def test_peer_fault(
     fault: str,
-    repeatable: bool,  # noqa: FBT001
+    repeatable: bool,
     code: ResultCode | None,
 ) -> None:
     """Guards what is known about work when the peer link fails."""
@@ -311,7 +311,7 @@
 
 @pytest.mark.parametrize('written', [True, False])
 @in_virtual_time
-async def test_caller_that_goes_away(written: bool) -> None:  # noqa: FBT001
+async def test_caller_that_goes_away(written: bool) -> None:
     """Guards against work that runs for nobody, and against a lost record."""
     world = World(make_service(concurrency=1), servers=1)
     entry, leader = world.node('a'), world.node('b')
--- a/tests/router/requests/test_fuzz.py
+++ b/tests/router/requests/test_fuzz.py
@@ -112,7 +112,7 @@
         self.loop.run_until_complete(asyncio.sleep(passed_ms / 1000))
 
     @rule(keep_records=st.booleans())
-    def replace_leader(self, keep_records: bool) -> None:  # noqa: FBT001
+    def replace_leader(self, keep_records: bool) -> None:
         """Makes the standby leader, or the third instance without records."""
         world = self.world
         third = next(
@@ -159,7 +159,7 @@
         self.world.server_by_name[server].late_ms.append(late_ms)
 
     @rule(server=_servers, frozen=st.booleans())
-    def freeze_or_thaw(self, server: str, frozen: bool) -> None:  # noqa: FBT001
+    def freeze_or_thaw(self, server: str, frozen: bool) -> None:
         self.do(self.world.freeze if frozen else self.world.thaw, server)
 
     @rule(server=_servers)
@@ -210,7 +210,7 @@
         self,
         request: CallerRequest,
         nodes: list[str],
-        aged: bool,  # noqa: FBT001
+        aged: bool,
     ) -> None:
         work = Work(request, virtual_ms(), aged)
         self.world.works.append(work)
