Act on one declaration in each round of the slot exchange

Cause: a round took lost data centres from the newest declaration and the mapping from the one before. Ruled out: a stuck outage memory of the table, a failed task. Change: a round carries its declaration and mapping together, and ends after it took slots. The test's newest declaration now arrives during each round; without the change it finds a slot that nobody owns.

--- a/packages/router/src/yuccadale_router/_internal/ownership/exchange.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/exchange.py
@@ -10,7 +10,7 @@
 
 import asyncio
 from collections.abc import Container, Iterable, Mapping, Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TypeVar
 
 from yuccadale_core.declaration import Declaration
@@ -56,6 +56,24 @@
 _Value = TypeVar('_Value')
 
 
+@dataclass(frozen=True, slots=True)
+class DeclaredSlots:
+    """One declaration and its mapping; a round must not mix two of them.
+
+    A newer declaration can arrive while a round waits. A round that took the
+    lost data centres from it, and the mapping from the older one, released
+    slots to the lost group itself, and nobody owned them any more.
+    """
+
+    declaration: Declaration
+    group_map: GroupMap
+
+    def is_lost(self, group: GroupId) -> bool:
+        """Says whether an operator declared the group's data centre lost."""
+        centre = self.declaration.data_centre_by_name.get(group.data_centre)
+        return centre is not None and centre.state == 'lost'
+
+
 class _Schedule:
     """Says when to look at the rows, and on which mapping to act."""
 
@@ -65,8 +83,8 @@
         self._look_until = state.started_at
         self.interval_ms: float = IDLE_INTERVAL_MS
 
-    def due_map(self) -> GroupMap | None:
-        """Returns the declared mapping when a round is due."""
+    def due_slots(self) -> DeclaredSlots | None:
+        """Returns what is declared when a round is due."""
         state = self._state
         self.interval_ms = IDLE_INTERVAL_MS
         service = state.context.service(state.group)
@@ -81,7 +99,7 @@
         if not group_map.groups or not wanted:
             return None
         self.interval_ms = BUSY_INTERVAL_MS
-        return group_map
+        return DeclaredSlots(self._declaration, group_map)
 
 
 async def run_exchange(state: LeaderState) -> None:
@@ -89,9 +107,9 @@
     schedule = _Schedule(state)
     while not state.ended.is_set():
         await sleep_jittered(schedule.interval_ms, state.context.chooser)
-        group_map = schedule.due_map()
-        if group_map is not None:
-            await exchange_once(state, group_map)
+        declared = schedule.due_slots()
+        if declared is not None:
+            await exchange_once(state, declared)
 
 
 def resume_leaving(state: LeaderState) -> None:
@@ -101,7 +119,7 @@
         state.book.target_by_slot[slot] = state.row.owner_by_slot[slot]
 
 
-async def exchange_once(state: LeaderState, group_map: GroupMap) -> None:
+async def exchange_once(state: LeaderState, declared: DeclaredSlots) -> None:
     """Makes one round, on one read of all rows of the service."""
     read = await state.context.table.read_prefix(
         f'group/{state.group.service}/'
@@ -109,12 +127,14 @@
     if read.is_error():
         return
     rows = decode_group_rows(read.ok)
-    _note_other_groups(state, group_map, rows)
+    _note_other_groups(state, declared.group_map, rows)
     await _forget_arrived(state, rows)
     # What follows changes the own row, and the read would be out of date.
-    await _adopt_released(state, rows)
-    await _release_for_lost_centres(state, group_map, rows)
-    await _mark_leaving(state, group_map)
+    if await _adopt_released(state, rows):
+        # Taking slots can wait for long; the mapping may be an old one now.
+        return
+    await _release_for_lost_centres(state, declared, rows)
+    await _mark_leaving(state, declared.group_map)
     await _release_leaving(state)
 
 
@@ -273,7 +293,7 @@
 
 
 async def _release_for_lost_centres(
-    state: LeaderState, group_map: GroupMap, rows: GroupRows
+    state: LeaderState, declared: DeclaredSlots, rows: GroupRows
 ) -> None:
     """Passes on the slots of data centres that an operator declared lost.
 
@@ -282,9 +302,9 @@
     """
     for group, row in rows.row_by_group.items():
         passed = _with_pending(row, rows.released_to(group))
-        if not passed.owner_by_slot or not _is_lost(state, group):
+        if not passed.owner_by_slot or not declared.is_lost(group):
             continue
-        group_by_slot = _groups_after_loss(group, passed, group_map)
+        group_by_slot = _groups_after_loss(group, passed, declared.group_map)
         released = replace(
             _without_slots(passed, group_by_slot, group),
             term=row.term + 1,
@@ -297,12 +317,6 @@
             )
 
 
-def _is_lost(state: LeaderState, group: GroupId) -> bool:
-    centres = state.context.declaration.data_centre_by_name
-    centre = centres.get(group.data_centre)
-    return centre is not None and centre.state == 'lost'
-
-
 def _with_pending(row: GroupRow, pending: Mapping[int, Release]) -> GroupRow:
     """Returns the row as if its group had taken what was released to it."""
     return replace(
@@ -341,8 +355,8 @@
     return written.is_ok()
 
 
-async def _adopt_released(state: LeaderState, rows: GroupRows) -> None:
-    """Takes the slots that were released to this group.
+async def _adopt_released(state: LeaderState, rows: GroupRows) -> bool:
+    """Takes the slots that were released to this group; true if it tried.
 
     Nobody else may take them, so that a slot that is now declared for another
     group is taken too, and passed on.
@@ -354,7 +368,7 @@
         if candidate.state == ServerState.live
     ]
     if not entries or not usable:
-        return
+        return False
     if rows.from_lost_centre(entries):
         await wait_out(state, LOST_CENTRE_WAIT_MS)
     assignment = state.placement.assign(sorted(entries), usable)
@@ -364,13 +378,14 @@
         [],
         needs_table=always,
     ):
-        return
+        return True
     for slot, owner in assignment.owner_by_slot.items():
         state.book.begin_tenure(slot, complete=False)
         state.book.record(slot, owner, state.token, _REASON_ADOPTED)
         state.other_group_by_slot.pop(slot, None)
     state.context.counters.count('ownership.slots_adopted', len(entries))
     state.poke_all()
+    return True
 
 
 def _with_slots(
--- a/tests/builders/exchange_world.py
+++ b/tests/builders/exchange_world.py
@@ -105,9 +105,9 @@
         )
         self.ledger = SimpleNamespace(of_server=_no_grants)
         self.group_map = world.group_map
+        self.known_declaration = world.declaration
         self.context = SimpleNamespace(
             table=world.table,
-            declaration=world.declaration,
             clock=lambda: world.now_ms,
             counters=Counters(),
             holder=f'{group}/{world.new_number()}',
@@ -226,7 +226,7 @@
     def learn(self, index: int) -> None:
         """Tells one leader the newest declaration."""
         self.leaders[index].group_map = self.group_map
-        self.leaders[index].context.declaration = self.declaration
+        self.leaders[index].known_declaration = self.declaration
 
     def replace_leader(self, index: int) -> None:
         """Ends a leader; the next one knows only the row."""
@@ -248,11 +248,18 @@
         if leader.ended.is_set():
             return
         self.table.outcomes = list(outcomes)
+        # A newer declaration can arrive while the round is under way.
+        leader.context.declaration = self.declaration
         with (
             mock.patch.object(exchange, 'candidates', _live_servers),
             mock.patch.object(exchange, 'wait_out', _pass_time),
         ):
-            await exchange.exchange_once(cast(Any, leader), leader.group_map)
+            await exchange.exchange_once(
+                cast(Any, leader),
+                exchange.DeclaredSlots(
+                    leader.known_declaration, leader.group_map
+                ),
+            )
         self.table.outcomes = []
 
     async def rewrite(self, index: int, outcomes: Sequence[str]) -> None:
