Keep start-up objects out of garbage collections

Cause: a full collection over about 80,000 objects of modules and classes stops the loop for 37 to 47 ms. Change: they are frozen before the instance listens; a collection then takes less than 0.01 ms.

--- a/packages/router/src/yuccadale_router/_internal/daemon.py
+++ b/packages/router/src/yuccadale_router/_internal/daemon.py
@@ -1,6 +1,7 @@
 """Puts the parts of an entry instance together and runs them."""
 
 import asyncio
+import gc
 import random
 import secrets
 import signal
@@ -221,9 +222,20 @@
     _log.info('stopped', instance=settings.instance.name)
 
 
+def _spare_startup_objects() -> None:
+    """Keeps modules and classes out of later garbage collections.
+
+    They are about 80,000 objects; a full collection over them stops the loop
+    for about 47 ms (10-core machine of docs/measurements.md).
+    """
+    gc.collect()
+    gc.freeze()
+
+
 @asynccontextmanager
 async def _serving(settings: Settings, parts: Parts) -> AsyncIterator[None]:
     """Listens for callers and operators until the block ends."""
+    _spare_startup_objects()
     caller_app = make_app('yuccadale-callers', _BODY_LIMIT_BYTES)
     parts.caller_api.register(caller_app)
     operator_app = make_app('yuccadale-operators', _BODY_LIMIT_BYTES)
