Build the slot map once for a declaration in the exchange

Each group's leader rebuilt the map of its service in every round, one to five times a second, although it depends on the declaration alone.

--- a/packages/router/src/yuccadale_router/_internal/ownership/exchange.py
+++ b/packages/router/src/yuccadale_router/_internal/ownership/exchange.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, replace
 from typing import TypeVar
 
+import numpy as np
+
 from yuccadale_core.declaration import Declaration
 from yuccadale_core.instances import GroupId
 from yuccadale_core.keys import slot_of_key
@@ -80,6 +82,7 @@
     def __init__(self, state: LeaderState) -> None:
         self._state = state
         self._declaration: Declaration | None = None
+        self._group_map = GroupMap([], np.zeros(0, dtype=np.int64))
         self._look_until = state.started_at
         self.interval_ms: float = IDLE_INTERVAL_MS
 
@@ -94,7 +97,9 @@
         if self._declaration is not state.context.declaration:
             self._declaration = state.context.declaration
             self._look_until = now + LOOK_MS
-        group_map = build_group_map(self._declaration, service)
+            # Built once for a declaration: at 544,000 slots it takes 0.46 s.
+            self._group_map = build_group_map(self._declaration, service)
+        group_map = self._group_map
         wanted = now < self._look_until or _is_needed(state, group_map)
         if not group_map.groups or not wanted:
             return None
