Read open files of a daemon that closes some meanwhile

The test listed descriptors and then read each; one that was closed in between ended it with FileNotFoundError, seen once in a full run. A closed descriptor is not open, so it is left out; ring and shared memory are checked as before.

--- a/tests/router/test_daemon_process.py
+++ b/tests/router/test_daemon_process.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from collections.abc import AsyncIterator
+from contextlib import suppress
 from pathlib import Path
 
 import aiohttp
@@ -53,8 +54,12 @@
 
 
 def _open_files(pid: int) -> list[str]:
-    directory = Path(f'/proc/{pid}/fd')
-    return [os.readlink(entry) for entry in directory.iterdir()]
+    names = []
+    for entry in Path(f'/proc/{pid}/fd').iterdir():
+        # A descriptor can be closed after it was listed.
+        with suppress(FileNotFoundError):
+            names.append(os.readlink(entry))
+    return names
 
 
 async def _health(cluster: Cluster) -> str:
