--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -144,7 +144,11 @@
         """Completes an answer whose body ends with the connection."""
         self._keep = False
         if self._until_end and self._waiter is not None:
-            self._finish()
+            error = self._socket_error()
+            if error:
+                self._fail(AnswerLostError(f'reset by the server ({error})'))
+            else:
+                self._finish()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -187,6 +191,12 @@
         if self._parser.get_status_code() >= _FIRST_FINAL_STATUS:
             self._finish()
 
+    def _socket_error(self) -> int:
+        # uvloop reports a reset that follows data as the end of the data.
+        assert self._transport is not None
+        sock = self._transport.get_extra_info('socket')
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
     def _reset_answer(self) -> None:
         self._headers: Headers = []
         self._pieces: list[bytes] = []
