Renew a grant only while it has the highest fence of its keys

Cause: keys that were planned back to an earlier holder were granted with the fence that it had before, although another server may have had a higher one since. Change: the highest fence is kept by segment, and a lower one is not sent again.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -95,6 +95,7 @@
         handover: given by the last owner's release, for the next grant.
         recorded: whether the store names the wanted server and its fence.
         reserved_fence: the fence of the next grant.
+        last_fence: the highest fence that any server may have had.
         calls: servers with a call under way about these keys.
     """
 
@@ -106,6 +107,7 @@
     handover: str | None = None
     recorded: bool = False
     reserved_fence: int | None = None
+    last_fence: int = 0
     calls: set[Holder] = field(default_factory=set)
 
     @property
@@ -118,6 +120,19 @@
         """The server that owns or shall own the keys."""
         return self.target or self.owner
 
+    def renewable(self, holder: Holder) -> bool:
+        """Whether a server's grant may be sent again as it was.
+
+        Not after a release, and not when another server may have had the
+        keys with a higher fence since.
+        """
+        lease = self.lease_by_holder.get(holder)
+        return (
+            lease is not None
+            and not lease.released
+            and lease.fence == self.last_fence
+        )
+
     def copy_range(self, first: int, last: int) -> 'Segment':
         """Returns a part of the segment with a history of its own."""
         leases = {
@@ -191,8 +206,7 @@
             wanted = segment.wanted
             if wanted is None or segment.reserved_fence is not None:
                 continue
-            own = segment.lease_by_holder.get(wanted)
-            if own is None or own.released:
+            if not segment.renewable(wanted):
                 segment.reserved_fence = self._next_fence()
         return self._plan_version
 
@@ -306,6 +320,11 @@
     def load(self, segments: Iterable[Segment]) -> None:
         """Takes over what an earlier leader recorded."""
         self.segments = sorted(segments, key=_first_key)
+        for segment in self.segments:
+            segment.last_fence = max(
+                (one.fence for one in segment.lease_by_holder.values()),
+                default=0,
+            )
 
     def _segment_calls(
         self, segment: Segment, now_s: float
@@ -329,7 +348,7 @@
         if wanted is None or others or wanted in segment.calls:
             return
         own = segment.lease_by_holder.get(wanted)
-        if own is None or own.released:
+        if own is None or not segment.renewable(wanted):
             if not segment.recorded or segment.reserved_fence is None:
                 return
             own = self._new_lease(
@@ -362,6 +381,7 @@
             handover=segment.handover,
         )
         segment.lease_by_holder[holder] = lease
+        segment.last_fence = fence
         return lease
 
     def _needs_record(self, segment: Segment) -> None:
@@ -429,3 +449,4 @@
     low.doubt_until_s = max(low.doubt_until_s, high.doubt_until_s)
     low.sent_s = min(low.sent_s, high.sent_s)
     lower.last = upper.last
+    lower.last_fence = max(lower.last_fence, upper.last_fence)
