--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import signal
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
@@ -56,6 +57,7 @@
 _log = structlog.get_logger()
 
 _HOUSEKEEPING_S = 0.5
+_RELOAD_ROUNDS = 4
 # The balancer takes an instance out after two misses, one a second; callers
 # that it still sends in this time are served.
 _STILL_ACCEPTING_S = 2.5
@@ -96,8 +98,14 @@
 class Instance:
     """A running instance."""
 
-    def __init__(self, settings: Settings, parts: Parts) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        parts: Parts,
+        read_settings: Callable[[], Settings],
+    ) -> None:
         self._settings = settings
+        self._read_settings = read_settings
         self._parts = parts
         self._metrics = Metrics()
         self._pool = ClientPool(asyncio.get_running_loop())
@@ -116,7 +124,9 @@
         )
         store = parts.store(self._pool)
         contact = StoreContact()
-        me = LeaderInfo(0, settings.instance, *settings.peer_address)
+        me = LeaderInfo(
+            0, settings.instance, *settings.peer_address, time.time_ns()
+        )
         self._leadership = Leadership(store, me, contact)
         self._cluster = Cluster(
             settings,
@@ -161,6 +171,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         async with AsyncExitStack() as stack:
             await stack.enter_async_context(self._listeners())
             callers = await self._listen(
@@ -184,6 +195,21 @@
             self._links.close()
         _log.info('stopped')
 
+    def _reload(self) -> None:
+        """Takes changed settings; bad ones change nothing."""
+        try:
+            settings = self._read_settings()
+        except (OSError, ValueError) as error:
+            _log.error('settings not reloaded', reason=str(error))
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._cluster.use(settings)
+        for budget in self._budget_by_service.values():
+            budget.use(settings.bounds)
+        _log.info('settings reloaded', settings=_shown(settings))
+
     async def _drain(self, callers: asyncio.Server) -> None:
         began_s = elapsed_s()
         end_s = began_s + self._settings.bounds.grace_s - _END_MARGIN_S
@@ -219,7 +245,12 @@
         )
 
     async def _housekeeping(self) -> None:
+        rounds = 0
         while True:
+            rounds += 1
+            if rounds % _RELOAD_ROUNDS == 0:
+                # The file may change without a signal.
+                self._reload()
             self._pool.drop_stale()
             self._dispatcher.drop_lines()
             configuration = self._beliefs.configuration
@@ -237,13 +268,7 @@
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
-            bounds = self._settings.bounds
-            budget = RetryBudget(
-                bounds.retry_ratio,
-                bounds.retry_slack,
-                bounds.retry_window_s,
-                elapsed_s,
-            )
+            budget = RetryBudget(self._settings.bounds, elapsed_s)
             budget.instances = max(1, len(self._beliefs.instance_by_name))
             self._budget_by_service[service] = budget
         return budget
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -126,6 +126,10 @@
             leaving=self.draining,
         )
 
+    def use(self, settings: Settings) -> None:
+        """Takes other settings; addresses stay those of the start."""
+        self._settings = settings
+
     def note_key(self, service: str, key: int, work_s: float) -> None:
         """Notes work that a caller asked for."""
         weights = self._work_by_service.setdefault(service, {})
@@ -181,7 +185,7 @@
 
     async def _follow(self) -> None:
         leader = self._leadership.leader
-        if leader is not None and leader.instance != self._settings.instance:
+        if leader is not None and not self._is_here(leader):
             try:
                 await self._report(leader)
             except (PeerUnreachableError, LinkLostError) as error:
@@ -205,6 +209,9 @@
                     return
         await self._pause(_LOOK_S - REPORT_S)
 
+    def _is_here(self, leader: LeaderInfo) -> bool:
+        return (leader.host, leader.port) == self._settings.peer_address
+
     async def _report(self, leader: LeaderInfo) -> None:
         body = _encode(self._make_report())
         answer = _decode_answer(
@@ -229,7 +236,7 @@
         for address in self._settings.seeds:
             if address == self._settings.peer_address:
                 continue
-            seed = LeaderInfo(0, '', *address)
+            seed = LeaderInfo(0, '', *address, 0)
             try:
                 await self._report(seed)
             except (PeerUnreachableError, LinkLostError):
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
@@ -73,7 +73,7 @@
         """Whether this instance is the leader by what it knows."""
         return (
             self.leader is not None
-            and self.leader.instance == self._me.instance
+            and self.leader.incarnation == self._me.incarnation
             and not self.deposed
         )
 
@@ -86,7 +86,7 @@
         if leader.epoch <= self.epoch:
             return False
         self.leader = leader
-        self.deposed = leader.instance != self._me.instance
+        self.deposed = leader.incarnation != self._me.incarnation
         _log.info(
             'leader changed', leader=leader.instance, epoch=leader.epoch
         )
@@ -115,8 +115,18 @@
         """Whether the row says that no leader acts any more."""
         if self._version == 0 or self._resigned:
             return True
+        if self._led_before_restart():
+            return True
         return elapsed_s() - self._seen_s > TAKEOVER_S
 
+    def _led_before_restart(self) -> bool:
+        """Whether the leader was an earlier process at this address."""
+        return self.leader is not None and (
+            self.leader.host == self._me.host
+            and self.leader.port == self._me.port
+            and self.leader.incarnation < self._me.incarnation
+        )
+
     async def take(self) -> bool:
         """Tries to become the leader; the own table was read before.
 
@@ -183,7 +193,7 @@
                     reason=str(error),
                     lease_left_s=round(self._lease_until_s - elapsed_s(), 2),
                 )
-                await asyncio.sleep(RENEW_S / 4)
+                await asyncio.sleep(RENEW_S / 2)
                 continue
             await asyncio.sleep(RENEW_S)
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/news.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/news.py
@@ -11,12 +11,17 @@
 
 
 class LeaderInfo(msgspec.Struct, array_like=True, frozen=True):
-    """Who leads; a later epoch replaces an earlier one."""
+    """Who leads; a later epoch replaces an earlier one.
+
+    Attributes:
+        incarnation: tells a restarted instance from the one before.
+    """
 
     epoch: int
     instance: str
     host: str
     port: int
+    incarnation: int
 
 
 class SourceRow(msgspec.Struct, array_like=True):
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
@@ -59,6 +59,8 @@
 _REFUSED_TWICE_AFTER_S = 0.3
 _COLD_CAPACITY = 0.5
 _UNREACHABLE_S = 1.5
+# Pause after a write that the store did not take.
+_RECORD_PAUSE_S = 0.4
 
 KEYS_PREFIX = 'keys/'
 
@@ -158,7 +160,7 @@
         self._moved_s_by_range: dict[tuple[int, int], float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._planned_s = 0.0
-        self._lost = False
+        self._record_again_s = 0.0
 
     def take_over(self, record: KeysRecord | None) -> None:
         """Starts from what an earlier leader recorded.
@@ -208,7 +210,8 @@
             self._plan(now_s)
         elif self._may_act() and self._needs_plan():
             self._plan(now_s)
-        if self.table.unrecorded and self._may_act():
+        may_write = self._may_act() and now_s >= self._record_again_s
+        if self.table.unrecorded and may_write:
             await self._record()
         if self._may_act():
             for call in self.table.calls_due(elapsed_s()):
@@ -357,6 +360,7 @@
         try:
             written = await self._write({KEYS_PREFIX + self.service: content})
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+            self._record_again_s = elapsed_s() + _RECORD_PAUSE_S
             _log.warning(
                 'plan not recorded', service=self.service, reason=str(error)
             )
