--- a/Makefile
+++ b/Makefile
@@ -1,28 +1,29 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core router client standins bench
-SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src)
+PACKAGES := core edge router client standins bench
+SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src) platform/src
+CHECKED := packages platform tests
 
 .PHONY: setup format check lint imports types tests test demo
 
 setup: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.lock $(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml)
+$(VENV)/.installed: requirements.lock $(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps \
-		$(foreach package,$(PACKAGES),-e packages/$(package))
+		$(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 	touch $@
 
 format: setup
-	$(BIN)/ruff format packages tests
+	$(BIN)/ruff format $(CHECKED)
 
 check: setup
-	$(BIN)/ruff format --check packages tests
+	$(BIN)/ruff format --check $(CHECKED)
 
 lint: setup
-	$(BIN)/flake8 packages tests
+	$(BIN)/flake8 $(CHECKED)
 
 imports: setup
 	$(BIN)/lint-imports
--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -34,7 +34,7 @@
 )
 from yuccadale_edge._internal.model import Settings
 from yuccadale_edge._internal.observability.metrics import Metrics
-from yuccadale_edge._internal.ownership.keeper import ServerCalls
+from yuccadale_edge._internal.ownership.call_runner import ServerCalls
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
 from yuccadale_edge._internal.routing.entry import FORWARD_TOPIC, Entry
 from yuccadale_edge._internal.routing.retry_budget import RetryBudget
@@ -110,9 +110,7 @@
         self._metrics = Metrics()
         self._pool = ClientPool(asyncio.get_running_loop())
         self._links = PeerLinks()
-        self._beliefs = Beliefs(
-            parts.decode_configuration, parts.decode_server
-        )
+        self._beliefs = Beliefs(parts.decode_configuration, parts.decode_server)
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._dispatcher = Dispatcher(
             self._beliefs,
@@ -217,9 +215,7 @@
         self._cluster.draining = True
         self._callers.closing = True
         await self._resign()
-        await asyncio.sleep(
-            max(0.0, began_s + _STILL_ACCEPTING_S - elapsed_s())
-        )
+        await asyncio.sleep(max(0, began_s + _STILL_ACCEPTING_S - elapsed_s()))
         callers.close()
         while elapsed_s() < end_s:
             for connection in list(self._callers.connections):
@@ -229,13 +225,10 @@
             await asyncio.sleep(_END_CHECK_S)
 
     async def _resign(self) -> None:
-        if not self._leadership.leading():
-            return
         try:
-            await self._leadership.renew(resign=True)
+            await self._cluster.resign()
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
             _log.warning('could not resign', reason=str(error))
-        self._leadership.deposed = True
 
     def _ready(self) -> bool:
         return (
@@ -300,12 +293,12 @@
     async def _listeners(self) -> AsyncIterator[None]:
         handler: Handler = self._answer_platform
         shared = ServerState(handler, ServerLimits())
+        addresses = (
+            self._settings.readiness_address,
+            self._settings.metrics_address,
+        )
         listeners = [
-            await self._listen(address, shared)
-            for address in {
-                self._settings.readiness_address,
-                self._settings.metrics_address,
-            }
+            await self._listen(address, shared) for address in addresses
         ]
         try:
             async with peer_listener(self._settings.peer_address, self._peers):
@@ -328,7 +321,9 @@
     def _task_ended(self, task: asyncio.Task[None]) -> None:
         if task.cancelled():
             return
-        _log.error('a task of the instance ended', reason=repr(task.exception()))
+        _log.error(
+            'a task of the instance ended', reason=repr(task.exception())
+        )
         self._stopping.set()
 
 
--- a/packages/edge/src/yuccadale_edge/_internal/beliefs.py
+++ b/packages/edge/src/yuccadale_edge/_internal/beliefs.py
@@ -68,7 +68,7 @@
     def __init__(self) -> None:
         self.version = (0, 0)
         self._firsts: list[int] = [0]
-        self._owners: list[Owner] = [Owner(None, 0.0)]
+        self._owners: list[Owner] = [Owner(None, 0)]
 
     def owner(self, key: int) -> Owner:
         """Returns the owner of a key."""
@@ -90,20 +90,16 @@
         if last + 1 < after:
             new_firsts.append(last + 1)
             new_owners.append(owners[end])
-        firsts[begin : end + 1] = new_firsts
-        owners[begin : end + 1] = new_owners
+        after_end = end + 1
+        self._firsts = firsts[:begin] + new_firsts + firsts[after_end:]
+        self._owners = owners[:begin] + new_owners + owners[after_end:]
 
     def ranges(self, now_s: float) -> list[OwnedRange]:
         """Returns all ranges."""
-        lasts = [*(first - 1 for first in self._firsts[1:]), KEY_COUNT - 1]
+        nexts = (*self._firsts[1:], KEY_COUNT)
+        lasts = [following - 1 for following in nexts]
         return [
-            OwnedRange(
-                first,
-                last,
-                owner.holder.server_id if owner.holder else None,
-                owner.holder.incarnation if owner.holder else 0,
-                max(0.0, owner.free_at_s - now_s),
-            )
+            _owned_range(first, last, owner, now_s)
             for first, last, owner in zip(
                 self._firsts, lasts, self._owners, strict=True
             )
@@ -252,7 +248,7 @@
         """Whether new work may be sent to a server."""
         if server.state != ServerState.ready:
             return False
-        until = self.unreachable_until_by_server.get(server.server_id, 0.0)
+        until = self.unreachable_until_by_server.get(server.server_id, 0)
         return until < elapsed_s()
 
     def keyed_services(self) -> list[str]:
@@ -310,6 +306,15 @@
     return Owner(holder, now_s + changed.free_in_s)
 
 
+def _owned_range(
+    first: int, last: int, owner: Owner, now_s: float
+) -> OwnedRange:
+    free_in_s = max(0, owner.free_at_s - now_s)
+    if owner.holder is None:
+        return OwnedRange(first, last, None, 0, free_in_s)
+    return OwnedRange(first, last, *owner.holder, free_in_s)
+
+
 def _server_id(server: Server) -> str:
     return server.server_id
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
 import msgspec
@@ -44,10 +44,10 @@
 from yuccadale_edge._internal.membership.source_reader import StoreContact
 from yuccadale_edge._internal.model import Settings
 from yuccadale_edge._internal.observability.metrics import Metrics
-from yuccadale_edge._internal.ownership.keeper import (
+from yuccadale_edge._internal.ownership.call_runner import ServerCalls
+from yuccadale_edge._internal.ownership.keeper import KeyKeeper
+from yuccadale_edge._internal.ownership.records import (
     KEYS_PREFIX,
-    KeyKeeper,
-    ServerCalls,
     decode_record,
 )
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
@@ -79,6 +79,9 @@
 _decode_answer = msgspec.msgpack.Decoder(ReportAnswer).decode
 
 
+_OwnerChange = tuple[int, list[OwnedRange]]
+
+
 class Cluster:
     """This instance among the others."""
 
@@ -102,7 +105,7 @@
         self._dispatcher = dispatcher
         self._calls = calls
         self._metrics = metrics
-        self._heard_s = 0.0
+        self._heard_s: float = 0
         self._leader_store_age_s = float('inf')
         self._work_by_service: dict[str, dict[int, float]] = {}
         self._wake = asyncio.Event()
@@ -110,7 +113,7 @@
         self._keeper_by_service: dict[str, KeyKeeper] = {}
         self._heard_by_member: dict[str, float] = {}
         self._roster_number = 0
-        self._owner_changes: dict[str, deque[tuple[int, list[OwnedRange]]]] = {}
+        self._owner_changes: dict[str, deque[_OwnerChange]] = {}
         self._owner_number: dict[str, int] = {}
         self._members: set[asyncio.Task[None]] = set()
 
@@ -133,7 +136,7 @@
     def note_key(self, service: str, key: int, work_s: float) -> None:
         """Notes work that a caller asked for."""
         weights = self._work_by_service.setdefault(service, {})
-        weights[key] = weights.get(key, 0.0) + work_s
+        weights[key] = weights.get(key, 0) + work_s
 
     def reads_sources(self) -> bool:
         """Whether this instance follows the store's tables itself."""
@@ -168,6 +171,23 @@
                 await self._ask_seeds()
             await self._pause(REPORT_S)
 
+    async def resign(self) -> None:
+        """Ends the calls about keys and gives the leadership up.
+
+        Raises:
+            StoreUnavailableError, StoreOutcomeUnknownError: the next leader
+                waits until the lease is over.
+        """
+        if not self._leadership.leading():
+            return
+        settled = await asyncio.gather(
+            *(keeper.settle() for keeper in self._keeper_by_service.values())
+        )
+        try:
+            await self._leadership.renew(dict(settled), resign=True)
+        finally:
+            self._leadership.deposed = True
+
     async def answer_report(self, body: bytes) -> bytes:
         """Answers a member's report, or names the leader."""
         report = _decode_report(body)
@@ -186,29 +206,38 @@
     async def _follow(self) -> None:
         leader = self._leadership.leader
         if leader is not None and not self._is_here(leader):
-            try:
-                await self._report(leader)
-            except (PeerUnreachableError, LinkLostError) as error:
-                if elapsed_s() - self._heard_s < _LEADER_SILENT_S:
-                    return
-                _log.warning(
-                    'leader not reached',
-                    leader=leader.instance,
-                    reason=str(error),
-                )
-            else:
+            if await self._reached(leader):
                 return
         await self._leadership.look()
         if self._leadership.leader == leader and not self.draining:
-            if self._leadership.may_take():
-                # Instances that start or wait together do not all write.
-                await asyncio.sleep(random.random() * REPORT_S)
-                await self._leadership.look()
-                if self._leadership.may_take():
-                    await self._leadership.take()
-                    return
+            await self._stand()
         await self._pause(_LOOK_S - REPORT_S)
 
+    async def _reached(self, leader: LeaderInfo) -> bool:
+        """Whether the leader answered a report, or did a moment ago."""
+        try:
+            await self._report(leader)
+        except (PeerUnreachableError, LinkLostError) as error:
+            if elapsed_s() - self._heard_s < _LEADER_SILENT_S:
+                return True
+            _log.warning(
+                'leader not reached',
+                leader=leader.instance,
+                reason=str(error),
+            )
+            return False
+        return True
+
+    async def _stand(self) -> None:
+        """Becomes the leader if the store's row says that nobody leads."""
+        if not self._leadership.may_take():
+            return
+        # Instances that start or wait together do not all write.
+        await asyncio.sleep(random.random() * REPORT_S)
+        await self._leadership.look()
+        if self._leadership.may_take():
+            await self._leadership.take()
+
     def _is_here(self, leader: LeaderInfo) -> bool:
         return (leader.host, leader.port) == self._settings.peer_address
 
@@ -225,7 +254,9 @@
         if answer.news is not None:
             self._apply(answer.news)
             return
-        named = None if answer.not_leading is None else answer.not_leading.leader
+        named = (
+            None if answer.not_leading is None else answer.not_leading.leader
+        )
         if named is None or not self._leadership.follow(named):
             raise PeerUnreachableError('the instance does not lead')
 
@@ -275,7 +306,7 @@
         total_by_pair: dict[tuple[str, str], TimeTotal] = {}
         for server_id, route, worked_s in self._dispatcher.samples:
             total = total_by_pair.setdefault(
-                (server_id, route), TimeTotal(server_id, route, 0, 0.0)
+                (server_id, route), TimeTotal(server_id, route, 0, 0)
             )
             total.count += 1
             total.total_s += worked_s
@@ -342,9 +373,7 @@
             return
         now_s = elapsed_s()
         for changed in owners.ranges:
-            known.assign(
-                changed.first, changed.last, owner_of(changed, now_s)
-            )
+            known.assign(changed.first, changed.last, owner_of(changed, now_s))
         known.version = owners.version
         self._beliefs.wake()
 
@@ -383,11 +412,12 @@
     async def _lead_services(self) -> None:
         async with asyncio.TaskGroup() as group:
             while True:
-                for service in self._beliefs.keyed_services():
-                    if service not in self._keeper_by_service:
-                        keeper = self._keeper(service)
-                        self._keeper_by_service[service] = keeper
-                        group.create_task(keeper.run())
+                known = self._keeper_by_service.keys()
+                services = self._beliefs.keyed_services()
+                for service in set(services).difference(known):
+                    keeper = self._keeper(service)
+                    self._keeper_by_service[service] = keeper
+                    group.create_task(keeper.run())
                 await asyncio.sleep(_SERVICE_CHECK_S)
 
     def _keeper(self, service: str) -> KeyKeeper:
@@ -418,9 +448,7 @@
         known = self._beliefs.owners(service)
         now_s = elapsed_s()
         for changed in ranges:
-            known.assign(
-                changed.first, changed.last, owner_of(changed, now_s)
-            )
+            known.assign(changed.first, changed.last, owner_of(changed, now_s))
         known.version = (epoch, number + 1)
         self._beliefs.wake()
         after = (epoch, number) if number else None
@@ -437,7 +465,8 @@
             self._update_roster(force=False)
         elif name not in self._beliefs.instance_by_name:
             self._beliefs.instance_by_name[name] = Instance(
-                name, (report.line.host, report.line.port),
+                name,
+                (report.line.host, report.line.port),
                 report.line.data_centre,
             )
             self._update_roster(force=True)
@@ -463,7 +492,7 @@
         silent = [
             name
             for name in self._beliefs.instance_by_name
-            if now_s - self._heard_by_member.get(name, 0.0) > _MEMBER_SILENT_S
+            if now_s - self._heard_by_member.get(name, 0) > _MEMBER_SILENT_S
         ]
         for name in silent:
             self._beliefs.instance_by_name.pop(name)
@@ -526,9 +555,7 @@
             if len(later) == number - known[1]:
                 ranges = [one for _, listed in later for one in listed]
                 return Owners(service, known, owners.version, ranges)
-        return Owners(
-            service, None, owners.version, owners.ranges(elapsed_s())
-        )
+        return Owners(service, None, owners.version, owners.ranges(elapsed_s()))
 
     def _tell_all(self, news: News) -> None:
         body = _encode(news)
@@ -546,7 +573,7 @@
     async def _pause(self, longest_s: float) -> None:
         """Waits, but not on when something has to be asked again."""
         try:
-            async with asyncio.timeout(max(0.0, longest_s)):
+            async with asyncio.timeout(max(0, longest_s)):
                 await self._wake.wait()
         except TimeoutError:
             return
@@ -554,9 +581,4 @@
 
 
 def _source_row(row: StoredRow) -> SourceRow:
-    return SourceRow(
-        row.key, row.version, None if row.removed else row.content
-    )
-
-
-Handlers = dict[str, Callable[[bytes], Coroutine[Any, Any, bytes]]]
+    return SourceRow(row.key, row.version, None if row.removed else row.content)
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
@@ -56,9 +56,9 @@
         self._store = store
         self._me = me
         self._contact = contact
-        self._lease_until_s = 0.0
+        self._lease_until_s: float = 0
         self._version = 0
-        self._seen_s = 0.0
+        self._seen_s: float = 0
         self._resigned = False
         self._write_lock = asyncio.Lock()
         self._unanswered_s: float | None = None
@@ -87,9 +87,7 @@
             return False
         self.leader = leader
         self.deposed = leader.incarnation != self._me.incarnation
-        _log.info(
-            'leader changed', leader=leader.instance, epoch=leader.epoch
-        )
+        _log.info('leader changed', leader=leader.instance, epoch=leader.epoch)
         return True
 
     async def look(self) -> None:
@@ -119,14 +117,6 @@
             return True
         return elapsed_s() - self._seen_s > TAKEOVER_S
 
-    def _led_before_restart(self) -> bool:
-        """Whether the leader was an earlier process at this address."""
-        return self.leader is not None and (
-            self.leader.host == self._me.host
-            and self.leader.port == self._me.port
-            and self.leader.incarnation < self._me.incarnation
-        )
-
     async def take(self) -> bool:
         """Tries to become the leader; the own table was read before.
 
@@ -179,7 +169,7 @@
                 self._conflict(written)
                 return False
             self._version = written
-            self._lease_until_s = 0.0 if resign else began_s + LEAD_S
+            self._lease_until_s = 0 if resign else began_s + LEAD_S
             return True
 
     async def keep(self) -> None:
@@ -211,6 +201,14 @@
         self._version = row.version
         self._seen_s = elapsed_s()
         self.deposed = True
-        self._lease_until_s = 0.0
+        self._lease_until_s = 0
         self.follow(content.leader)
         _log.warning('leadership lost', leader=content.leader.instance)
+
+    def _led_before_restart(self) -> bool:
+        """Whether the leader was an earlier process at this address."""
+        return self.leader is not None and (
+            self.leader.host == self._me.host
+            and self.leader.port == self._me.port
+            and self.leader.incarnation < self._me.incarnation
+        )
--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -11,9 +11,12 @@
 from typing import Any
 
 import msgspec
+import structlog
 
 from yuccadale_edge._internal.transport.client_pool import Address
 
+_log = structlog.get_logger()
+
 _LENGTH_BYTES = 4
 _MAX_FRAME_BYTES = 80 * 1024 * 1024
 _UNACKNOWLEDGED_MS = 1500
@@ -33,6 +36,9 @@
     """No link could be made; nothing was sent."""
 
 
+# What ends the reading side of a link.
+_LINK_ENDS = (OSError, EOFError, msgspec.DecodeError, LinkLostError)
+
 Answerer = Callable[[str, bytes], Awaitable[bytes]]
 Listener = Callable[[str, bytes], None]
 
@@ -108,8 +114,8 @@
                 future = self._future_by_number.get(number)
                 if future is not None and not future.done():
                     future.set_result(body)
-        except (OSError, EOFError, msgspec.DecodeError, LinkLostError):
-            pass
+        except _LINK_ENDS as error:
+            _log.debug('link to a peer ended', reason=repr(error))
         finally:
             self.close()
 
@@ -208,34 +214,51 @@
         task_by_number: dict[int, asyncio.Task[None]] = {}
         try:
             while True:
-                kind, number, topic, body = await _read_frame(reader)
-                if kind == _NEWS:
-                    self._listen(topic, body)
-                elif kind == _CANCEL:
-                    task = task_by_number.pop(number, None)
-                    if task is not None:
-                        task.cancel()
-                else:
-                    task = asyncio.create_task(
-                        self._respond(writer, number, topic, body)
-                    )
-                    task_by_number[number] = task
-                    task.add_done_callback(
-                        lambda _done, key=number: task_by_number.pop(key, None)
-                    )
-        except (OSError, EOFError, msgspec.DecodeError, LinkLostError):
-            pass
+                self._take(writer, task_by_number, await _read_frame(reader))
+        except _LINK_ENDS as error:
+            _log.debug('link from a peer ended', reason=repr(error))
         finally:
-            for waiting in list(task_by_number.values()):
-                waiting.cancel()
-            self._writers.discard(writer)
-            writer.transport.abort()
+            self._end(writer, task_by_number)
 
     def close(self) -> None:
         """Ends all accepted links."""
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def _take(
+        self,
+        writer: asyncio.StreamWriter,
+        task_by_number: dict[int, asyncio.Task[None]],
+        frame: Any,
+    ) -> None:
+        kind, number, topic, body = frame
+        if kind == _NEWS:
+            self._listen(topic, body)
+        elif kind == _CANCEL:
+            known = task_by_number.pop(number, None)
+            if known is not None:
+                known.cancel()
+        else:
+            task = asyncio.create_task(
+                self._respond(writer, number, topic, body)
+            )
+            task_by_number[number] = task
+
+            def forget(_done: asyncio.Task[None]) -> None:
+                task_by_number.pop(number, None)
+
+            task.add_done_callback(forget)
+
+    def _end(
+        self,
+        writer: asyncio.StreamWriter,
+        task_by_number: dict[int, asyncio.Task[None]],
+    ) -> None:
+        for waiting in list(task_by_number.values()):
+            waiting.cancel()
+        self._writers.discard(writer)
+        writer.transport.abort()
+
     async def _respond(
         self, writer: asyncio.StreamWriter, number: int, topic: str, body: bytes
     ) -> None:
--- a/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
@@ -33,7 +33,7 @@
     """When the store last answered this instance."""
 
     def __init__(self) -> None:
-        self.answered_s = 0.0
+        self.answered_s: float = 0
 
     def age_s(self) -> float:
         """Returns the time since the store answered."""
@@ -65,7 +65,7 @@
         self._needed = needed
         self._on_rows = on_rows
         self._failing_since_s: float | None = None
-        self._lapsed_until_s = 0.0
+        self._lapsed_until_s: float = 0
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
--- a/packages/edge/src/yuccadale_edge/_internal/observability/logs.py
+++ b/packages/edge/src/yuccadale_edge/_internal/observability/logs.py
@@ -17,6 +17,10 @@
 _encode = msgspec.json.Encoder(enc_hook=str).encode
 
 
+def _line(record: MutableMapping[str, Any]) -> bytes:
+    return b'%b\n' % _encode(record)
+
+
 class BoundedWriter:
     """Writes lines without waiting; what does not fit is counted.
 
@@ -50,7 +54,7 @@
             counts = dict(self._left_out)
             self._left_out.clear()
             record = {'event': 'log lines left out', 'count_by_event': counts}
-            self._put('log lines left out', _encode(record) + b'\n')
+            self._put('log lines left out', _line(record))
 
     def _put(self, event: str, line: bytes) -> None:
         try:
@@ -71,7 +75,7 @@
         record['level'] = level
         record['time'] = round(time.time(), 3)
         record['instance'] = instance
-        writer.write(str(record['event']), _encode(record) + b'\n')
+        writer.write(str(record['event']), _line(record))
         raise structlog.DropEvent
 
     structlog.configure(
--- a/packages/edge/src/yuccadale_edge/_internal/observability/metrics.py
+++ b/packages/edge/src/yuccadale_edge/_internal/observability/metrics.py
@@ -31,7 +31,7 @@
         series = (name, _sorted(labels))
         buckets = self._buckets_by_series.get(series)
         if buckets is None:
-            buckets = [0] * (len(_BUCKETS_MS) + 1)
+            buckets = [0 for _ in range(len(_BUCKETS_MS) + 1)]
             self._buckets_by_series[series] = buckets
         buckets[bisect_left(_BUCKETS_MS, took_ms)] += 1
         self._sum_by_series[series] += took_ms  # type: ignore[assignment]
@@ -57,13 +57,11 @@
             ):
                 below += count
                 with_bound = _braces((*labels, ('le', str(bound))))
-                lines.append(
-                    f'yuccadale_{name}_ms_bucket{with_bound} {below}'
-                )
+                lines.append(f'yuccadale_{name}_ms_bucket{with_bound} {below}')
             total = self._sum_by_series[name, labels]
             lines.append(f'yuccadale_{name}_ms_sum{_braces(labels)} {total}')
             lines.append(f'yuccadale_{name}_ms_count{_braces(labels)} {below}')
-        return '\n'.join(sorted(lines)) + '\n'
+        return '\n'.join((*sorted(lines), ''))
 
 
 def _sorted(labels: dict[str, str]) -> Labels:
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
@@ -7,6 +7,7 @@
 """
 
 from bisect import bisect_left
+from collections import defaultdict
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from itertools import accumulate
@@ -20,7 +21,8 @@
 _UNSEEN_FLOOR = 0.02
 # Load observed half this long ago counts half.
 HALF_LIFE_S = 2.5
-_NEGLIGIBLE = 0.002
+# Work in seconds a second below which a key is forgotten.
+_NEGLIGIBLE = 0.000004
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,25 +48,26 @@
     """Observed work by key, in work seconds a second, fading with time."""
 
     def __init__(self) -> None:
-        self._weight_by_key: dict[int, float] = {}
-        self._at_s = 0.0
+        self._weight_by_key: defaultdict[int, float] = defaultdict(float)
+        self._at_s: float = 0
 
     def add(self, weight_by_key: Mapping[int, float]) -> None:
         """Adds work in seconds that was asked for since the last report."""
         rate = 0.69 / HALF_LIFE_S
         for key, weight in weight_by_key.items():
-            known = self._weight_by_key.get(key, 0.0)
-            self._weight_by_key[key] = known + weight * rate
+            self._weight_by_key[key] += weight * rate
 
     def fade(self, now_s: float) -> None:
         """Lets older observations count less."""
         factor = 0.5 ** ((now_s - self._at_s) / HALF_LIFE_S)
         self._at_s = now_s
-        self._weight_by_key = {
-            key: weight * factor
+        faded = (
+            (key, weight * factor)
             for key, weight in self._weight_by_key.items()
-            if weight * factor > _NEGLIGIBLE * _NEGLIGIBLE
-        }
+        )
+        self._weight_by_key = defaultdict(
+            float, {key: kept for key, kept in faded if kept > _NEGLIGIBLE}
+        )
 
     def profile(self) -> 'LoadProfile':
         """Returns the present load in a form that answers range sums."""
@@ -77,7 +80,8 @@
     def __init__(self, weight_by_key: Mapping[int, float]) -> None:
         self._keys = sorted(weight_by_key)
         self._sums = [
-            0.0, *accumulate(weight_by_key[key] for key in self._keys)
+            0,
+            *accumulate(weight_by_key[key] for key in self._keys),
         ]
         seen = self._sums[-1]
         self._each = max(_UNSEEN_FLOOR, seen * _UNSEEN_SHARE) / KEY_COUNT
@@ -118,7 +122,9 @@
         self._profile = profile
         self._capacity_by_holder = capacity_by_holder
         self._spans = list(spans)
-        self._load_by_holder = dict.fromkeys(capacity_by_holder, 0.0)
+        self._load_by_holder: dict[Holder, float] = dict.fromkeys(
+            capacity_by_holder, 0
+        )
         for span in spans:
             if span.holder in self._load_by_holder:
                 self._load_by_holder[span.holder] += self._weight(span)
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
@@ -2,14 +2,12 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
-import msgspec
 import structlog
 
 from yuccadale_edge._internal.beliefs import Beliefs, OwnedRange
 from yuccadale_edge._internal.clock import elapsed_s
-from yuccadale_edge._internal.model import Server, ServerState
+from yuccadale_edge._internal.model import KEY_COUNT, Server, ServerState
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.balance import (
     Balancer,
@@ -17,11 +15,20 @@
     Move,
     Span,
 )
+from yuccadale_edge._internal.ownership.call_runner import (
+    CallRunner,
+    ServerCalls,
+)
+from yuccadale_edge._internal.ownership.records import (
+    KEYS_PREFIX,
+    KeysRecord,
+    encode_record,
+    record_of,
+    segments_of,
+)
 from yuccadale_edge._internal.ownership.segments import (
-    CallKind,
+    CLOCK_MARGIN,
     Holder,
-    Lease,
-    OwnershipCall,
     Segment,
     SegmentTable,
 )
@@ -30,14 +37,6 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from yuccadale_edge._internal.transport.client_connection import (
-    AnswerLostError,
-    NotSentError,
-)
-from yuccadale_edge._internal.transport.client_pool import (
-    Address,
-    PortClosedError,
-)
 
 _log = structlog.get_logger()
 
@@ -53,78 +52,11 @@
 _MOST_MOVING = 12
 # Keys stay this long after a move, so that its effect is seen first.
 _STAY_S = 1.0
-_CALLS_PER_SERVER = 4
-# A first refusal of a connection may come from a cut; a second one later is
-# taken as proof that the process has ended.
-_REFUSED_TWICE_AFTER_S = 0.3
-_COLD_CAPACITY = 0.5
-_UNREACHABLE_S = 1.5
+# The last call of the leader before has ended after this.
+_LAST_CALL_S = 1.0
 # Pause after a write that the store did not take.
 _RECORD_PAUSE_S = 0.4
 
-KEYS_PREFIX = 'keys/'
-
-
-class HolderRecord(msgspec.Struct, array_like=True):
-    """A server that may hold some keys, as it is recorded."""
-
-    server_id: str
-    incarnation: int
-    host: str
-    port: int
-    fence: int
-
-
-class SegmentRecord(msgspec.Struct, array_like=True):
-    """A range, its wanted owner first among those that may hold it."""
-
-    first: int
-    last: int
-    holders: list[HolderRecord]
-
-
-class KeysRecord(msgspec.Struct, array_like=True):
-    """What the store keeps of one service's keys."""
-
-    epoch: int
-    segments: list[SegmentRecord]
-
-
-encode_record = msgspec.json.Encoder().encode
-decode_record = msgspec.json.Decoder(KeysRecord).decode
-
-
-class GrantRefusedError(Exception):
-    """The server has seen a higher fencing token."""
-
-
-class OtherServerError(Exception):
-    """Another server has the address: the named one has ended."""
-
-
-class ServerCalls(Protocol):
-    """Calls about keys to servers."""
-
-    async def grant(
-        self, address: Address, call: OwnershipCall, lease_s: float
-    ) -> None:
-        """Grants or renews.
-
-        Raises:
-            GrantRefusedError, OtherServerError, NotSentError,
-            AnswerLostError: as their descriptions say.
-        """
-
-    async def release(
-        self, address: Address, call: OwnershipCall
-    ) -> str | None:
-        """Takes keys back; returns what the next owner is to be given.
-
-        Raises:
-            OtherServerError, NotSentError, AnswerLostError.
-        """
-
-
 Write = Callable[[dict[str, bytes]], Awaitable[bool]]
 
 
@@ -149,18 +81,23 @@
         self.table = SegmentTable(epoch, lease_s, RENEW_S)
         self._epoch = epoch
         self._beliefs = beliefs
-        self._calls = calls
         self._may_act = may_act
         self._write = write
         self._publish = publish
         self._metrics = metrics
-        self._address_by_holder: dict[Holder, Address] = {}
-        self._limit_by_holder: dict[Holder, asyncio.Semaphore] = {}
-        self._refused_by_holder: dict[Holder, float] = {}
+        self._runner = CallRunner(
+            self.table,
+            calls,
+            beliefs,
+            may_act,
+            self._publish_changes,
+            metrics,
+        )
         self._moved_s_by_range: dict[tuple[int, int], float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._planned_s = 0.0
-        self._record_again_s = 0.0
+        self._planned_s: float = 0
+        self._record_again_s: float = 0
+        self._recorded = True
+        self._ending = False
 
     def take_over(self, record: KeysRecord | None) -> None:
         """Starts from what an earlier leader recorded.
@@ -170,27 +107,20 @@
         """
         if record is None:
             return
-        end_s = elapsed_s() + self.table.lease_s * 1.02 + 1.0
-        segments = []
-        for one in record.segments:
-            segment = Segment(one.first, one.last, recorded=True)
-            for held in one.holders:
-                holder = Holder(held.server_id, held.incarnation)
-                self._address_by_holder[holder] = (held.host, held.port)
-                if held.fence:
-                    segment.lease_by_holder[holder] = Lease(
-                        held.fence, until_s=end_s, accepted=True
-                    )
-            if one.holders:
-                first = one.holders[0]
-                holder = Holder(first.server_id, first.incarnation)
-                if len(segment.lease_by_holder) == 1 and first.fence:
-                    segment.owner = holder
-                else:
-                    segment.target = holder
-            segments.append(segment)
-        self.table.load(segments)
-        self.table.changed = [(0, self.table.segments[-1].last)]
+        latest_end_s = elapsed_s() + self.table.lease_s * CLOCK_MARGIN
+        latest_end_s += _LAST_CALL_S
+        for segment in record.segments:
+            for held in segment.holders:
+                self._runner.address_by_holder[held.holder] = (
+                    held.host,
+                    held.port,
+                )
+        self.table.load(segments_of(record, latest_end_s))
+        if record.settled:
+            # From the first call on, that is no longer true.
+            self.table.require_record()
+            self._recorded = False
+        self.table.changed = [(0, KEY_COUNT - 1)]
 
     async def run(self) -> None:
         """Works until cancelled."""
@@ -199,10 +129,11 @@
                 await self._tick()
                 await asyncio.sleep(TICK_S)
         finally:
-            for task in self._tasks:
-                task.cancel()
+            self._runner.cancel()
 
     async def _tick(self) -> None:
+        if self._ending:
+            return
         self._end_replaced()
         now_s = elapsed_s()
         if self._may_act() and now_s - self._planned_s >= PLAN_S:
@@ -213,20 +144,33 @@
         may_write = self._may_act() and now_s >= self._record_again_s
         if self.table.unrecorded and may_write:
             await self._record()
-        if self._may_act():
-            for call in self.table.calls_due(elapsed_s()):
-                self._start(call)
+        if self._recorded and self._may_act() and not self._ending:
+            self._runner.start_due()
         self._publish_changes()
 
+    async def settle(self) -> tuple[str, bytes]:
+        """Ends the calls; returns the row for the next leader."""
+        self._ending = True
+        await self._runner.finish(_LAST_CALL_S)
+        self.table.reserve_fences()
+        record = record_of(
+            self._epoch,
+            self.table,
+            self._runner.address_by_holder,
+            settled=self.table.settled(elapsed_s()),
+        )
+        return KEYS_PREFIX + self.service, encode_record(record)
+
     def _publish_changes(self) -> None:
         changes = self.table.take_changes()
         if not changes:
             return
         now_s = elapsed_s()
-        ranges = []
-        for first, last in changes:
-            for segment in self.table.in_range(first, last):
-                ranges.append(self._owned_range(segment, now_s))
+        ranges = [
+            self._owned_range(segment, now_s)
+            for first, last in changes
+            for segment in self.table.in_range(first, last)
+        ]
         self._publish(self.service, ranges)
 
     def _owned_range(self, segment: Segment, now_s: float) -> OwnedRange:
@@ -236,10 +180,10 @@
                 segment.last,
                 segment.owner.server_id,
                 segment.owner.incarnation,
-                0.0,
+                0,
             )
         waits = self._unreachable_holders(segment)
-        free_in_s = self.table.waiting_s(segment, now_s) if waits else 0.0
+        free_in_s = self.table.waiting_s(segment, now_s) if waits else 0
         return OwnedRange(segment.first, segment.last, None, 0, free_in_s)
 
     def _unreachable_holders(self, segment: Segment) -> bool:
@@ -251,7 +195,7 @@
 
     def _reachable(self, holder: Holder) -> bool:
         until = self._beliefs.unreachable_until_by_server
-        return until.get(holder.server_id, 0.0) < elapsed_s()
+        return until.get(holder.server_id, 0) < elapsed_s()
 
     def _end_replaced(self) -> None:
         for holder in self.table.holders():
@@ -259,18 +203,7 @@
             if server is None:
                 continue
             if server.incarnation > holder.incarnation:
-                self._end(holder, 'the server started again')
-
-    def _end(self, holder: Holder, reason: str) -> None:
-        _log.info(
-            'server incarnation ended',
-            server=holder.server_id,
-            incarnation=holder.incarnation,
-            service=self.service,
-            reason=reason,
-        )
-        self.table.end_holder(holder)
-        self._address_by_holder.pop(holder, None)
+                self._runner.end(holder, 'the server started again')
 
     def _usable(self) -> dict[Holder, Server]:
         return {
@@ -299,11 +232,14 @@
             holder: self._capacity(server) for holder, server in usable.items()
         }
         for holder, server in usable.items():
-            self._address_by_holder[holder] = server.address
+            self._runner.address_by_holder[holder] = server.address
         self.table.join_settled()
         self.load.fade(now_s)
         self._forget_moves(now_s)
-        spans = [self._span(segment, usable, now_s) for segment in self.table.segments]
+        spans = [
+            self._span(segment, usable, now_s)
+            for segment in self.table.segments
+        ]
         balancer = Balancer(spans, capacity, self.load.profile())
         moves = balancer.place_unowned()
         moving = sum(
@@ -329,7 +265,7 @@
             lease.doubt_until_s > now_s
             for lease in segment.lease_by_holder.values()
         )
-        recent = self._moved_s_by_range.get((segment.first, segment.last), 0.0)
+        recent = self._moved_s_by_range.get((segment.first, segment.last), 0)
         movable = settled and not doubtful and now_s - recent > _STAY_S
         return Span(segment.first, segment.last, holder, movable)
 
@@ -356,7 +292,9 @@
 
     async def _record(self) -> None:
         plan_version = self.table.reserve_fences()
-        content = encode_record(self.record())
+        content = encode_record(
+            record_of(self._epoch, self.table, self._runner.address_by_holder)
+        )
         try:
             written = await self._write({KEYS_PREFIX + self.service: content})
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
@@ -367,137 +305,4 @@
             return
         if written:
             self.table.mark_recorded(plan_version)
-
-    def record(self) -> KeysRecord:
-        """Returns what the store has to know before the next grants."""
-        segments: list[SegmentRecord] = []
-        for segment in self.table.segments:
-            wanted = segment.wanted
-            holders = sorted(
-                segment.lease_by_holder, key=lambda held: held != wanted
-            )
-            if wanted is not None and wanted not in segment.lease_by_holder:
-                holders.insert(0, wanted)
-            records = [
-                self._holder_record(holder, segment) for holder in holders
-            ]
-            segments.append(
-                SegmentRecord(segment.first, segment.last, records)
-            )
-        return KeysRecord(self._epoch, segments)
-
-    def _holder_record(self, holder: Holder, segment: Segment) -> HolderRecord:
-        host, port = self._address_by_holder.get(holder, ('', 0))
-        fence = segment.reserved_fence
-        if fence is None or holder != segment.wanted:
-            fence = segment.lease_by_holder[holder].fence
-        return HolderRecord(
-            holder.server_id, holder.incarnation, host, port, fence
-        )
-
-    def _start(self, call: OwnershipCall) -> None:
-        task = asyncio.create_task(self._call(call))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _call(self, call: OwnershipCall) -> None:
-        limit = self._limit_by_holder.setdefault(
-            call.holder, asyncio.Semaphore(_CALLS_PER_SERVER)
-        )
-        async with limit:
-            address = self._address_by_holder.get(call.holder)
-            try:
-                if address is None or not self._may_act():
-                    raise NotSentError('not allowed or no address known')
-                await self._perform(address, call)
-            except PortClosedError as error:
-                self._not_sent(call)
-                self._refused(call.holder, str(error))
-            except NotSentError as error:
-                self._not_sent(call)
-                if address is not None and self._may_act():
-                    self._unreachable(call.holder, str(error))
-            except AnswerLostError as error:
-                self._unanswered(call, str(error))
-            except TimeoutError:
-                self._unanswered(call, 'no answer in time')
-                self._unreachable(call.holder, 'no answer to a call')
-            except OtherServerError:
-                self._not_sent(call)
-                self._end(call.holder, 'another server has its address')
-            except GrantRefusedError:
-                self.table.grant_answered(
-                    call, accepted=False, now_s=elapsed_s()
-                )
-                _log.warning(
-                    'grant refused by a higher fence',
-                    server=call.holder.server_id,
-                    first=call.first,
-                    last=call.last,
-                    fence=call.fence,
-                )
-            else:
-                self._refused_by_holder.pop(call.holder, None)
-        self._publish_changes()
-
-    async def _perform(self, address: Address, call: OwnershipCall) -> None:
-        began_s = elapsed_s()
-        if call.kind == CallKind.grant:
-            await self._calls.grant(address, call, self.table.lease_s)
-            self.table.grant_answered(call, accepted=True, now_s=elapsed_s())
-            return
-        handover = await self._calls.release(address, call)
-        self.table.release_answered(call, handover, elapsed_s())
-        self._metrics.observe_ms('release', (elapsed_s() - began_s) * 1000)
-        _log.info(
-            'keys released',
-            service=self.service,
-            server=call.holder.server_id,
-            first=call.first,
-            last=call.last,
-            fence=call.fence,
-            took_ms=round((elapsed_s() - began_s) * 1000, 1),
-        )
-        for due in self.table.calls_due(elapsed_s()):
-            self._start(due)
-
-    def _not_sent(self, call: OwnershipCall) -> None:
-        if call.kind == CallKind.grant:
-            self.table.grant_not_sent(call)
-        else:
-            self.table.release_failed(call)
-
-    def _unanswered(self, call: OwnershipCall, reason: str) -> None:
-        self._metrics.count('calls_unanswered', kind=call.kind)
-        _log.warning(
-            'ownership call unanswered',
-            kind=call.kind,
-            server=call.holder.server_id,
-            first=call.first,
-            last=call.last,
-            fence=call.fence,
-            reason=reason,
-        )
-        if call.kind == CallKind.grant:
-            self.table.grant_unanswered(call, elapsed_s())
-        else:
-            self.table.release_failed(call)
-
-    def _refused(self, holder: Holder, reason: str) -> None:
-        now_s = elapsed_s()
-        first_s = self._refused_by_holder.setdefault(holder, now_s)
-        self._unreachable(holder, reason)
-        if now_s - first_s >= _REFUSED_TWICE_AFTER_S:
-            self._refused_by_holder.pop(holder)
-            self._end(holder, 'its address refused two connections')
-
-    def _unreachable(self, holder: Holder, reason: str) -> None:
-        until = self._beliefs.unreachable_until_by_server
-        now_s = elapsed_s()
-        if until.get(holder.server_id, 0.0) < now_s:
-            _log.warning(
-                'server unreachable for ownership calls',
-                server=holder.server_id,
-                reason=reason,
-            )
-        until[holder.server_id] = now_s + _UNREACHABLE_S
+            self._recorded = True
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -70,9 +70,9 @@
 
     fence: int
     until_s: float
-    doubt_until_s: float = 0.0
+    doubt_until_s: float = 0
     accepted: bool = False
-    sent_s: float = 0.0
+    sent_s: float = 0
     handover: str | None = None
     released: bool = False
 
@@ -182,7 +182,8 @@
             if segment.first < key <= segment.last:
                 lower = segment.copy_range(segment.first, key - 1)
                 upper = segment.copy_range(key, segment.last)
-                self.segments[index : index + 1] = [lower, upper]
+                self.segments.insert(index + 1, upper)
+                self.segments[index] = lower
                 return
 
     def plan(self, first: int, last: int, target: Holder) -> None:
@@ -222,6 +223,9 @@
         """Notes that a life of a server has ended, so it holds nothing."""
         for segment in self.segments:
             segment.lease_by_holder.pop(holder, None)
+            if holder in {segment.target, segment.owner}:
+                # The reserved fence was that of the ended server.
+                self._needs_record(segment)
             if segment.target == holder:
                 segment.target = None
             if segment.owner == holder:
@@ -236,6 +240,21 @@
                 known.add(segment.target)
         return known
 
+    def settled(self, now_s: float) -> bool:
+        """Whether every call has been answered or can no longer matter."""
+        return not any(
+            segment.calls
+            or any(
+                lease.doubt_until_s > now_s
+                for lease in segment.lease_by_holder.values()
+            )
+            for segment in self.segments
+        )
+
+    def require_record(self) -> None:
+        """Asks for a record before anything is granted or renewed."""
+        self._plan_version += 1
+
     def join_settled(self) -> None:
         """Joins neighbours that have the same owner and the same grant."""
         joined: list[Segment] = []
@@ -259,32 +278,25 @@
     ) -> None:
         """Notes a server's answer to a grant."""
         for segment, lease in self._leases_of(call):
-            if not accepted:
-                # Another token was seen: this one gave the server nothing.
-                segment.lease_by_holder.pop(call.holder, None)
-                if segment.owner == call.holder:
-                    segment.target = segment.target or call.holder
-                    self._set_owner(segment, None)
-                self._needs_record(segment)
-                continue
-            lease.accepted = True
-            lease.until_s = max(lease.until_s, self._lease_end(now_s))
-            if segment.wanted == call.holder:
-                segment.target = None
-                segment.handover = None
-                if segment.owner != call.holder:
-                    self._set_owner(segment, call.holder)
+            if accepted:
+                lease.accepted = True
+                lease.until_s = max(lease.until_s, self._lease_end(now_s))
+                self._confirm(segment, call.holder)
+            else:
+                self._refuse(segment, call.holder)
 
-    def grant_unanswered(self, call: OwnershipCall, now_s: float) -> None:
-        """Notes a grant that may be applied late or not at all."""
+    def call_unanswered(self, call: OwnershipCall, now_s: float) -> None:
+        """Notes a call that may be acted on late or not at all."""
         end_s = self._lease_end(now_s + LATEST_ARRIVAL_S)
         for _, lease in self._leases_of(call):
-            lease.doubt_until_s = max(lease.doubt_until_s, end_s)
+            if call.kind == CallKind.grant:
+                lease.doubt_until_s = max(lease.doubt_until_s, end_s)
 
-    def grant_not_sent(self, call: OwnershipCall) -> None:
-        """Notes a grant of which no byte left this process."""
+    def call_not_sent(self, call: OwnershipCall) -> None:
+        """Notes a call of which no byte left this process."""
         for segment, lease in self._leases_of(call):
-            if not lease.accepted and not lease.doubt_until_s:
+            unused = not lease.accepted and not lease.doubt_until_s
+            if call.kind == CallKind.grant and unused:
                 segment.lease_by_holder.pop(call.holder, None)
 
     def release_answered(
@@ -298,10 +310,6 @@
                 segment.handover = handover
             self._forget_ended(segment, now_s)
 
-    def release_failed(self, call: OwnershipCall) -> None:
-        """Notes a release without an answer; it is sent again."""
-        self._leases_of(call)
-
     def waiting_s(self, segment: Segment, now_s: float) -> float:
         """Returns the time until a segment's keys can surely be granted."""
         ends = [
@@ -309,7 +317,7 @@
             for holder, lease in segment.lease_by_holder.items()
             if holder != segment.target
         ]
-        return max(ends, default=0.0)
+        return max(ends, default=0)
 
     def take_changes(self) -> list[tuple[int, int]]:
         """Returns ranges whose owner changed, and forgets them."""
@@ -320,11 +328,6 @@
     def load(self, segments: Iterable[Segment]) -> None:
         """Takes over what an earlier leader recorded."""
         self.segments = sorted(segments, key=_first_key)
-        for segment in self.segments:
-            segment.last_fence = max(
-                (one.fence for one in segment.lease_by_holder.values()),
-                default=0,
-            )
 
     def _segment_calls(
         self, segment: Segment, now_s: float
@@ -334,39 +337,54 @@
         if others and segment.target is not None and segment.owner is not None:
             # Callers stop sending before the owner is told to release.
             self._set_owner(segment, None)
-        for holder in others:
-            lease = segment.lease_by_holder[holder]
-            if holder not in segment.calls and not lease.released:
-                segment.calls.add(holder)
-                yield OwnershipCall(
-                    CallKind.release,
-                    holder,
-                    segment.first,
-                    segment.last,
-                    lease.fence,
-                )
+        yield from self._releases(segment, others)
         if wanted is None or others or wanted in segment.calls:
             return
-        own = segment.lease_by_holder.get(wanted)
-        if own is None or not segment.renewable(wanted):
-            if not segment.recorded or segment.reserved_fence is None:
-                return
-            own = self._new_lease(
-                segment, wanted, segment.reserved_fence, own
-            )
-        elif own.accepted and now_s - own.sent_s < self._renew_s:
+        lease = self._lease_to_send(segment, wanted)
+        if lease is None:
             return
-        own.sent_s = now_s
+        if lease.accepted and now_s - lease.sent_s < self._renew_s:
+            return
+        lease.sent_s = now_s
         segment.calls.add(wanted)
-        yield OwnershipCall(
-            CallKind.grant,
-            wanted,
-            segment.first,
-            segment.last,
-            own.fence,
-            own.handover,
+        yield _call(
+            CallKind.grant, segment, wanted, lease.fence, lease.handover
         )
 
+    def _releases(
+        self, segment: Segment, holders: Iterable[Holder]
+    ) -> Iterator[OwnershipCall]:
+        for holder in holders:
+            lease = segment.lease_by_holder[holder]
+            if holder not in segment.calls and not lease.released:
+                segment.calls.add(holder)
+                yield _call(CallKind.release, segment, holder, lease.fence)
+
+    def _lease_to_send(self, segment: Segment, wanted: Holder) -> Lease | None:
+        """Returns the lease to grant or renew, None before it is recorded."""
+        own = segment.lease_by_holder.get(wanted)
+        if own is not None and segment.renewable(wanted):
+            return own
+        if not segment.recorded or segment.reserved_fence is None:
+            return None
+        return self._new_lease(segment, wanted, segment.reserved_fence, own)
+
+    def _confirm(self, segment: Segment, holder: Holder) -> None:
+        if segment.wanted != holder:
+            return
+        segment.target = None
+        segment.handover = None
+        if segment.owner != holder:
+            self._set_owner(segment, holder)
+
+    def _refuse(self, segment: Segment, holder: Holder) -> None:
+        # A higher fence was seen: this one gave the server nothing.
+        segment.lease_by_holder.pop(holder, None)
+        if segment.owner == holder:
+            segment.target = segment.target or holder
+            self._set_owner(segment, None)
+        self._needs_record(segment)
+
     def _new_lease(
         self,
         segment: Segment,
@@ -376,8 +394,8 @@
     ) -> Lease:
         lease = Lease(
             fence,
-            until_s=0.0,
-            doubt_until_s=0.0 if earlier is None else earlier.doubt_until_s,
+            until_s=0,
+            doubt_until_s=0 if earlier is None else earlier.doubt_until_s,
             handover=segment.handover,
         )
         segment.lease_by_holder[holder] = lease
@@ -393,9 +411,7 @@
         self._fences_used += 1
         return (self._epoch << _FENCE_COUNTER_BITS) + self._fences_used
 
-    def _leases_of(
-        self, call: OwnershipCall
-    ) -> list[tuple[Segment, Lease]]:
+    def _leases_of(self, call: OwnershipCall) -> list[tuple[Segment, Lease]]:
         """Ends a call and returns the leases that it was about."""
         leases = []
         for segment in self.in_range(call.first, call.last):
@@ -407,10 +423,11 @@
 
     def _forget_ended(self, segment: Segment, now_s: float) -> None:
         for holder, lease in list(segment.lease_by_holder.items()):
-            ended = now_s > lease.end_s and holder not in segment.calls
-            if ended and (lease.released or holder != segment.wanted):
-                if lease.released or lease.sent_s or lease.until_s:
-                    segment.lease_by_holder.pop(holder)
+            kept = holder == segment.wanted and not lease.released
+            if kept or holder in segment.calls:
+                continue
+            if now_s > lease.end_s:
+                segment.lease_by_holder.pop(holder)
 
     def _lease_end(self, arrival_s: float) -> float:
         return arrival_s + self.lease_s * CLOCK_MARGIN
@@ -424,6 +441,18 @@
     return segment.first
 
 
+def _call(
+    kind: CallKind,
+    segment: Segment,
+    holder: Holder,
+    fence: int,
+    handover: str | None = None,
+) -> OwnershipCall:
+    return OwnershipCall(
+        kind, holder, segment.first, segment.last, fence, handover
+    )
+
+
 def _alike(lower: Segment, upper: Segment) -> bool:
     for segment in (lower, upper):
         settled = segment.target is None and not segment.calls
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/speeds.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/speeds.py
@@ -20,11 +20,11 @@
         self, server_id: str, route: str, count: int, total_s: float
     ) -> None:
         """Adds answers of a server."""
-        route_total = self._total_by_route.setdefault(route, [0.0, 0.0])
+        route_total = self._total_by_route.setdefault(route, [0, 0])
         _add(route_total, count, total_s)
         mean_s = route_total[1] / route_total[0]
         expected_s = mean_s * count
-        pair = self._pair_by_server.setdefault(server_id, [0.0, 0.0])
+        pair = self._pair_by_server.setdefault(server_id, [0, 0])
         if pair[0] > _MEMORY * mean_s:
             pair[0] /= 2
             pair[1] /= 2
@@ -36,12 +36,15 @@
         pair = self._pair_by_server.get(server_id)
         if pair is None or not self._total_by_route:
             return 1.0
-        totals = list(self._total_by_route.values())
-        mean_s = sum(one[1] for one in totals) / sum(one[0] for one in totals)
-        prior_s = _PRIOR * mean_s
+        prior_s = _PRIOR * self._mean_s()
         speed = (pair[0] + prior_s) / (pair[1] + prior_s)
         return min(max(speed, _SLOWEST), _FASTEST)
 
+    def _mean_s(self) -> float:
+        totals = self._total_by_route.values()
+        count = sum(one[0] for one in totals)
+        return sum(one[1] for one in totals) / count
+
 
 def _add(total: list[float], count: int, total_s: float) -> None:
     if total[0] > _MEMORY * 20:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -47,7 +47,7 @@
 # Weight of a new measurement in a server's slowness.
 _NEW_SHARE = 0.05
 # Extra cost of a server in another data centre or region, in requests.
-_DISTANCE_COST = (0.0, 0.15, 1.5)
+_DISTANCE_COST = (0, 0.15, 1.5)
 
 BudgetOf = Callable[[str], RetryBudget]
 TimeSample = tuple[str, str, float]
@@ -193,7 +193,7 @@
             )
 
     def _patience_s(self, work: Work) -> float:
-        return max(0.0, work.expected_ms / _MS)
+        return max(0, work.expected_ms / _MS)
 
     async def _send(
         self,
@@ -210,7 +210,7 @@
             ) as link:
                 left_s = deadline_s - elapsed_s()
                 request = self._wire.encode_work(work, server, left_s * _MS)
-                async with asyncio.timeout(max(0.0, left_s)):
+                async with asyncio.timeout(max(0, left_s)):
                     answer = await link.exchange(
                         request, self._wire.recognise(work.request_id)
                     )
@@ -241,7 +241,6 @@
                 arrivals=1,
             )
         worked_s = elapsed_s() - sent_s
-        line.last_answer_s = elapsed_s()
         if self._wire.not_executed(answer):
             return self._not_executed(server, line, work, answer)
         self._note_time(server, line, work, worked_s)
@@ -297,7 +296,7 @@
     def _mark_unreachable(self, server: Server, reason: str) -> None:
         until = self._beliefs.unreachable_until_by_server
         now_s = elapsed_s()
-        if until.get(server.server_id, 0.0) < now_s:
+        if until.get(server.server_id, 0) < now_s:
             _log.warning(
                 'server unreachable',
                 server=server.server_id,
--- a/packages/edge/src/yuccadale_edge/_internal/routing/entry.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/entry.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import msgspec
 import structlog
@@ -202,16 +202,11 @@
             result.arrivals = arrivals
             if isinstance(result, Served):
                 return result
-            if last is not None and last.outcome == Outcome.unknown:
-                if result.outcome == Outcome.not_run:
-                    result = last
+            result = _less_certain(last, result)
             last = result
             if not self._another_round(work, result, end_s):
                 return result
-            if arrivals and not self._budget_of(work.service).take():
-                self._metrics.count(
-                    'retry', service=work.service, outcome='budget spent'
-                )
+            if not self._may_send_again(work, arrivals):
                 return result
             self._metrics.count(
                 'retry',
@@ -229,6 +224,14 @@
             )
         return result
 
+    def _may_send_again(self, work: Work, arrivals: int) -> bool:
+        if not arrivals or self._budget_of(work.service).take():
+            return True
+        self._metrics.count(
+            'retry', service=work.service, outcome='budget spent'
+        )
+        return False
+
     async def _round(
         self, work: Work, end_s: float, arrived_s: float, route: Route
     ) -> Result:
@@ -259,7 +262,7 @@
                 work.server_id = owner.holder.server_id
                 work.incarnation = owner.holder.incarnation
                 return None
-            free_in_s = max(owner.free_at_s - now_s, 0.0)
+            free_in_s = max(owner.free_at_s - now_s, 0)
             if waited_s + free_in_s > patience_s:
                 return Refused(
                     ResultCode.slot_moving,
@@ -348,8 +351,8 @@
             body=message.body,
             priority=route.priority,
             repeatable=route.repeatable,
-            remaining_ms=0.0,
-            expected_ms=0.0,
+            remaining_ms=0,
+            expected_ms=0,
             max_attempts=route.max_attempts,
             key=request.key,
             returned=self._came_back(request, route, arrived_s),
@@ -361,14 +364,14 @@
         if request.deadline_s is None:
             return False
         given_s = request.deadline_s - arrived_s
-        usual_s = max(given_s, self._usual_s_by_route.get(route.name, 0.0))
+        usual_s = max(given_s, self._usual_s_by_route.get(route.name, 0))
         self._usual_s_by_route[route.name] = usual_s
         return given_s < usual_s * _RETURNED_SHARE
 
     def _suspected(self, instance: Instance) -> bool:
         if instance.name == self._instance:
             return False
-        until = self._suspect_until_by_name.get(instance.name, 0.0)
+        until = self._suspect_until_by_name.get(instance.name, 0)
         return elapsed_s() < until
 
     def _suspect(self, instance: Instance, reason: str) -> None:
@@ -408,7 +411,14 @@
         return self._wire.refusal(request.request_id, code, retry_after_s)
 
 
-Forward = Callable[[bytes], Awaitable[bytes]]
+def _less_certain(earlier: Refused | None, later: Refused) -> Refused:
+    """Keeps that the work may have run when a later send did not run."""
+    if earlier is None or earlier.outcome != Outcome.unknown:
+        return later
+    if later.outcome == Outcome.not_run:
+        earlier.arrivals = later.arrivals
+        return earlier
+    return later
 
 
 def _since_ms(moment_s: float) -> float:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/senders.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/senders.py
@@ -22,19 +22,17 @@
     instance in the server's own data centre saves the second way.
     """
     region = place.region_by_data_centre.get(data_centre)
-    best: tuple[int, bytes, Instance] | None = None
-    for instance in instances:
-        if suspected(instance):
-            continue
-        near = 0
-        if instance.data_centre == data_centre:
-            near = 2
-        elif place.region_by_data_centre.get(instance.data_centre) == region:
-            near = 1
-        rank = (near, _weight(subject, instance.name), instance)
-        if best is None or rank[:2] > best[:2]:
-            best = rank
-    return None if best is None else best[2]
+
+    def rank(instance: Instance) -> tuple[bool, bool, bytes]:
+        own = place.region_by_data_centre.get(instance.data_centre)
+        return (
+            instance.data_centre == data_centre,
+            own == region,
+            _weight(subject, instance.name),
+        )
+
+    usable = [one for one in instances if not suspected(one)]
+    return max(usable, key=rank, default=None)
 
 
 def _weight(subject: str, instance: str) -> bytes:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_line.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_line.py
@@ -46,9 +46,7 @@
         if known is None:
             self._mean_s_by_route[route] = took_s
         else:
-            self._mean_s_by_route[route] = (
-                known + (took_s - known) * _NEW_SHARE
-            )
+            self._mean_s_by_route[route] = known + (took_s - known) * _NEW_SHARE
 
 
 @dataclass(order=True, slots=True)
@@ -66,7 +64,6 @@
         self.limit = max(1, limit)
         self.running = 0
         self.slowness = 1.0
-        self.last_answer_s = 0.0
         self.closed = False
         self._now = now
         self._waiting: list[_Waiting] = []
@@ -81,7 +78,7 @@
     def room_in_s(self, rank: tuple[int, int] = (9, 9)) -> float:
         """Returns the expected time until a request of a rank is sent."""
         if self.running < self.limit and not self._waiting:
-            return 0.0
+            return 0
         ahead = sum(
             one.expected_s for one in self._waiting if one.rank[:2] <= rank
         )
@@ -128,9 +125,7 @@
         try:
             yield
         finally:
-            self.running -= 1
-            self._running_s.pop(number)
-            self._next()
+            self._end(number)
 
     def close(self) -> None:
         """Refuses all that wait; the server can no longer be sent to."""
@@ -138,10 +133,15 @@
         for waiting in self._waiting:
             if not waiting.turn.done():
                 waiting.turn.set_exception(
-                    LineFullError(ResultCode.slot_moving, 0.0)
+                    LineFullError(ResultCode.slot_moving, 0)
                 )
         self._waiting.clear()
 
+    def _end(self, number: int) -> None:
+        self.running -= 1
+        self._running_s.pop(number)
+        self._next()
+
     async def _wait(
         self, rank: tuple[int, int, int], expected_s: float, latest_s: float
     ) -> None:
@@ -149,7 +149,7 @@
         waiting = _Waiting(rank, expected_s, latest_s, turn)
         heapq.heappush(self._waiting, waiting)
         try:
-            async with asyncio.timeout(max(0.0, latest_s - self._now())):
+            async with asyncio.timeout(max(0, latest_s - self._now())):
                 await turn
         except TimeoutError as error:
             self._leave(waiting)
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -72,7 +72,7 @@
         self._recognise: Recognise | None = None
         self._reset_answer()
         self._keep = True
-        self.idle_since = 0.0
+        self.idle_since: float = 0
         self.idle_limit_s: float | None = None
         self.used = False
 
@@ -113,13 +113,7 @@
         try:
             return await self._waiter
         finally:
-            if not self._waiter.done() or self._waiter.cancelled():
-                self.close()
-            self._waiter = None
-            self._recognise = None
-            if transport.get_write_buffer_size():
-                # The server answered before it had read the whole request.
-                self.close()
+            self._end_exchange(self._waiter, transport)
 
     def close(self) -> None:
         """Ends the connection at once."""
@@ -191,6 +185,16 @@
         if self._parser.get_status_code() >= _FIRST_FINAL_STATUS:
             self._finish()
 
+    def _end_exchange(
+        self, waiter: asyncio.Future[Answer], transport: asyncio.Transport
+    ) -> None:
+        self._waiter = None
+        self._recognise = None
+        # A server may answer before it has read the whole request.
+        unread = transport.get_write_buffer_size() > 0
+        if unread or not waiter.done() or waiter.cancelled():
+            self.close()
+
     def _socket_error(self) -> int:
         # uvloop reports a reset that follows data as the end of the data.
         assert self._transport is not None
@@ -210,7 +214,9 @@
             self.close()
             return
         answer = Answer(
-            self._parser.get_status_code(), self._headers, b''.join(self._pieces)
+            self._parser.get_status_code(),
+            self._headers,
+            b''.join(self._pieces),
         )
         self._reset_answer()
         if self._recognise is not None and not self._recognise(answer):
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -102,7 +102,7 @@
         self._headers: Headers = []
         self._target = b''
         self._pieces: list[bytes] = []
-        self._arrived_s = 0.0
+        self._arrived_s: float = 0
         self._rejected: int | None = None
         self._last: asyncio.Task[Reply] | None = None
 
@@ -216,29 +216,32 @@
     def _flush(self, _task: asyncio.Task[Reply]) -> None:
         while self._answers and self._answers[0].done() and not self._ending:
             answer = self._answers.popleft()
-            if answer.cancelled():
-                self._abort()
-                return
-            failure = answer.exception()
-            if failure is not None:
-                self._loop.call_exception_handler(
-                    {
-                        'message': 'request handler failed',
-                        'exception': failure,
-                    }
-                )
+            if not self._succeeded(answer):
                 self._abort()
                 return
             last = answer is self._last or self._closes_after()
             self._write(encode_reply(answer.result(), last=last))
             if last:
                 self._end()
-                return
-        if not self._ending and self._transport is not None:
-            if len(self._answers) < _MAX_AHEAD:
-                self._transport.resume_reading()
-            if not self._answers and not self._half_read:
-                self._watch_idle(self._shared.limits.idle_timeout_s)
+        if not self._ending:
+            self._read_on()
+
+    def _read_on(self) -> None:
+        if self._transport is not None and len(self._answers) < _MAX_AHEAD:
+            self._transport.resume_reading()
+        if not self.busy:
+            self._watch_idle(self._shared.limits.idle_timeout_s)
+
+    def _succeeded(self, answer: asyncio.Task[Reply]) -> bool:
+        if answer.cancelled():
+            return False
+        failure = answer.exception()
+        if failure is None:
+            return True
+        self._loop.call_exception_handler(
+            {'message': 'request handler failed', 'exception': failure}
+        )
+        return False
 
     def _closes_after(self) -> bool:
         return self._shared.closing and not self._answers
@@ -298,9 +301,7 @@
     except ValueError:
         phrase = 'Unknown'
     lines = [f'HTTP/1.1 {reply.status} {phrase}\r\n'.encode()]
-    lines.extend(
-        b'%b: %b\r\n' % (name, text) for name, text in reply.headers
-    )
+    lines.extend(b'%b: %b\r\n' % (name, text) for name, text in reply.headers)
     lines.append(b'content-length: %d\r\n' % len(reply.body))
     if last:
         lines.append(b'connection: close\r\n')
--- a/packages/edge/src/yuccadale_edge/instance.py
+++ b/packages/edge/src/yuccadale_edge/instance.py
@@ -19,7 +19,7 @@
     Settings,
 )
 from yuccadale_edge._internal.observability.logs import configure_logs
-from yuccadale_edge._internal.ownership.keeper import (
+from yuccadale_edge._internal.ownership.call_runner import (
     GrantRefusedError,
     OtherServerError,
 )
--- /dev/null
+++ b/packages/edge/src/yuccadale_edge/ownership.py
@@ -0,0 +1,45 @@
+"""Ownership of keys: the rules, without network."""
+
+from yuccadale_edge._internal.model import KEY_COUNT
+from yuccadale_edge._internal.ownership.balance import (
+    Balancer,
+    KeyLoad,
+    LoadProfile,
+    Move,
+    Span,
+)
+from yuccadale_edge._internal.ownership.records import (
+    KeysRecord,
+    record_of,
+    segments_of,
+)
+from yuccadale_edge._internal.ownership.segments import (
+    CLOCK_MARGIN,
+    CallKind,
+    Holder,
+    Lease,
+    OwnershipCall,
+    Segment,
+    SegmentTable,
+)
+from yuccadale_edge._internal.ownership.speeds import ServerSpeeds
+
+__all__ = (
+    'CLOCK_MARGIN',
+    'KEY_COUNT',
+    'Balancer',
+    'CallKind',
+    'Holder',
+    'KeyLoad',
+    'KeysRecord',
+    'Lease',
+    'LoadProfile',
+    'Move',
+    'OwnershipCall',
+    'Segment',
+    'SegmentTable',
+    'ServerSpeeds',
+    'Span',
+    'record_of',
+    'segments_of',
+)
