--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -164,6 +164,10 @@
         self._peers = PeerServer(self._answer_peer, self._take_news)
         self._stopping = asyncio.Event()
 
+    def stop(self) -> None:
+        """Ends as after SIGTERM."""
+        self._stopping.set()
+
     async def run(self) -> None:
         """Serves until SIGTERM, then ends within the grace."""
         loop = asyncio.get_running_loop()
@@ -175,6 +179,9 @@
             callers = await self._listen(
                 self._settings.caller_address, self._callers
             )
+            stack.callback(self._callers.abort)
+            stack.callback(callers.close)
+            stack.callback(self._links.close)
             tasks = [
                 asyncio.create_task(self._cluster.run()),
                 asyncio.create_task(self._housekeeping()),
@@ -182,15 +189,13 @@
             ]
             for task in tasks:
                 task.add_done_callback(self._task_ended)
+                stack.callback(task.cancel)
             gc.collect()
             gc.freeze()
             gc.set_threshold(_GC_THRESHOLD)
             _log.info('started', settings=_shown(self._settings))
             await self._stopping.wait()
             await self._drain(callers)
-            for task in tasks:
-                task.cancel()
-            self._links.close()
         _log.info('stopped')
 
     def _reload(self) -> None:
@@ -306,6 +311,7 @@
         finally:
             for listener in listeners:
                 listener.close()
+            shared.abort()
 
     async def _listen(
         self, address: Address, shared: ServerState
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
@@ -15,6 +15,8 @@
 from yuccadale_edge._internal.model import KEY_COUNT
 from yuccadale_edge._internal.ownership.segments import Holder
 
+# A part may weigh this much more than what is to be moved.
+_OVERSHOOT = 1.2
 # Part of all load that is spread evenly over the keys: keys that were not
 # seen yet weigh something, so unknown ranges are divided too.
 _UNSEEN_SHARE = 0.15
@@ -61,13 +63,12 @@
         """Lets older observations count less."""
         factor = 0.5 ** ((now_s - self._at_s) / HALF_LIFE_S)
         self._at_s = now_s
-        faded = (
-            (key, weight * factor)
-            for key, weight in self._weight_by_key.items()
-        )
-        self._weight_by_key = defaultdict(
-            float, {key: kept for key, kept in faded if kept > _NEGLIGIBLE}
-        )
+        faded: defaultdict[int, float] = defaultdict(float)
+        for key, weight in self._weight_by_key.items():
+            kept = weight * factor
+            if kept > _NEGLIGIBLE:
+                faded[key] = kept
+        self._weight_by_key = faded
 
     def profile(self) -> 'LoadProfile':
         """Returns the present load in a form that answers range sums."""
@@ -125,8 +126,9 @@
         self._load_by_holder: dict[Holder, float] = dict.fromkeys(
             capacity_by_holder, 0
         )
+        usable = self._load_by_holder.keys()
         for span in spans:
-            if span.holder in self._load_by_holder:
+            if span.holder is not None and span.holder in usable:
                 self._load_by_holder[span.holder] += self._weight(span)
 
     @property
@@ -180,26 +182,21 @@
 
     def _relieve_one(self, hottest: Holder, least_share: float) -> Move | None:
         coolest = min(self._load_by_holder, key=self._relative)
-        excess = self._excess(hottest)
-        room = -self._excess(coolest)
-        amount = min(excess, room)
-        fair = self.mean * self._capacity_by_holder[coolest]
-        if amount < fair * least_share:
+        amount = min(self._excess(hottest), -self._excess(coolest))
+        least = self.mean * self._capacity_by_holder[coolest] * least_share
+        if amount < least:
             return None
         span = self._best_span(hottest, amount)
         if span is None:
             return None
-        self._spans.remove(span)
-        part, rest = self._divide(span, amount)
-        weight = self._weight(part)
-        if weight > excess + room or weight <= 0:
-            self._spans.append(span)
+        part = self._part(span, amount)
+        if part is None or self._weight(part) < least / 2:
             return None
+        self._spans.remove(span)
+        self._spans.extend(_without(span, part))
         self._spans.append(Span(part.first, part.last, coolest, False))
-        if rest is not None:
-            self._spans.append(rest)
-        self._load_by_holder[hottest] -= weight
-        self._load_by_holder[coolest] += weight
+        self._load_by_holder[hottest] -= self._weight(part)
+        self._load_by_holder[coolest] += self._weight(part)
         return Move(part.first, part.last, coolest)
 
     def _best_span(self, holder: Holder, amount: float) -> Span | None:
@@ -211,14 +208,15 @@
         whole = [
             span
             for span in own
-            if amount / 2 <= self._weight(span) <= amount * 1.2
+            if amount / 2 <= self._weight(span) <= amount * _OVERSHOOT
         ]
         if whole:
             return min(whole, key=_size)
         larger = [
             span
             for span in own
-            if self._weight(span) > amount and span.last > span.first
+            if self._weight(span) > amount * _OVERSHOOT
+            and span.last > span.first
         ]
         if larger:
             return max(larger, key=self._weight)
@@ -227,24 +225,33 @@
             return max(smaller, key=self._weight)
         return None
 
-    def _divide(self, span: Span, amount: float) -> tuple[Span, Span | None]:
-        if self._weight(span) <= amount * 1.2 or span.first == span.last:
-            return span, None
-        head_last = self._profile.cut(span.first, span.last - 1, amount)
-        rest_weight = self._weight(span) - amount
-        tail_first = 1 + self._profile.cut(
-            span.first, span.last - 1, rest_weight
-        )
-        head = Span(span.first, head_last, span.holder)
-        tail = Span(tail_first, span.last, span.holder)
-        if _size(tail) < _size(head) and self._closeness(
-            tail, amount
-        ) <= self._closeness(head, amount):
-            return tail, Span(span.first, tail_first - 1, span.holder)
-        return head, Span(head_last + 1, span.last, span.holder)
+    def _part(self, span: Span, amount: float) -> Span | None:
+        """Returns a leading or trailing part of at most about an amount.
 
-    def _closeness(self, span: Span, amount: float) -> float:
-        return round(abs(self._weight(span) - amount) / amount, 1)
+        A single key that weighs more is left where it is: what lies before
+        and behind it goes.
+        """
+        most = amount * _OVERSHOOT
+        if self._weight(span) <= most:
+            return span
+        parts = []
+        head_last = self._profile.cut(span.first, span.last, amount)
+        if self._profile.weight(span.first, head_last) > most:
+            head_last -= 1
+        if head_last >= span.first:
+            parts.append(Span(span.first, head_last, span.holder))
+        rest = self._weight(span) - amount
+        tail_first = 1 + self._profile.cut(span.first, span.last, rest)
+        if self._profile.weight(tail_first, span.last) > most:
+            tail_first += 1
+        if tail_first <= span.last:
+            parts.append(Span(tail_first, span.last, span.holder))
+        return max(parts, key=self._gain, default=None)
+
+    def _gain(self, part: Span) -> tuple[float, int]:
+        # Of two parts of about the same weight the one with fewer keys moves.
+        digits = round(self._weight(part), 2)
+        return digits, -_size(part)
 
     def _spread(self, span: Span) -> list[Move]:
         moves: list[Move] = []
@@ -254,6 +261,8 @@
             room = -self._excess(coolest)
             least = self.mean * self._capacity_by_holder[coolest] / 4
             last = self._profile.cut(first, span.last, max(room, least))
+            if self._profile.weight(last + 1, span.last) < least:
+                last = span.last
             self._load_by_holder[coolest] += self._profile.weight(first, last)
             self._spans.append(Span(first, last, coolest, False))
             moves.append(Move(first, last, coolest))
@@ -271,5 +280,15 @@
         return self._load_by_holder[holder] - fair
 
 
+def _without(span: Span, part: Span) -> list[Span]:
+    """Returns what is left of a span without its leading or trailing part."""
+    left = []
+    if span.first < part.first:
+        left.append(Span(span.first, part.first - 1, span.holder))
+    if part.last < span.last:
+        left.append(Span(part.last + 1, span.last, span.holder))
+    return left
+
+
 def _size(span: Span) -> int:
     return span.last - span.first + 1
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
@@ -131,6 +131,19 @@
         finally:
             self._runner.cancel()
 
+    async def settle(self) -> tuple[str, bytes]:
+        """Ends the calls; returns the row for the next leader."""
+        self._ending = True
+        await self._runner.finish(_LAST_CALL_S)
+        self.table.reserve_fences()
+        record = record_of(
+            self._epoch,
+            self.table,
+            self._runner.address_by_holder,
+            settled=self.table.settled(elapsed_s()),
+        )
+        return KEYS_PREFIX + self.service, encode_record(record)
+
     async def _tick(self) -> None:
         if self._ending:
             return
@@ -148,19 +161,6 @@
             self._runner.start_due()
         self._publish_changes()
 
-    async def settle(self) -> tuple[str, bytes]:
-        """Ends the calls; returns the row for the next leader."""
-        self._ending = True
-        await self._runner.finish(_LAST_CALL_S)
-        self.table.reserve_fences()
-        record = record_of(
-            self._epoch,
-            self.table,
-            self._runner.address_by_holder,
-            settled=self.table.settled(elapsed_s()),
-        )
-        return KEYS_PREFIX + self.service, encode_record(record)
-
     def _publish_changes(self) -> None:
         changes = self.table.take_changes()
         if not changes:
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -82,6 +82,11 @@
         self.connections: set[ServerConnection] = set()
         self.closing = False
 
+    def abort(self) -> None:
+        """Ends all connections at once."""
+        for connection in list(self.connections):
+            connection.abort()
+
 
 class ServerConnection(asyncio.Protocol):
     """One caller's connection."""
@@ -210,6 +215,12 @@
         if not self.busy:
             self._end()
 
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        self._ending = True
+        if self._transport is not None:
+            self._transport.abort()
+
     async def _handle(self, message: CallerMessage) -> Reply:
         return await self._shared.handler(message)
 
@@ -217,7 +228,7 @@
         while self._answers and self._answers[0].done() and not self._ending:
             answer = self._answers.popleft()
             if not self._succeeded(answer):
-                self._abort()
+                self.abort()
                 return
             last = answer is self._last or self._closes_after()
             self._write(encode_reply(answer.result(), last=last))
@@ -286,12 +297,7 @@
         transport.write_eof()
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(_LINGER_S, self._abort)
-
-    def _abort(self) -> None:
-        self._ending = True
-        if self._transport is not None:
-            self._transport.abort()
+        self._timer = self._loop.call_later(_LINGER_S, self.abort)
 
 
 def encode_reply(reply: Reply, *, last: bool) -> bytes:
--- a/tests/builders/edge_key_servers.py
+++ b/tests/builders/edge_key_servers.py
@@ -51,6 +51,16 @@
     return range(first // _BUCKET_KEYS, last // _BUCKET_KEYS + 1)
 
 
+# Shares of calls by what becomes of them, adding up.
+_NOT_SENT = 5
+_LATE = 20
+_APPLIED_UNANSWERED = 30
+_RELEASE_UNANSWERED = 20
+_PERCENT = 100
+_RECORDED = 80
+_END_NOTICED = 70
+
+
 class KeyWorld:
     """Servers, a leader's table and the oracle."""
 
@@ -92,7 +102,7 @@
         self.table.plan(
             first * _BUCKET_KEYS, (last + 1) * _BUCKET_KEYS - 1, target
         )
-        if self.random.random() < 0.8:
+        if self.random.randrange(_PERCENT) < _RECORDED:
             self._store()
 
     def _store(self) -> None:
@@ -108,12 +118,12 @@
             self._deliver(call)
 
     def _deliver(self, call: OwnershipCall) -> None:
-        fate = self.random.random()
-        if call.holder not in self.life_by_holder or fate < 0.05:
+        fate = self.random.randrange(_PERCENT)
+        if call.holder not in self.life_by_holder or fate < _NOT_SENT:
             self.table.call_not_sent(call)
         elif call.kind == CallKind.release:
-            self._deliver_release(call, answered=fate > 0.2)
-        elif fate < 0.2:
+            self._deliver_release(call, answered=fate >= _RELEASE_UNANSWERED)
+        elif fate < _LATE:
             self._late.append(
                 LateGrant(
                     self.now_s + self.random.uniform(0, _LATEST_S),
@@ -124,7 +134,7 @@
             self.table.call_unanswered(call, self.now_s)
         else:
             accepted = self._apply_grant(call, self.now_s)
-            if fate < 0.3:
+            if fate < _APPLIED_UNANSWERED:
                 self.table.call_unanswered(call, self.now_s)
             else:
                 self.table.grant_answered(
@@ -189,7 +199,7 @@
         holder = self.random.choice(list(self.life_by_holder))
         self.life_by_holder.pop(holder)
         self._start(holder.server_id, holder.incarnation + 1)
-        if self.random.random() < 0.7:
+        if self.random.randrange(_PERCENT) < _END_NOTICED:
             self.table.end_holder(holder)
 
     def _change_leader(self) -> None:
--- a/tests/edge/test_segments_fuzz.py
+++ b/tests/edge/test_segments_fuzz.py
@@ -12,11 +12,6 @@
 
 from tests.builders.edge_key_servers import KeyWorld
 from yuccadale_edge._internal.ownership import records, segments
-from yuccadale_edge._internal.ownership.segments import (
-    Lease,
-    Segment,
-    SegmentTable,
-)
 
 HISTORIES = 400
 STEPS = 120
@@ -47,7 +42,7 @@
 
 def _without_doubt(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
-        SegmentTable,
+        segments.SegmentTable,
         'call_unanswered',
         lambda table, call, _now_s: table._leases_of(call),
     )
@@ -64,12 +59,12 @@
 
 
 def _without_waiting(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Lease, 'end_s', property(lambda _lease: 0))
+    patch.setattr(segments.Lease, 'end_s', property(lambda _lease: 0))
 
 
 def _without_highest_fence(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
-        Segment,
+        segments.Segment,
         'renewable',
         lambda segment, holder: (
             holder in segment.lease_by_holder
@@ -79,14 +74,16 @@
 
 
 def _without_record(patch: pytest.MonkeyPatch) -> None:
-    original = SegmentTable._needs_record
+    original = segments.SegmentTable._needs_record
 
-    def recorded_at_once(table: SegmentTable, segment: Segment) -> None:
+    def recorded_at_once(
+        table: segments.SegmentTable, segment: segments.Segment
+    ) -> None:
         original(table, segment)
         segment.recorded = True
         segment.reserved_fence = table._next_fence()
 
-    patch.setattr(SegmentTable, '_needs_record', recorded_at_once)
+    patch.setattr(segments.SegmentTable, '_needs_record', recorded_at_once)
 
 
 def _without_clock_margin(patch: pytest.MonkeyPatch) -> None:
@@ -95,16 +92,18 @@
 
 def _with_calls_side_by_side(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
-        Segment,
+        segments.Segment,
         'wanted',
         property(lambda segment: segment.target or segment.owner),
     )
     patch.setattr(
-        SegmentTable,
+        segments.SegmentTable,
         '_releases',
         lambda _table, _segment, _holders: iter(()),
     )
-    patch.setattr(Lease, 'end_s', property(lambda lease: lease.until_s))
+    patch.setattr(
+        segments.Lease, 'end_s', property(lambda lease: lease.until_s)
+    )
 
 
 RULES = (
