--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -105,8 +105,9 @@
         self._dispatcher = dispatcher
         self._calls = calls
         self._metrics = metrics
-        self._heard_s: float = 0
-        self._leader_store_age_s = float('inf')
+        # A new instance first hears what the leader has; see reads_sources.
+        self._heard_s = elapsed_s()
+        self._leader_store_age_s: float = 0
         self._work_by_service: dict[str, dict[int, float]] = {}
         self._wake = asyncio.Event()
         # Kept by the leader only.
@@ -160,6 +161,8 @@
 
     async def run(self) -> None:
         """Takes part until cancelled."""
+        # Instances that start together do not all find that nobody leads.
+        await asyncio.sleep(random.random() * REPORT_S)
         while True:
             try:
                 if self._leadership.leading():
@@ -232,11 +235,10 @@
         """Becomes the leader if the store's row says that nobody leads."""
         if not self._leadership.may_take():
             return
-        # Instances that start or wait together do not all write.
-        await asyncio.sleep(random.random() * REPORT_S)
+        if await self._leadership.take():
+            return
+        # Another instance was first; the next look shows which one.
         await self._leadership.look()
-        if self._leadership.may_take():
-            await self._leadership.take()
 
     def _is_here(self, leader: LeaderInfo) -> bool:
         return (leader.host, leader.port) == self._settings.peer_address
