Let deputies read the sources when the leader has lost the store

Change: the contact counts as lost after 1 s (it is renewed each 0.7 s), reckoned on between reports; two deputies in each region read then and tell the others, which read themselves only when they hear nothing for 0.5 s more.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -26,6 +26,7 @@
 from yuccadale_edge._internal.membership.news import (
     NEWS_TOPIC,
     REPORT_TOPIC,
+    ROWS_TOPIC,
     LeaderInfo,
 )
 from yuccadale_edge._internal.membership.source_reader import (
@@ -281,6 +282,8 @@
     def _take_news(self, topic: str, body: bytes) -> None:
         if topic == NEWS_TOPIC:
             self._cluster.take_news(body)
+        elif topic == ROWS_TOPIC:
+            self._cluster.take_rows(body)
 
     async def _answer_platform(self, message: CallerMessage) -> Reply:
         path = message.target.decode('latin-1')
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -27,6 +27,7 @@
 from yuccadale_edge._internal.membership.news import (
     NEWS_TOPIC,
     REPORT_TOPIC,
+    ROWS_TOPIC,
     KeyWork,
     LeaderInfo,
     News,
@@ -68,13 +69,17 @@
 _MEMBER_SILENT_S = 1.3
 # Each lost contact makes at most so many reads of the store a second.
 _LOOK_S = 0.5
-# Members read the sources themselves when the leader's store is this old.
-_STORE_SILENT_S = 2.0
+# The leader calls the store each 0.7 s; after this it has lost it.
+_STORE_SILENT_S = 1.0
+# Members that do not hear of the sources read them later than the deputies.
+_DEPUTIES_SILENT_S = 0.5
+_DEPUTIES_PER_REGION = 2
 _OWNER_CHANGES_KEPT = 400
 _SERVICE_CHECK_S = 0.25
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode_report = msgspec.msgpack.Decoder(Report).decode
+_decode_rows = msgspec.msgpack.Decoder(SourceRows).decode
 _decode_news = msgspec.msgpack.Decoder(News).decode
 _decode_answer = msgspec.msgpack.Decoder(ReportAnswer).decode
 
@@ -108,6 +113,7 @@
         # A new instance first hears what the leader has; see reads_sources.
         self._heard_s = elapsed_s()
         self._leader_store_age_s: float = 0
+        self._rows_heard_s: float = 0
         self._work_by_service: dict[str, dict[int, float]] = {}
         self._wake = asyncio.Event()
         # Kept by the leader only.
@@ -143,21 +149,31 @@
         """Whether this instance follows the store's tables itself."""
         if self._leadership.leading():
             return True
-        silent = elapsed_s() - self._heard_s > _LEADER_SILENT_S
-        return silent or self._leader_store_age_s > _STORE_SILENT_S
+        now_s = elapsed_s()
+        since_heard_s = now_s - self._heard_s
+        late_s = max(
+            since_heard_s - _LEADER_SILENT_S,
+            since_heard_s + self._leader_store_age_s - _STORE_SILENT_S,
+        )
+        if late_s <= 0:
+            return False
+        if self._is_deputy():
+            return True
+        heard_s = now_s - self._rows_heard_s
+        return min(late_s, heard_s - REPORT_S) > _DEPUTIES_SILENT_S
 
     def rows_read(
         self, table: str, rows: Rows, after: int, lapsed_grace: bool
     ) -> None:
         """Passes rows that this instance read on to the others."""
-        if not self._leadership.leading():
-            return
         listed = [_source_row(row) for row in rows.rows]
-        news = self._news()
-        news.sources = [
-            SourceRows(table, after, rows.version, lapsed_grace, listed)
-        ]
-        self._tell_all(news)
+        source = SourceRows(table, after, rows.version, lapsed_grace, listed)
+        if not self._leadership.leading():
+            self._tell_region(source)
+        elif listed:
+            news = self._news()
+            news.sources = [source]
+            self._tell_all(news)
 
     async def run(self) -> None:
         """Takes part until cancelled."""
@@ -200,6 +216,14 @@
         self._take_report(report)
         return _encode(ReportAnswer(news=self._news_for(report)))
 
+    def take_rows(self, body: bytes) -> None:
+        """Takes source rows that a deputy read."""
+        source = _decode_rows(body)
+        if source.after <= self._beliefs.version_by_table[source.table]:
+            # After a gap this instance reads the rest itself.
+            self._rows_heard_s = elapsed_s()
+        self._apply_source(source)
+
     def take_news(self, body: bytes) -> None:
         """Takes news that the leader pushed."""
         self._apply(_decode_news(body))
@@ -559,6 +583,29 @@
                 return Owners(service, known, owners.version, ranges)
         return Owners(service, None, owners.version, owners.ranges(elapsed_s()))
 
+    def _is_deputy(self) -> bool:
+        """Whether this instance reads for its region in the leader's place."""
+        place = self._settings.place
+        peers = [
+            one.name
+            for one in self._beliefs.instance_by_name.values()
+            if place.distance(one.data_centre) <= 1
+        ]
+        names = sorted({*peers, self._settings.instance})
+        return self._settings.instance in names[:_DEPUTIES_PER_REGION]
+
+    def _tell_region(self, source: SourceRows) -> None:
+        if not self._is_deputy():
+            return
+        body = _encode(source)
+        place = self._settings.place
+        for instance in list(self._beliefs.instance_by_name.values()):
+            near = place.distance(instance.data_centre) <= 1
+            if near and instance.name != self._settings.instance:
+                self._spawn(
+                    self._links.tell(instance.address, ROWS_TOPIC, body)
+                )
+
     def _tell_all(self, news: News) -> None:
         body = _encode(news)
         for instance in list(self._beliefs.instance_by_name.values()):
--- a/packages/edge/src/yuccadale_edge/_internal/membership/news.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/news.py
@@ -6,6 +6,7 @@
 
 REPORT_TOPIC = 'report'
 NEWS_TOPIC = 'news'
+ROWS_TOPIC = 'rows'
 
 Version = tuple[int, int]
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
@@ -104,8 +104,7 @@
         self._beliefs.apply_rows(
             self._table, rows, whole=whole, lapsed_grace=grace
         )
-        if rows.rows or whole:
-            self._on_rows(self._table, rows, before, grace)
+        self._on_rows(self._table, rows, before, grace)
 
     def _failed(self, reason: str) -> None:
         self._metrics.count('store_failures', table=self._table)
--- a/tests/builders/platform_store.py
+++ b/tests/builders/platform_store.py
@@ -5,7 +5,7 @@
 from base64 import b64decode, b64encode
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 from aiohttp import web
@@ -43,7 +43,6 @@
 
     def __init__(self) -> None:
         self.version = 0
-        self.faults = StoreFaults()
         self.calls = 0
         self.value_by_row: dict[tuple[str, str], StoredValue] = {}
         self.changed = asyncio.Condition()
@@ -101,20 +100,29 @@
 
     address: tuple[str, int]
     state: PlatformStoreState
-    seen: list[str] = field(default_factory=list)
+    faults: StoreFaults
 
 
 @asynccontextmanager
 async def running_store(port: int = 0) -> AsyncIterator[RunningStore]:
     """Runs the store on a loopback port."""
-    state = PlatformStoreState()
-    application = web.Application(middlewares=[_faults(state)])
+    async with another_door(PlatformStoreState(), port) as running:
+        yield running
+
+
+@asynccontextmanager
+async def another_door(
+    state: PlatformStoreState, port: int = 0
+) -> AsyncIterator[RunningStore]:
+    """Serves the same rows at another address, with faults of its own."""
+    faults = StoreFaults()
+    application = web.Application(middlewares=[_faults(state, faults)])
     application.router.add_post('/v1/rows-tx', _transaction(state))
     application.router.add_get('/v1/rows-get', _get(state))
-    application.router.add_get('/v1/rows-feed', _feed(state))
+    application.router.add_get('/v1/rows-feed', _feed(state, faults))
     async with listening(application, port) as listener:
         host, _, bound = listener.address.rpartition(':')
-        yield RunningStore((host, int(bound)), state)
+        yield RunningStore((host, int(bound)), state, faults)
 
 
 def _answer(state: PlatformStoreState, rows: list, status: int = 200):
@@ -127,14 +135,17 @@
     return web.json_response(document, status=status)
 
 
-def _faults(state: PlatformStoreState):
+def _faults(state: PlatformStoreState, faults: StoreFaults):
     @web.middleware
     async def apply(request, handler):
         state.calls += 1
-        if state.faults.down:
+        if faults.down:
             return web.Response(status=503)
         response = await handler(request)
-        if state.faults.lose_answers and request.method == 'POST':
+        if faults.down:
+            # A feed that waited when the store went away.
+            return drop_connection(request)
+        if faults.lose_answers and request.method == 'POST':
             return drop_connection(request)
         return response
 
@@ -179,10 +190,10 @@
     return handle
 
 
-def _feed(state: PlatformStoreState):
+def _feed(state: PlatformStoreState, faults: StoreFaults):
     async def handle(request: web.Request) -> web.Response:
         after = int(request.query['after'])
-        if after < state.faults.history_from:
+        if after < faults.history_from:
             return web.Response(status=410)
         table = request.query['table']
         wait_s = int(request.query['wait_timeout_ms']) / 1000
@@ -192,7 +203,7 @@
                     await state.changed.wait()
         except TimeoutError:
             """An answer without rows, unless the history is gone by now."""
-        if after < state.faults.history_from:
+        if after < faults.history_from:
             return web.Response(status=410)
         return _answer(state, state.rows(table, after, feed=True))
 
--- a/tests/builders/platform_system.py
+++ b/tests/builders/platform_system.py
@@ -102,9 +102,11 @@
         self.server_by_id[server.server_id] = server
         return server
 
-    async def add_instance(self, zone: str = 'a') -> str:
+    async def add_instance(
+        self, zone: str = 'a', store: RunningStore | None = None
+    ) -> str:
         """Starts an instance and waits until it is ready."""
-        made = settings(len(self.settings_by_name), self.store, zone)
+        made = settings(len(self.settings_by_name), store or self.store, zone)
         self.settings_by_name[made.instance] = made
         await self.start(made.instance)
         return made.instance
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -6,6 +6,7 @@
 import asyncio
 
 from tests.builders.platform_servers import PlatformServer
+from tests.builders.platform_store import another_door
 from tests.builders.platform_system import (
     PlatformSystem,
     configuration,
@@ -14,6 +15,8 @@
 )
 
 KEYS = (0, 20000, 40000, 65535)
+# A configuration is in force everywhere within this (the users' bound).
+CONVERGE_S = 2.0
 
 
 def _runs(system: PlatformSystem, attempt: str) -> int:
@@ -155,11 +158,11 @@
         names = [await system.add_instance() for _ in range(2)]
         for name in names:
             await system.serves(name, 5)
-        system.store.state.faults.down = True
+        system.store.faults.down = True
         for _ in range(20):
             assert await system.served(names[0], 5)
             await asyncio.sleep(0.1)
-        system.store.state.faults.down = False
+        system.store.faults.down = False
         assert await system.served(names[1], 5)
 
 
@@ -168,9 +171,9 @@
     async with platform_system() as system:
         name = await system.add_instance()
         await system.serves(name, 5)
-        system.store.state.faults.lose_answers = True
+        system.store.faults.lose_answers = True
         await asyncio.sleep(1.2)
-        system.store.state.faults.lose_answers = False
+        system.store.faults.lose_answers = False
         await system.add_server(
             PlatformServer('late', 'ledger', 'a', keyed=True)
         )
@@ -232,7 +235,7 @@
             ),
         )
         state.version += 100
-        state.faults.history_from = state.version
+        system.store.faults.history_from = state.version
 
         async def added() -> bool:
             status, _, _ = await system.ask(name, '/added/x')
@@ -253,3 +256,39 @@
         assert status == 200
         assert not await system.ready(name)
         await asyncio.wait_for(system.task_by_name[name], 5)
+
+
+async def test_members_read_what_a_cut_off_leader_cannot() -> None:
+    """Guards against a configuration that waits for a leader without store.
+
+    Seed 27833931119 of a hunt: the leader alone was cut from the store, and
+    the others read the sources only 2 s later (CONFIG).
+    """
+    async with platform_system() as system:
+        door = await system.stack.enter_async_context(
+            another_door(system.store.state)
+        )
+        leader = await system.add_instance(store=door)
+        await system.serves(leader, 5)
+        member = await system.add_instance()
+        await system.serves(member, 5)
+        calls = system.store.state.calls
+        while system.store.state.calls == calls:
+            await asyncio.sleep(0.005)
+        # The leader has just heard the store.
+        door.faults.down = True
+        system.store.state.put(
+            'op',
+            'config',
+            configuration(
+                7, added=route(prefix='/added/', service='stage', kind='safe')
+            ),
+        )
+        await system.store.state.wake()
+
+        async def added() -> bool:
+            status, _, _ = await system.ask(member, '/added/x')
+            return status == 200
+
+        async with asyncio.timeout(CONVERGE_S):
+            await system.until(added)
