--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -76,6 +76,7 @@
 _DEPUTIES_PER_REGION = 2
 _OWNER_CHANGES_KEPT = 400
 _SERVICE_CHECK_S = 0.25
+_START_SPREAD_S = 0.2
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode_report = msgspec.msgpack.Decoder(Report).decode
@@ -112,6 +113,7 @@
         self._metrics = metrics
         # A new instance first hears what the leader has; see reads_sources.
         self._heard_s = elapsed_s()
+        self._heard = False
         self._leader_store_age_s: float = 0
         self._rows_heard_s: float = 0
         self._work_by_service: dict[str, dict[int, float]] = {}
@@ -178,7 +180,7 @@
     async def run(self) -> None:
         """Takes part until cancelled."""
         # Instances that start together do not all find that nobody leads.
-        await asyncio.sleep(random.random() * REPORT_S)
+        await asyncio.sleep(random.random() * _START_SPREAD_S)
         while True:
             try:
                 if self._leadership.leading():
@@ -245,6 +247,9 @@
         try:
             await self._report(leader)
         except (PeerUnreachableError, LinkLostError) as error:
+            if not self._heard:
+                # A new instance that finds no leader reads for itself.
+                self._heard_s = 0
             if elapsed_s() - self._heard_s < _LEADER_SILENT_S:
                 return True
             _log.warning(
@@ -253,7 +258,9 @@
                 reason=str(error),
             )
             return False
-        return True
+        # A leader that lost the store is deposed by one that has it.
+        lost = self._leader_store_age_s > _STORE_SILENT_S
+        return not (lost and self._is_deputy())
 
     async def _stand(self) -> None:
         """Becomes the leader if the store's row says that nobody leads."""
@@ -346,6 +353,7 @@
         if self._leadership.leading():
             return
         self._heard_s = elapsed_s()
+        self._heard = True
         self._leader_store_age_s = news.store_age_s
         for source in news.sources:
             self._apply_source(source)
@@ -454,6 +462,7 @@
             self._beliefs,
             self._calls,
             leadership.may_act,
+            leadership.lease_left_s,
             leadership.renew,
             self._owners_changed,
             self._metrics,
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
@@ -81,6 +81,10 @@
         """Whether a call about keys may begin now."""
         return self.leading() and elapsed_s() < self._lease_until_s
 
+    def lease_left_s(self) -> float:
+        """Returns how long calls about keys may still begin."""
+        return self._lease_until_s - elapsed_s()
+
     def follow(self, leader: LeaderInfo) -> bool:
         """Takes a leader that another instance named, if it is newer."""
         if leader.epoch <= self.epoch:
--- a/packages/edge/src/yuccadale_edge/_internal/model.py
+++ b/packages/edge/src/yuccadale_edge/_internal/model.py
@@ -7,9 +7,9 @@
 from yuccadale_edge._internal.transport.client_pool import Address
 
 KEY_COUNT = 65536
-# Bridges an outage of the store of usual length (up to about 8 s) together
-# with the leader's own lease; a silent server keeps its keys for as long.
-LEASE_S = 8.0
+# Bridges an outage of the store of usual length (8 s) together with the
+# leader's own lease; a silent server keeps its keys for as long.
+LEASE_S = 6.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -89,9 +89,9 @@
         self._refused_by_holder: dict[Holder, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def start_due(self) -> None:
-        """Begins all calls that are due."""
-        for call in self._table.calls_due(elapsed_s()):
+    def start_due(self, renew_s: float | None = None) -> None:
+        """Begins all calls that are due; see the table for ``renew_s``."""
+        for call in self._table.calls_due(elapsed_s(), renew_s):
             task = asyncio.create_task(self._run(call))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
@@ -52,6 +52,9 @@
 _MOST_MOVING = 12
 # Keys stay this long after a move, so that its effect is seen first.
 _STAY_S = 1.0
+# Grants of this age are renewed once more when the own lease runs out in
+# this time without a renewal.
+_LAST_RENEWAL_S = 0.9
 # The last call of the leader before has ended after this.
 _LAST_CALL_S = 1.0
 # Pause after a write that the store did not take.
@@ -70,6 +73,7 @@
         beliefs: Beliefs,
         calls: ServerCalls,
         may_act: Callable[[], bool],
+        lease_left_s: Callable[[], float],
         write: Write,
         publish: Callable[[str, list[OwnedRange]], None],
         metrics: Metrics,
@@ -82,6 +86,7 @@
         self._epoch = epoch
         self._beliefs = beliefs
         self._may_act = may_act
+        self._lease_left_s = lease_left_s
         self._write = write
         self._publish = publish
         self._metrics = metrics
@@ -148,18 +153,29 @@
         if self._ending:
             return
         self._end_replaced()
-        now_s = elapsed_s()
-        if self._may_act() and now_s - self._planned_s >= PLAN_S:
+        if self._may_act():
+            self._plan_if_due(elapsed_s())
+        if self._may_record():
+            await self._record()
+        if self._may_call():
+            # A leader that may lose its lease leaves full ones behind.
+            ending = self._lease_left_s() < _LAST_RENEWAL_S
+            self._runner.start_due(_LAST_RENEWAL_S if ending else None)
+        self._publish_changes()
+
+    def _plan_if_due(self, now_s: float) -> None:
+        if now_s - self._planned_s >= PLAN_S:
             self._planned_s = now_s
             self._plan(now_s)
-        elif self._may_act() and self._needs_plan():
+        elif self._needs_plan():
             self._plan(now_s)
-        may_write = self._may_act() and now_s >= self._record_again_s
-        if self.table.unrecorded and may_write:
-            await self._record()
-        if self._recorded and self._may_act() and not self._ending:
-            self._runner.start_due()
-        self._publish_changes()
+
+    def _may_record(self) -> bool:
+        waited = elapsed_s() >= self._record_again_s
+        return self.table.unrecorded and waited and self._may_act()
+
+    def _may_call(self) -> bool:
+        return self._recorded and self._may_act() and not self._ending
 
     def _publish_changes(self) -> None:
         changes = self.table.take_changes()
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -265,12 +265,20 @@
                 joined.append(segment)
         self.segments = joined
 
-    def calls_due(self, now_s: float) -> list[OwnershipCall]:
-        """Returns the calls to make now and notes that they are under way."""
+    def calls_due(
+        self, now_s: float, renew_s: float | None = None
+    ) -> list[OwnershipCall]:
+        """Returns the calls to make now and notes that they are under way.
+
+        Args:
+            now_s: the present time.
+            renew_s: renews grants of this age instead of the usual one.
+        """
+        due_age_s = self._renew_s if renew_s is None else renew_s
         due: list[OwnershipCall] = []
         for segment in self.segments:
             self._forget_ended(segment, now_s)
-            due.extend(self._segment_calls(segment, now_s))
+            due.extend(self._segment_calls(segment, now_s, due_age_s))
         return due
 
     def grant_answered(
@@ -330,7 +338,7 @@
         self.segments = sorted(segments, key=_first_key)
 
     def _segment_calls(
-        self, segment: Segment, now_s: float
+        self, segment: Segment, now_s: float, renew_s: float
     ) -> Iterator[OwnershipCall]:
         wanted = segment.wanted
         others = [held for held in segment.lease_by_holder if held != wanted]
@@ -343,7 +351,7 @@
         lease = self._lease_to_send(segment, wanted)
         if lease is None:
             return
-        if lease.accepted and now_s - lease.sent_s < self._renew_s:
+        if lease.accepted and now_s - lease.sent_s < renew_s:
             return
         lease.sent_s = now_s
         segment.calls.add(wanted)
--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -104,6 +104,7 @@
     application = web.Application()
     application.router.add_post('/v1/grant', _grant(server))
     application.router.add_post('/v1/release', _release(server))
+    application.router.add_get('/healthz', _health(server))
     application.router.add_route('*', '/{path:.*}', _request(server))
     async with listening(application) as listener:
         server.address = listener.address
@@ -112,8 +113,17 @@
         yield server
 
 
+def _health(server: PlatformServer):
+    async def handle(_request: web.Request) -> web.Response:
+        return web.Response(headers={'X-Instance-Id': server.server_id})
+
+    return handle
+
+
 def _grant(server: PlatformServer):
     async def handle(request: web.Request) -> web.Response:
+        if not server.keyed:
+            return web.Response(status=400)
         body = msgspec.json.decode(await request.read())
         first, last, fence = body['from'], body['to'], body['fence']
         server.history.append(('grant', first, last, fence))
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -292,3 +292,30 @@
 
         async with asyncio.timeout(CONVERGE_S):
             await system.until(added)
+
+
+async def test_a_leader_without_the_store_is_replaced() -> None:
+    """Guards against a leader that others hear, but that may not act.
+
+    Seed 174829751638 of a hunt: a leader that was cut from the store led for
+    12 s, since the others still reached it; leases ran out meanwhile.
+    """
+    async with platform_system() as system:
+        door = await system.stack.enter_async_context(
+            another_door(system.store.state)
+        )
+        leader = await system.add_instance(store=door)
+        await system.serves(leader, 5)
+        member = await system.add_instance()
+        await system.serves(member, 5)
+        door.faults.down = True
+        added = await system.add_server(
+            PlatformServer('added', 'ledger', 'a', keyed=True)
+        )
+
+        async def owns() -> bool:
+            return bool(added.grants)
+
+        await system.until(owns)
+        await system.serves(leader, *KEYS)
+        _assert_one_holder(system)
