Send by the recorded owners until a leader tells them

Change: an instance that reads the own table takes the wanted owners of the record until it hears a leader.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -15,6 +15,7 @@
     Beliefs,
     Instance,
     OwnedRange,
+    Owner,
     owner_of,
 )
 from yuccadale_edge._internal.clock import elapsed_s
@@ -77,6 +78,9 @@
 _OWNER_CHANGES_KEPT = 400
 _SERVICE_CHECK_S = 0.25
 _START_SPREAD_S = 0.2
+# Versions of owners before any leader has told them; epochs begin with 1.
+_NO_VERSION = (0, 0)
+_RECORDED_VERSION = (0, 1)
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode_report = msgspec.msgpack.Decoder(Report).decode
@@ -238,10 +242,34 @@
             if await self._reached(leader):
                 return
         await self._leadership.look()
+        self._use_recorded_owners()
         if self._leadership.leader == leader and not self.draining:
             await self._stand()
         await self._pause(_LOOK_S - REPORT_S)
 
+    def _use_recorded_owners(self) -> None:
+        """Sends by the last record until a leader says who owns what.
+
+        Servers keep their leases when all instances are lost at once, and
+        refuse a key that they do not hold.
+        """
+        for key, row in self._leadership.row_by_key.items():
+            service = key.removeprefix(KEYS_PREFIX)
+            owners = self._beliefs.owners(service)
+            if service == key or owners.version != _NO_VERSION:
+                continue
+            for segment in decode_record(row.content).segments:
+                if segment.holders:
+                    holder = segment.holders[0].holder
+                    owners.assign(segment.first, segment.last, Owner(holder, 0))
+            owners.version = _RECORDED_VERSION
+            _log.info(
+                'owners taken from the record',
+                service=service,
+                row_version=row.version,
+            )
+            self._beliefs.wake()
+
     async def _reached(self, leader: LeaderInfo) -> bool:
         """Whether the leader answered a report, or did a moment ago."""
         try:
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -319,3 +319,19 @@
         await system.until(owns)
         await system.serves(leader, *KEYS)
         _assert_one_holder(system)
+
+
+async def test_keys_are_served_before_a_new_leader_is_found() -> None:
+    """Guards against an outage of seconds after all instances are lost."""
+    async with platform_system() as system:
+        names = [await system.add_instance() for _ in range(2)]
+        for name in names:
+            await system.serves(name, *KEYS)
+        # The plans are settled and recorded.
+        await asyncio.sleep(1.0)
+        for name in names:
+            await system.kill(name)
+        await system.start(names[1])
+        async with asyncio.timeout(CONVERGE_S):
+            await system.serves(names[1], *KEYS)
+        _assert_one_holder(system)
