Tell another region once, packed, and do not repeat what is on its way

Change: rows above 1.5 KB are compressed; news go to one instance of another region, which passes them on; reports get rows again only when they still miss after 0.7 s.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -25,6 +25,7 @@
 )
 from yuccadale_edge._internal.membership.news import (
     NEWS_TOPIC,
+    RELAY_TOPIC,
     REPORT_TOPIC,
     ROWS_TOPIC,
     LeaderInfo,
@@ -282,6 +283,8 @@
     def _take_news(self, topic: str, body: bytes) -> None:
         if topic == NEWS_TOPIC:
             self._cluster.take_news(body)
+        elif topic == RELAY_TOPIC:
+            self._cluster.relay_news(body)
         elif topic == ROWS_TOPIC:
             self._cluster.take_rows(body)
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -27,6 +27,7 @@
 )
 from yuccadale_edge._internal.membership.news import (
     NEWS_TOPIC,
+    RELAY_TOPIC,
     REPORT_TOPIC,
     ROWS_TOPIC,
     KeyWork,
@@ -38,10 +39,10 @@
     ReportAnswer,
     Roster,
     RosterLine,
-    SourceRow,
     SourceRows,
     TimeTotal,
     Version,
+    source_row,
 )
 from yuccadale_edge._internal.membership.source_reader import StoreContact
 from yuccadale_edge._internal.model import Settings
@@ -55,7 +56,6 @@
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
 from yuccadale_edge._internal.store import (
     Rows,
-    StoredRow,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -78,6 +78,8 @@
 _OWNER_CHANGES_KEPT = 400
 _SERVICE_CHECK_S = 0.25
 _START_SPREAD_S = 0.2
+# Rows that were pushed arrive within this, also over a slow link.
+_ON_ITS_WAY_S = 0.7
 # Versions of owners before any leader has told them; epochs begin with 1.
 _NO_VERSION = (0, 0)
 _RECORDED_VERSION = (0, 1)
@@ -125,6 +127,9 @@
         # Kept by the leader only.
         self._keeper_by_service: dict[str, KeyKeeper] = {}
         self._heard_by_member: dict[str, float] = {}
+        self._missing_since_by_member: dict[
+            tuple[str, str], tuple[int, float]
+        ] = {}
         self._roster_number = 0
         self._owner_changes: dict[str, deque[_OwnerChange]] = {}
         self._owner_number: dict[str, int] = {}
@@ -172,7 +177,7 @@
         self, table: str, rows: Rows, after: int, lapsed_grace: bool
     ) -> None:
         """Passes rows that this instance read on to the others."""
-        listed = [_source_row(row) for row in rows.rows]
+        listed = [source_row(row) for row in rows.rows]
         source = SourceRows(table, after, rows.version, lapsed_grace, listed)
         if not self._leadership.leading():
             self._tell_region(source)
@@ -234,6 +239,11 @@
         """Takes news that the leader pushed."""
         self._apply(_decode_news(body))
 
+    def relay_news(self, body: bytes) -> None:
+        """Takes news and passes them on in the own region."""
+        self._apply(_decode_news(body))
+        self._tell_near(NEWS_TOPIC, body)
+
     # Member
 
     async def _follow(self) -> None:
@@ -392,15 +402,7 @@
 
     def _apply_source(self, source: SourceRows) -> None:
         known = self._beliefs.version_by_table[source.table]
-        rows = tuple(
-            StoredRow(
-                row.key,
-                row.content or b'',
-                row.version,
-                removed=row.content is None,
-            )
-            for row in source.rows
-        )
+        rows = tuple(row.stored() for row in source.rows)
         # Rows before a gap are still to come with the next report's answer.
         version = source.version if source.after <= known else known
         self._beliefs.apply_rows(
@@ -586,7 +588,7 @@
         news = self._news()
         for table in SOURCE_TABLES:
             after = report.version_by_table.get(table, 0)
-            if after < self._beliefs.version_by_table[table]:
+            if self._has_to_be_told(report.line.instance, table, after):
                 news.sources.append(self._source_after(table, after))
         if report.roster_version != self._beliefs.roster_version:
             news.roster = self._roster()
@@ -597,6 +599,25 @@
                 news.owners.append(owners)
         return news
 
+    def _has_to_be_told(self, member: str, table: str, after: int) -> bool:
+        """Whether a member's report shows that pushed rows were lost.
+
+        What is on its way is not sent again at each report, since that
+        would fill a slow link with copies of a large configuration.
+        """
+        version = self._beliefs.version_by_table[table]
+        if after >= version:
+            return False
+        now_s = elapsed_s()
+        known = self._missing_since_by_member.get((member, table))
+        if after and (known is None or known[0] != after):
+            self._missing_since_by_member[member, table] = (after, now_s)
+            return False
+        if known is not None and now_s - known[1] < _ON_ITS_WAY_S:
+            return False
+        self._missing_since_by_member[member, table] = (after, now_s)
+        return True
+
     def _source_after(self, table: str, after: int) -> SourceRows:
         version = self._beliefs.version_by_table[table]
         if table == SERVER_TABLE:
@@ -604,7 +625,7 @@
         else:
             row = self._beliefs.configuration_row
             rows = [] if row is None else [row]
-        newer = [_source_row(row) for row in rows if row.version > after]
+        newer = [source_row(row) for row in rows if row.version > after]
         return SourceRows(table, after, version, False, newer)
 
     def _owners_after(self, service: str, known: Version) -> Owners | None:
@@ -634,22 +655,46 @@
     def _tell_region(self, source: SourceRows) -> None:
         if not self._is_deputy():
             return
-        body = _encode(source)
-        place = self._settings.place
-        for instance in list(self._beliefs.instance_by_name.values()):
-            near = place.distance(instance.data_centre) <= 1
-            if near and instance.name != self._settings.instance:
-                self._spawn(
-                    self._links.tell(instance.address, ROWS_TOPIC, body)
-                )
+        self._tell_near(ROWS_TOPIC, _encode(source))
 
     def _tell_all(self, news: News) -> None:
         body = _encode(news)
-        for instance in list(self._beliefs.instance_by_name.values()):
-            if instance.name != self._settings.instance:
-                self._spawn(
-                    self._links.tell(instance.address, NEWS_TOPIC, body)
-                )
+        far_by_region: dict[str, list[Instance]] = {}
+        region_of = self._settings.place.region_by_data_centre
+        for instance in self._others():
+            region = region_of.get(instance.data_centre, '')
+            if region == self._settings.place.region:
+                self._spawn(self._tell(instance, NEWS_TOPIC, body))
+            else:
+                far_by_region.setdefault(region, []).append(instance)
+        for members in far_by_region.values():
+            self._spawn(self._tell_far(members, body))
+
+    async def _tell_far(self, members: list[Instance], body: bytes) -> None:
+        """Sends news into another region once; one instance passes it on."""
+        relay = min(members)
+        if await self._links.tell(relay.address, RELAY_TOPIC, body):
+            return
+        for instance in members:
+            if instance != relay:
+                await self._tell(instance, NEWS_TOPIC, body)
+
+    async def _tell(self, instance: Instance, topic: str, body: bytes) -> None:
+        await self._links.tell(instance.address, topic, body)
+
+    def _others(self) -> list[Instance]:
+        return [
+            one
+            for one in self._beliefs.instance_by_name.values()
+            if one.name != self._settings.instance
+        ]
+
+    def _tell_near(self, topic: str, body: bytes) -> None:
+        """Sends to all other instances of the own region."""
+        place = self._settings.place
+        for instance in self._others():
+            if place.distance(instance.data_centre) <= 1:
+                self._spawn(self._tell(instance, topic, body))
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
@@ -664,7 +709,3 @@
         except TimeoutError:
             return
         self._wake.clear()
-
-
-def _source_row(row: StoredRow) -> SourceRow:
-    return SourceRow(row.key, row.version, None if row.removed else row.content)
--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -7,7 +7,7 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from typing import Any
 
 import msgspec
@@ -153,11 +153,14 @@
         except TimeoutError as error:
             raise LinkLostError(f'no answer within {timeout_s} s') from error
 
-    async def tell(self, address: Address, topic: str, body: bytes) -> None:
-        """Sends news; silently does nothing when the peer is unreachable."""
-        with suppress(PeerUnreachableError):
+    async def tell(self, address: Address, topic: str, body: bytes) -> bool:
+        """Sends news; returns false when the peer is unreachable."""
+        try:
             link = await self._link(address)
-            link.tell(topic, body)
+        except PeerUnreachableError:
+            return False
+        link.tell(topic, body)
+        return link.open
 
     def drop(self, address: Address) -> None:
         """Ends the link to an address, so that the next use dials again."""
--- a/packages/edge/src/yuccadale_edge/_internal/membership/news.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/news.py
@@ -1,12 +1,19 @@
 """Messages by which instances tell each other what they know."""
 
+import zlib
+
 import msgspec
 
 from yuccadale_edge._internal.beliefs import OwnedRange
+from yuccadale_edge._internal.store import StoredRow
 
 REPORT_TOPIC = 'report'
 NEWS_TOPIC = 'news'
 ROWS_TOPIC = 'rows'
+RELAY_TOPIC = 'relay'
+
+# Rows above this size are compressed; below it there is little to gain.
+_PACK_ABOVE_BYTES = 1500
 
 Version = tuple[int, int]
 
@@ -26,11 +33,25 @@
 
 
 class SourceRow(msgspec.Struct, array_like=True):
-    """A row of a source table; no content means that it was removed."""
+    """A row of a source table; no content means that it was removed.
+
+    Attributes:
+        packed: whether the content is compressed.
+    """
 
     key: str
     version: int
     content: bytes | None
+    packed: bool = False
+
+    def stored(self) -> StoredRow:
+        """Returns the row as it was read."""
+        if self.content is None:
+            return StoredRow(self.key, b'', self.version, removed=True)
+        content = self.content
+        if self.packed:
+            content = zlib.decompress(content)
+        return StoredRow(self.key, content, self.version)
 
 
 class SourceRows(msgspec.Struct, array_like=True):
@@ -122,3 +143,13 @@
 
     news: News | None = None
     not_leading: NotLeading | None = None
+
+
+def source_row(row: StoredRow) -> SourceRow:
+    """Returns a row as it is sent."""
+    if row.removed:
+        return SourceRow(row.key, row.version, None)
+    if len(row.content) < _PACK_ABOVE_BYTES:
+        return SourceRow(row.key, row.version, row.content)
+    packed = zlib.compress(row.content)
+    return SourceRow(row.key, row.version, packed, packed=True)
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -207,6 +207,29 @@
         assert len({fence >> 24 for fence in fences}) <= 2
 
 
+async def test_news_cross_into_a_region_by_one_instance() -> None:
+    """Guards against members that a relay does not reach."""
+    async with platform_system() as system:
+        names = [await system.add_instance(zone) for zone in 'abb']
+        for name in names:
+            await system.serves(name, *KEYS)
+        system.store.state.put(
+            'op',
+            'config',
+            configuration(
+                7, added=route(prefix='/added/', service='stage', kind='safe')
+            ),
+        )
+        await system.store.state.wake()
+
+        async def added_everywhere() -> bool:
+            answers = [await system.ask(one, '/added/x') for one in names]
+            return all(status == 200 for status, _, _ in answers)
+
+        async with asyncio.timeout(CONVERGE_S):
+            await system.until(added_everywhere)
+
+
 async def test_forged_and_unreadable_entries_change_nothing() -> None:
     """Guards against a server list that a bad row empties."""
     async with platform_system() as system:
