Tell changes of the instance list in rounds

Change: joins are told together each 0.25 s; an instance that comes back at another address replaces its line.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -78,6 +78,7 @@
 _OWNER_CHANGES_KEPT = 400
 _SERVICE_CHECK_S = 0.25
 _START_SPREAD_S = 0.2
+_ROSTER_S = 0.25
 # Rows that were pushed arrive within this, also over a slow link.
 _ON_ITS_WAY_S = 0.7
 # Versions of owners before any leader has told them; epochs begin with 1.
@@ -131,6 +132,7 @@
             tuple[str, str], tuple[int, float]
         ] = {}
         self._roster_number = 0
+        self._roster_changed = False
         self._owner_changes: dict[str, deque[_OwnerChange]] = {}
         self._owner_number: dict[str, int] = {}
         self._members: set[asyncio.Task[None]] = set()
@@ -469,9 +471,9 @@
     async def _lead_members(self) -> None:
         while True:
             self._take_report(self._make_report())
-            self._update_roster(force=False)
+            self._update_roster(force=self._roster_changed)
             self._beliefs.servers.expire_lapsed()
-            await asyncio.sleep(REPORT_S)
+            await asyncio.sleep(_ROSTER_S)
 
     async def _lead_services(self) -> None:
         async with asyncio.TaskGroup() as group:
@@ -528,13 +530,8 @@
         if report.line.leaving:
             self._heard_by_member.pop(name)
             self._update_roster(force=False)
-        elif name not in self._beliefs.instance_by_name:
-            self._beliefs.instance_by_name[name] = Instance(
-                name,
-                (report.line.host, report.line.port),
-                report.line.data_centre,
-            )
-            self._update_roster(force=True)
+        else:
+            self._note_member(report.line)
         for work in report.work:
             keeper = self._keeper_by_service.get(work.service)
             if keeper is not None:
@@ -542,6 +539,14 @@
         for total in report.times:
             self._note_time(total)
 
+    def _note_member(self, line: RosterLine) -> None:
+        known = self._beliefs.instance_by_name.get(line.instance)
+        seen = Instance(line.instance, (line.host, line.port), line.data_centre)
+        if known != seen:
+            self._beliefs.instance_by_name[line.instance] = seen
+            # Told with the next round: many may join at the same moment.
+            self._roster_changed = True
+
     def _note_time(self, total: TimeTotal) -> None:
         server = self._beliefs.servers.server_by_id.get(total.server_id)
         if server is None:
@@ -564,6 +569,7 @@
             _log.warning('instance not heard, taken off', peer=name)
         if not silent and not force:
             return
+        self._roster_changed = False
         self._roster_number += 1
         self._beliefs.roster_version = (
             self._leadership.epoch,
