--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -162,6 +162,7 @@
         refused = _refusal(server, request)
         if refused is not None:
             return refused
+        sent = await request.read()
         server.runs[attempt] += 1
         server.working += 1
         try:
@@ -172,7 +173,7 @@
             return drop_connection(request)
         body = f'{request.method} {request.path_qs} '.encode()
         response = web.Response(
-            body=body + await request.read(),
+            body=body + sent,
             headers={
                 'X-Attempt-Id': attempt,
                 'X-Server-Signature': f'{server.server_id}.{attempt}',
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,126 @@
+"""Instances as separate processes, on stand-ins in this process."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tests.builders.platform_system import REGION_BY_ZONE, free_port
+
+_SETTINGS = """\
+[instance]
+name = {name}
+data_centre = {zone}
+region = {region}
+first_start = true
+
+[data_centres]
+{zones}
+
+[addresses]
+callers = 127.0.0.1:{callers}
+readiness = 127.0.0.1:{readiness}
+peers = 127.0.0.1:{peers}
+metrics = 127.0.0.1:{metrics}
+store = {store}
+
+[bounds]
+grace = 3s
+"""
+_END_S = 5.0
+
+
+@dataclass
+class SoakInstance:
+    """An instance that is started, stopped, paused and killed by signals."""
+
+    name: str
+    zone: str
+    directory: Path
+    store: str
+    ports: dict[str, int] = field(default_factory=dict)
+    process: asyncio.subprocess.Process | None = None
+    paused: bool = False
+
+    def write_settings(self) -> Path:
+        """Writes the settings file; returns its path."""
+        zones = '\n'.join(
+            f'{zone} = {region}' for zone, region in REGION_BY_ZONE.items()
+        )
+        path = self.directory / f'{self.name}.ini'
+        path.write_text(
+            _SETTINGS.format(
+                name=self.name,
+                zone=self.zone,
+                region=REGION_BY_ZONE[self.zone],
+                zones=zones,
+                store=self.store,
+                **self.ports,
+            )
+        )
+        return path
+
+    async def start(self) -> None:
+        """Starts the process; its log is kept beside the settings."""
+        log = (self.directory / f'{self.name}.log').open('ab')
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'yuccadale_platform',
+            stdout=log,
+            stderr=log,
+            env=os.environ | {'YUCCADALE_BOOT': str(self.write_settings())},
+        )
+        log.close()
+        self.paused = False
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+            self.paused = number == signal.SIGSTOP
+
+    async def end(self) -> None:
+        """Ends the process for good, also a paused one."""
+        if self.process is None:
+            return
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        await asyncio.wait_for(self.ended(), _END_S)
+
+    async def ended(self) -> int:
+        """Waits for the end of the process; returns its status."""
+        assert self.process is not None
+        return await self.process.wait()
+
+
+@asynccontextmanager
+async def soak_instances(
+    count: int, directory: Path, store: tuple[str, int]
+) -> AsyncIterator[list[SoakInstance]]:
+    """Runs instances; ends those processes that it started, by their ids."""
+    instances = [
+        _instance(number, directory, f'{store[0]}:{store[1]}')
+        for number in range(count)
+    ]
+    try:
+        for instance in instances:
+            await instance.start()
+        yield instances
+    finally:
+        for started in instances:
+            await started.end()
+
+
+def _instance(number: int, directory: Path, store: str) -> SoakInstance:
+    zones = list(REGION_BY_ZONE)
+    ports = {
+        purpose: free_port()
+        for purpose in ('callers', 'readiness', 'peers', 'metrics')
+    }
+    zone = zones[number % len(zones)]
+    return SoakInstance(f'edge-{number}', zone, directory, store, ports)
