Do not plan keys to ended servers; let a deposed leader settle its doubts

Changes: an incarnation that ended is not usable again; a deposed leader that lives tells its successor which of its grants went unanswered.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -24,6 +24,7 @@
     peer_listener,
 )
 from yuccadale_edge._internal.membership.news import (
+    DOUBTS_TOPIC,
     NEWS_TOPIC,
     RELAY_TOPIC,
     REPORT_TOPIC,
@@ -283,6 +284,8 @@
     def _take_news(self, topic: str, body: bytes) -> None:
         if topic == NEWS_TOPIC:
             self._cluster.take_news(body)
+        elif topic == DOUBTS_TOPIC:
+            self._cluster.take_doubts(body)
         elif topic == RELAY_TOPIC:
             self._cluster.relay_news(body)
         elif topic == ROWS_TOPIC:
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -26,11 +26,13 @@
     PeerUnreachableError,
 )
 from yuccadale_edge._internal.membership.news import (
+    DOUBTS_TOPIC,
     NEWS_TOPIC,
     RELAY_TOPIC,
     REPORT_TOPIC,
     ROWS_TOPIC,
     KeyWork,
+    LastDoubts,
     LeaderInfo,
     News,
     NotLeading,
@@ -88,6 +90,7 @@
 _encode = msgspec.msgpack.Encoder().encode
 _decode_report = msgspec.msgpack.Decoder(Report).decode
 _decode_rows = msgspec.msgpack.Decoder(SourceRows).decode
+_decode_doubts = msgspec.msgpack.Decoder(LastDoubts).decode
 _decode_news = msgspec.msgpack.Decoder(News).decode
 _decode_answer = msgspec.msgpack.Decoder(ReportAnswer).decode
 
@@ -241,6 +244,13 @@
         """Takes news that the leader pushed."""
         self._apply(_decode_news(body))
 
+    def take_doubts(self, body: bytes) -> None:
+        """Takes the word of the leader before this one."""
+        told = _decode_doubts(body)
+        keeper = self._keeper_by_service.get(told.service)
+        if keeper is not None:
+            keeper.clear_doubts(told.epoch, told.doubts)
+
     def relay_news(self, body: bytes) -> None:
         """Takes news and passes them on in the own region."""
         self._apply(_decode_news(body))
@@ -447,6 +457,7 @@
 
     async def _lead(self) -> None:
         """Does the leader's work until another instance leads."""
+        epoch = self._leadership.epoch
         self._heard_by_member = {self._settings.instance: elapsed_s()}
         grace_s = elapsed_s() + _MEMBER_SILENT_S
         for name in self._beliefs.instance_by_name:
@@ -464,10 +475,27 @@
             await keep
             for task in work:
                 task.cancel()
-        for keeper in self._keeper_by_service.values():
-            _log.info('keys given to the next leader', service=keeper.service)
+        if not self.draining:
+            self._spawn(self._tell_doubts(epoch, self._keeper_by_service))
         self._keeper_by_service = {}
 
+    async def _tell_doubts(
+        self, epoch: int, keeper_by_service: dict[str, KeyKeeper]
+    ) -> None:
+        """Tells the next leader which calls of this one may act late."""
+        for service, keeper in keeper_by_service.items():
+            doubts = LastDoubts(epoch, service, await keeper.doubts())
+            leader = self._leadership.leader
+            if leader is not None and not self._leadership.leading():
+                await self._links.tell(
+                    (leader.host, leader.port), DOUBTS_TOPIC, _encode(doubts)
+                )
+            _log.info(
+                'keys given to the next leader',
+                service=service,
+                doubts=len(doubts.doubts),
+            )
+
     async def _lead_members(self) -> None:
         while True:
             self._take_report(self._make_report())
--- a/packages/edge/src/yuccadale_edge/_internal/membership/news.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/news.py
@@ -5,12 +5,14 @@
 import msgspec
 
 from yuccadale_edge._internal.beliefs import OwnedRange
+from yuccadale_edge._internal.ownership.segments import Doubt
 from yuccadale_edge._internal.store import StoredRow
 
 REPORT_TOPIC = 'report'
 NEWS_TOPIC = 'news'
 ROWS_TOPIC = 'rows'
 RELAY_TOPIC = 'relay'
+DOUBTS_TOPIC = 'doubts'
 
 # Rows above this size are compressed; below it there is little to gain.
 _PACK_ABOVE_BYTES = 1500
@@ -126,6 +128,14 @@
     weight_by_key: dict[int, float]
 
 
+class LastDoubts(msgspec.Struct, array_like=True):
+    """What a deposed leader tells the next one of a service's grants."""
+
+    epoch: int
+    service: str
+    doubts: list[Doubt]
+
+
 class Report(msgspec.Struct, array_like=True):
     """What an instance tells the leader, with the versions that it has."""
 
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -79,6 +79,8 @@
         metrics: Metrics,
     ) -> None:
         self.address_by_holder: dict[Holder, Address] = {}
+        # Their entries may stand in the store for some heartbeats more.
+        self.ended: set[Holder] = set()
         self._table = table
         self._calls = calls
         self._beliefs = beliefs
@@ -101,11 +103,6 @@
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=within_s)
 
-    def cancel(self) -> None:
-        """Gives up all calls; the next leader assumes that they arrived."""
-        for task in self._tasks:
-            task.cancel()
-
     def end(self, holder: Holder, reason: str) -> None:
         """Notes that a life of a server has ended."""
         _log.info(
@@ -114,6 +111,7 @@
             incarnation=holder.incarnation,
             reason=reason,
         )
+        self.ended.add(holder)
         self._table.end_holder(holder)
         self.address_by_holder.pop(holder, None)
 
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
@@ -28,6 +28,7 @@
 )
 from yuccadale_edge._internal.ownership.segments import (
     CLOCK_MARGIN,
+    Doubt,
     Holder,
     Segment,
     SegmentTable,
@@ -103,6 +104,9 @@
         self._record_again_s: float = 0
         self._recorded = True
         self._ending = False
+        # The last leader's calls, and until when they are doubted.
+        self._earlier_epoch = 0
+        self._assumed_until_s: float = 0
 
     def take_over(self, record: KeysRecord | None) -> None:
         """Starts from what an earlier leader recorded.
@@ -120,6 +124,8 @@
                     held.host,
                     held.port,
                 )
+        self._earlier_epoch = record.epoch
+        self._assumed_until_s = latest_end_s
         self.table.load(segments_of(record, latest_end_s))
         if record.settled:
             # From the first call on, that is no longer true.
@@ -129,12 +135,27 @@
 
     async def run(self) -> None:
         """Works until cancelled."""
-        try:
-            while True:
-                await self._tick()
-                await asyncio.sleep(TICK_S)
-        finally:
-            self._runner.cancel()
+        while True:
+            await self._tick()
+            await asyncio.sleep(TICK_S)
+
+    async def doubts(self) -> list[Doubt]:
+        """Ends the calls; returns what is still doubted afterwards."""
+        self._ending = True
+        await self._runner.finish(_LAST_CALL_S)
+        return self.table.doubts(elapsed_s())
+
+    def clear_doubts(self, epoch: int, doubts: list[Doubt]) -> None:
+        """Takes the word of the last leader on which calls may be late."""
+        if epoch != self._earlier_epoch:
+            return
+        self.table.clear_doubts(self._assumed_until_s, doubts, elapsed_s())
+        _log.info(
+            'doubts settled by the last leader',
+            service=self.service,
+            epoch=epoch,
+            left=len(doubts),
+        )
 
     async def settle(self) -> tuple[str, bytes]:
         """Ends the calls; returns the row for the next leader."""
@@ -222,11 +243,15 @@
                 self._runner.end(holder, 'the server started again')
 
     def _usable(self) -> dict[Holder, Server]:
-        return {
+        ready = {
             Holder(server.server_id, server.incarnation): server
             for server in self._beliefs.servers.of(self.service)
             if server.state == ServerState.ready
-            and self._reachable(Holder(server.server_id, server.incarnation))
+        }
+        return {
+            holder: server
+            for holder, server in ready.items()
+            if self._reachable(holder) and holder not in self._runner.ended
         }
 
     def _needs_plan(self) -> bool:
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -54,6 +54,25 @@
     handover: str | None = None
 
 
+class Doubt(NamedTuple):
+    """A grant that a server may still carry out, by an earlier leader.
+
+    Attributes:
+        left_s: until its lease has surely ended.
+    """
+
+    first: int
+    last: int
+    server_id: str
+    incarnation: int
+    left_s: float
+
+    @property
+    def holder(self) -> Holder:
+        """The life of the server."""
+        return Holder(self.server_id, self.incarnation)
+
+
 @dataclass(slots=True)
 class Lease:
     """What one server may hold of a segment.
@@ -255,6 +274,34 @@
         """Asks for a record before anything is granted or renewed."""
         self._plan_version += 1
 
+    def doubts(self, now_s: float) -> list[Doubt]:
+        """Returns the grants that may still be carried out late."""
+        return [
+            Doubt(
+                segment.first,
+                segment.last,
+                *holder,
+                self._doubt_s(segment, holder, now_s),
+            )
+            for segment in self.segments
+            for holder in segment.lease_by_holder
+            if self._doubt_s(segment, holder, now_s) > 0
+        ]
+
+    def clear_doubts(
+        self, assumed_until_s: float, doubts: Iterable[Doubt], now_s: float
+    ) -> None:
+        """Replaces what was assumed of an earlier leader by its own word."""
+        known = list(doubts)
+        for told in known:
+            self.split(told.first)
+            self.split(told.last + 1)
+        for segment in self.segments:
+            for holder, lease in segment.lease_by_holder.items():
+                if lease.doubt_until_s == assumed_until_s:
+                    left_s = _longest_doubt_s(segment, holder, known)
+                    lease.doubt_until_s = now_s + left_s if left_s else 0
+
     def join_settled(self) -> None:
         """Joins neighbours that have the same owner and the same grant."""
         joined: list[Segment] = []
@@ -337,6 +384,13 @@
         """Takes over what an earlier leader recorded."""
         self.segments = sorted(segments, key=_first_key)
 
+    def _doubt_s(self, segment: Segment, holder: Holder, now_s: float) -> float:
+        doubt_s = segment.lease_by_holder[holder].doubt_until_s - now_s
+        if holder in segment.calls:
+            # It has not been answered yet.
+            doubt_s = self.lease_s * CLOCK_MARGIN + LATEST_ARRIVAL_S
+        return doubt_s
+
     def _segment_calls(
         self, segment: Segment, now_s: float, renew_s: float
     ) -> Iterator[OwnershipCall]:
@@ -449,6 +503,21 @@
     return segment.first
 
 
+def _longest_doubt_s(
+    segment: Segment, holder: Holder, doubts: Iterable[Doubt]
+) -> float:
+    return max(
+        (
+            doubt.left_s
+            for doubt in doubts
+            if doubt.holder == holder
+            and doubt.first <= segment.last
+            and doubt.last >= segment.first
+        ),
+        default=0,
+    )
+
+
 def _call(
     kind: CallKind,
     segment: Segment,
--- a/tests/builders/edge_key_servers.py
+++ b/tests/builders/edge_key_servers.py
@@ -59,6 +59,8 @@
 _PERCENT = 100
 _RECORDED = 80
 _END_NOTICED = 70
+# Leaders that are deposed while they live tell what is doubted.
+_DEPOSED_ALIVE = 50
 
 
 class KeyWorld:
@@ -205,10 +207,13 @@
     def _change_leader(self) -> None:
         self._advance(_TAKEOVER_S)
         self._epoch += 1
+        doubts = self.table.doubts(self.now_s)
         self.table = SegmentTable(self._epoch, LEASE_S, RENEW_S)
         if self._stored is not None:
             latest_end_s = self.now_s + LEASE_S * CLOCK_MARGIN + _LAST_CALL_S
             self.table.load(segments_of(self._stored, latest_end_s))
+            if self.random.randrange(_PERCENT) < _DEPOSED_ALIVE:
+                self.table.clear_doubts(latest_end_s, doubts, self.now_s)
 
     def _start(self, server_id: str, incarnation: int) -> None:
         holder = Holder(server_id, incarnation)
