--- a/packages/edge/src/yuccadale_edge/_internal/beliefs.py
+++ b/packages/edge/src/yuccadale_edge/_internal/beliefs.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from bisect import bisect_right
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import msgspec
@@ -318,6 +318,3 @@
 
 def _server_id(server: Server) -> str:
     return server.server_id
-
-
-InstanceMap = Mapping[str, Instance]
--- a/packages/edge/src/yuccadale_edge/_internal/store.py
+++ b/packages/edge/src/yuccadale_edge/_internal/store.py
@@ -1,6 +1,6 @@
 """The platform's table as the product uses it, and its failures."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -72,6 +72,3 @@
             StoreUnavailableError: nothing was written.
             StoreOutcomeUnknownError: the write may be applied, or later.
         """
-
-
-TableNames = Sequence[str]
