--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES := $(foreach package,$(PACKAGES),packages/$(package)/src) platform/src
 CHECKED := packages platform tests
 
-.PHONY: setup format check lint imports types tests test demo
+.PHONY: setup format check lint imports types tests test demo demo-platform soak
 
 setup: $(VENV)/.installed
 
@@ -36,5 +36,12 @@
 
 test: check lint imports types tests
 
+# The path on the users' new machines, against the stand-ins, with faults.
+demo-platform: setup
+	$(BIN)/python -m tests.soak.run --seeds 1 --seconds 10
+
+soak: setup
+	$(BIN)/python -m tests.soak.run --seeds 50
+
 demo: setup
 	$(BIN)/python -m yuccadale_bench demo
