Start with the rows of an elector near; drop unused settings

Cause: after all instances lost power, each read the whole configuration and server list from the store.

Change: a new instance that finds no leader asks the electors of its region for the rows; any instance answers a report that lacks them, also while it does not lead. Only electors read the store at once, the others after 2.5 s. A whole table may take 2.5 s longer than another answer.

Settings that nothing used are gone (first_start, heartbeat, processor_share, drain, converge).

--- a/packages/edge/src/yuccadale_edge/_internal/membership/electorate.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/electorate.py
@@ -17,6 +17,7 @@
 from yuccadale_edge._internal.membership.news import (
     AGREE_TOPIC,
     PROMISE_TOPIC,
+    Elector,
 )
 from yuccadale_edge._internal.membership.promises import Promises, is_majority
 from yuccadale_edge._internal.transport.client_pool import Address
@@ -51,20 +52,20 @@
 _decode_flag = msgspec.msgpack.Decoder(bool).decode
 
 
-def choose_electors(others: Iterable[Instance]) -> tuple[Address, ...]:
+def choose_electors(others: Iterable[Instance]) -> tuple[Elector, ...]:
     """Returns the electors among a leader's others, over all data centres.
 
     Their number is odd, so that a majority is as small as it can be.
     """
     counted: Counter[str] = Counter()
-    ranked: list[tuple[int, str, Address]] = []
+    ranked: list[tuple[int, Elector]] = []
     for _, address, data_centre in sorted(others):
         counted[data_centre] += 1
-        ranked.append((counted[data_centre], data_centre, address))
+        ranked.append((counted[data_centre], Elector(*address, data_centre)))
     ranked.sort()
     count = min(len(ranked), MOST_ELECTORS)
     count -= 1 - count % 2
-    return tuple(named[2] for named in ranked[: max(0, count)])
+    return tuple(elector for _, elector in ranked[: max(0, count)])
 
 
 class Electorate:
@@ -93,7 +94,7 @@
 
     async def promised(
         self,
-        elector_sets: Collection[Collection[Address]],
+        elector_sets: Collection[Collection[Elector]],
         epoch: int,
         version: int,
     ) -> bool:
@@ -107,7 +108,7 @@
         body = _encode(PromiseQuestion(epoch, version))
         return await self._asked(elector_sets, PROMISE_TOPIC, body)
 
-    async def agreed(self, electors: Collection[Address], version: int) -> bool:
+    async def agreed(self, electors: Collection[Elector], version: int) -> bool:
         """Asks for agreement to replace the leader that wrote a version."""
         body = _encode(AgreeQuestion(self._name, version))
         return await self._asked((electors,), AGREE_TOPIC, body)
@@ -141,7 +142,7 @@
 
     async def _asked(
         self,
-        elector_sets: Collection[Collection[Address]],
+        elector_sets: Collection[Collection[Elector]],
         topic: str,
         body: bytes,
     ) -> bool:
@@ -151,7 +152,7 @@
             asyncio.create_task(self._ask(elector, topic, body))
             for elector in electors
         ]
-        yes: set[Address] = set()
+        yes: set[Elector] = set()
         try:
             for answered in asyncio.as_completed(tasks):
                 elector = await answered
@@ -165,19 +166,21 @@
         return False
 
     async def _ask(
-        self, elector: Address, topic: str, body: bytes
-    ) -> Address | None:
+        self, elector: Elector, topic: str, body: bytes
+    ) -> Elector | None:
         """Returns the elector if it said yes."""
-        if elector == self._me:
+        if elector.address == self._me:
             answer = await self._answer_own(topic, body)
         else:
             try:
                 answer = await self._links.ask(
-                    elector, topic, body, _ANSWER_TIMEOUT_S
+                    elector.address, topic, body, _ANSWER_TIMEOUT_S
                 )
             except (PeerUnreachableError, LinkLostError) as error:
                 _log.info(
-                    'elector not reached', elector=elector, reason=str(error)
+                    'elector not reached',
+                    elector=elector.address,
+                    reason=str(error),
                 )
                 return None
         # An instance that does not know the question answers nothing.
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -119,7 +119,9 @@
         """Answers a member's report, or names the leader."""
         report = _decode_report(body)
         if not self._leadership.leading():
-            known = NotLeading(self._leadership.leader)
+            known = NotLeading(
+                self._leadership.leader, self._sources_for_new(report)
+            )
             return _encode(ReportAnswer(not_leading=known))
         self._take_report(report)
         return _encode(ReportAnswer(news=self._news_for(report)))
@@ -325,6 +327,15 @@
                 news.owners.append(owners)
         return news
 
+    def _sources_for_new(self, report: Report) -> list[SourceRows]:
+        """Returns the tables of which a new instance has nothing."""
+        return [
+            self._source_after(table, 0)
+            for table in SOURCE_TABLES
+            if not report.version_by_table.get(table)
+            and self._beliefs.version_by_table[table]
+        ]
+
     def _has_to_be_told(self, member: str, table: str, after: int) -> bool:
         """Whether a member's report shows that pushed rows were lost.
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
@@ -15,7 +15,7 @@
 
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.electorate import Electorate
-from yuccadale_edge._internal.membership.news import LeaderInfo
+from yuccadale_edge._internal.membership.news import Elector, LeaderInfo
 from yuccadale_edge._internal.membership.promises import (
     HOLD_MOST_S,
     promised_until_s,
@@ -28,7 +28,6 @@
     StoreUnavailableError,
     WriteConflict,
 )
-from yuccadale_edge._internal.transport.client_pool import Address
 
 _log = structlog.get_logger()
 
@@ -60,13 +59,13 @@
     """The content of the leader's row.
 
     Attributes:
-        electors: addresses of the instances whose majority may extend the
-            lease, or agree to a replacement.
+        electors: instances whose majority may extend the lease, or agree to
+            a replacement.
     """
 
     leader: LeaderInfo
     resigned: bool = False
-    electors: tuple[Address, ...] = ()
+    electors: tuple[Elector, ...] = ()
 
 
 _encode = msgspec.json.Encoder().encode
@@ -82,12 +81,14 @@
         me: LeaderInfo,
         contact: StoreContact,
         electorate: Electorate,
-        electors: Callable[[], tuple[Address, ...]],
+        electors: Callable[[], tuple[Elector, ...]],
     ) -> None:
         self.leader: LeaderInfo | None = None
         self.row_by_key: dict[str, StoredRow] = {}
         self.version = 0
         self.deposed = False
+        # Those of the row that was read last.
+        self.row_electors: tuple[Elector, ...] = ()
         self._store = store
         self._me = me
         self._contact = contact
@@ -100,10 +101,8 @@
         self._failed_s: float = 0
         self._resigned = False
         self._write_lock = asyncio.Lock()
-        # Those of the row that was read last, for a candidate.
-        self._row_electors: tuple[Address, ...] = ()
         # All that the own row may name, writes without an answer included.
-        self._elector_sets: list[tuple[Address, ...]] = []
+        self._elector_sets: list[tuple[Elector, ...]] = []
 
     @property
     def epoch(self) -> int:
@@ -155,7 +154,7 @@
         self.note_version(row.version)
         content = _decode(row.content)
         self._resigned = content.resigned
-        self._row_electors = content.electors
+        self.row_electors = content.electors
         self.follow(content.leader)
 
     def note_version(self, version: int) -> None:
@@ -195,9 +194,9 @@
         unchanged_s = elapsed_s() - self._seen_s
         if unchanged_s <= TAKEOVER_S:
             return None
-        if unchanged_s > TAKEOVER_ALONE_S or not self._row_electors:
+        if unchanged_s > TAKEOVER_ALONE_S or not self.row_electors:
             return version
-        if await self._electorate.agreed(self._row_electors, version):
+        if await self._electorate.agreed(self.row_electors, version):
             return version
         _log.warning(
             'no majority agrees to replace the leader',
@@ -317,7 +316,7 @@
             )
         self._promised_until_s = until_s
 
-    def _extend(self, began_s: float, electors: tuple[Address, ...]) -> None:
+    def _extend(self, began_s: float, electors: tuple[Elector, ...]) -> None:
         self._renewed_s = began_s
         self._lease_until_s = began_s + LEAD_S
         self._elector_sets = [electors]
--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -24,6 +24,7 @@
     ROWS_TOPIC,
     LeaderInfo,
     News,
+    NotLeading,
     Owners,
     ReportAnswer,
     Roster,
@@ -54,6 +55,10 @@
 # Members that do not hear of the sources read them later than the deputies.
 _DEPUTIES_SILENT_S = 0.5
 _DEPUTIES_PER_REGION = 2
+# A new instance that finds no leader waits so long for the rows that a
+# deputy of its region reads: all that start at once would fill the link to
+# the store.
+_NEW_PATIENCE_S = 2.5
 # Versions of owners before any leader has told them; epochs begin with 1.
 _NO_VERSION = (0, 0)
 _RECORDED_VERSION = (0, 1)
@@ -84,8 +89,10 @@
         self._spread = spread
         self._reporter = reporter
         # A new instance first hears what the leader has; see reads_sources.
-        self._heard_s = elapsed_s()
+        self._started_s = elapsed_s()
+        self._heard_s = self._started_s
         self._heard = False
+        self._leader_missing = False
         self._leader_store_age_s: float = 0
         self._rows_heard_s: float = 0
         self._wake = asyncio.Event()
@@ -99,6 +106,10 @@
         if self._leadership.leading():
             return True
         now_s = elapsed_s()
+        if not self._heard:
+            if self._is_deputy():
+                return self._leader_missing
+            return now_s - self._started_s > _NEW_PATIENCE_S
         since_heard_s = now_s - self._heard_s
         late_s = max(
             since_heard_s - _LEADER_SILENT_S,
@@ -202,8 +213,8 @@
             await self._report(leader)
         except (PeerUnreachableError, LinkLostError) as error:
             if not self._heard:
-                # A new instance that finds no leader reads for itself.
-                self._heard_s = 0
+                self._leader_missing = True
+                await self._ask_deputies()
             silent_s = elapsed_s() - self._heard_s
             if silent_s < self._patience_s():
                 return True
@@ -248,12 +259,31 @@
         if answer.news is not None:
             self._apply(answer.news)
             return
-        named = (
-            None if answer.not_leading is None else answer.not_leading.leader
-        )
-        if named is None or not self._leadership.follow(named):
+        known = answer.not_leading or NotLeading(None)
+        for source in known.sources:
+            self._apply_source(source)
+        if known.leader is None or not self._leadership.follow(known.leader):
             raise PeerUnreachableError('the instance does not lead')
 
+    async def _ask_deputies(self) -> None:
+        """Asks those near for the sources while no leader tells them."""
+        if all(self._beliefs.version_by_table.values()):
+            return
+        place = self._settings.place
+        for elector in self._leadership.row_electors:
+            here = elector.address == self._settings.peer_address
+            if here or place.distance(elector.data_centre) > 1:
+                continue
+            try:
+                await self._report(LeaderInfo(0, '', *elector.address, 0))
+            except (PeerUnreachableError, LinkLostError) as error:
+                _log.info(
+                    'no leader found through a deputy',
+                    peer=elector.address,
+                    reason=str(error),
+                    version_by_table=self._beliefs.version_by_table,
+                )
+
     def _apply(self, news: News) -> None:
         if news.leader.epoch < self._leadership.epoch:
             return
@@ -314,6 +344,10 @@
 
     def _is_deputy(self) -> bool:
         """Whether this instance reads for its region in the leader's place."""
+        if not self._beliefs.instance_by_name:
+            # The others are not known yet, but the leader's row names some.
+            named = [one.address for one in self._leadership.row_electors]
+            return not named or self._settings.peer_address in named
         leader = self._leadership.leader
         peers = {one.name for one in self._spread.near()}
         if leader is not None:
--- a/packages/edge/src/yuccadale_edge/_internal/membership/news.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/news.py
@@ -1,12 +1,14 @@
 """Messages by which instances tell each other what they know."""
 
 import zlib
+from typing import NamedTuple
 
 import msgspec
 
 from yuccadale_edge._internal.beliefs import OwnedRange
 from yuccadale_edge._internal.ownership.segments import Doubt
 from yuccadale_edge._internal.store import StoredRow
+from yuccadale_edge._internal.transport.client_pool import Address
 
 REPORT_TOPIC = 'report'
 NEWS_TOPIC = 'news'
@@ -36,6 +38,19 @@
     incarnation: int
 
 
+class Elector(NamedTuple):
+    """An instance that the leader's row names."""
+
+    host: str
+    port: int
+    data_centre: str
+
+    @property
+    def address(self) -> Address:
+        """Where other instances reach it."""
+        return self.host, self.port
+
+
 class SourceRow(msgspec.Struct, array_like=True):
     """A row of a source table; no content means that it was removed.
 
@@ -111,9 +126,15 @@
 
 
 class NotLeading(msgspec.Struct, array_like=True):
-    """The asked instance does not lead; it may know who does."""
+    """The asked instance does not lead; it may know who does.
+
+    Attributes:
+        sources: all rows that it has of the tables of which the asking
+            instance has none.
+    """
 
     leader: LeaderInfo | None
+    sources: list[SourceRows] = []
 
 
 class TimeTotal(msgspec.Struct, array_like=True):
--- a/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
@@ -20,6 +20,9 @@
 # A connection can go silent for good, which only this bound shows; it leaves
 # time to read again within the time that a configuration has to take effect.
 _WAIT_S = 1.2
+# Readings of whole tables by many instances at once share a link between
+# regions; giving up earlier would only fill it with repetitions.
+_WHOLE_TABLE_S = 2.5
 _FIRST_PAUSE_S = 0.2
 _LONGEST_PAUSE_S = 0.8
 _IDLE_CHECK_S = 0.25
@@ -95,7 +98,7 @@
                 )
                 whole = True
         if whole:
-            rows = await self._store.read(self._table)
+            rows = await self._store.read(self._table, _WHOLE_TABLE_S)
         self._succeeded()
         grace = elapsed_s() < self._lapsed_until_s
         before = self._beliefs.version_by_table[self._table]
--- a/packages/edge/src/yuccadale_edge/_internal/model.py
+++ b/packages/edge/src/yuccadale_edge/_internal/model.py
@@ -139,15 +139,12 @@
     """Limits that the operators set for the whole system, in seconds.
 
     Attributes:
-        drain_s: a leaving server gets nothing new after this.
-        converge_s: a configuration is in force everywhere after this.
         hold_max_s: the longest lease that a server grants.
+        grace_s: from the request to stop until the process is killed.
         retry_ratio: second sends in a window per first request.
         retry_slack: second sends that are always allowed in a window.
     """
 
-    drain_s: float = 2.0
-    converge_s: float = 2.0
     hold_max_s: float = 10.0
     grace_s: float = 6.0
     retry_ratio: float = 0.2
@@ -172,7 +169,4 @@
     metrics_address: Address
     seeds: tuple[Address, ...]
     store_address: Address
-    first_start: bool
-    heartbeat_s: float
-    processor_share: float
     bounds: Bounds = field(default_factory=Bounds)
--- a/packages/edge/src/yuccadale_edge/_internal/store.py
+++ b/packages/edge/src/yuccadale_edge/_internal/store.py
@@ -45,9 +45,14 @@
 class Store(Protocol):
     """Conditional writes and change feeds of named tables."""
 
-    async def read(self, table: str) -> Rows:
+    async def read(self, table: str, wait_s: float = 0) -> Rows:
         """Reads a whole table.
 
+        Args:
+            table: its name.
+            wait_s: how much later than usual an answer may come, as that of
+                a large table over a slow link does.
+
         Raises:
             StoreUnavailableError: nothing was read.
         """
--- a/tests/builders/leadership_world.py
+++ b/tests/builders/leadership_world.py
@@ -28,6 +28,7 @@
 )
 from yuccadale_edge._internal.membership.news import (
     PROMISE_TOPIC,
+    Elector,
     LeaderInfo,
 )
 from yuccadale_edge._internal.membership.source_reader import StoreContact
@@ -90,7 +91,7 @@
         self._world = world
         self._name = name
 
-    async def read(self, _table: str) -> Rows:
+    async def read(self, _table: str, _wait_s: float = 0) -> Rows:
         """Reads all rows."""
         await self._pass()
         rows = self._world.rows
@@ -208,7 +209,7 @@
     def _known_epoch(self) -> int:
         return self.leadership.epoch
 
-    def _electors(self) -> tuple[Address, ...]:
+    def _electors(self) -> tuple[Elector, ...]:
         """Chosen among those that it hears now, which differ over time."""
         world = self._world
         return choose_electors(
--- a/tests/builders/platform_system.py
+++ b/tests/builders/platform_system.py
@@ -90,9 +90,6 @@
         'metrics_address': ('127.0.0.1', free_port()),
         'seeds': (),
         'store_address': store.address,
-        'first_start': True,
-        'heartbeat_s': 1.0,
-        'processor_share': 1.0,
         'bounds': Bounds(grace_s=1.5),
     }
     return Settings(**(values | changes))  # type: ignore[arg-type]
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -12,6 +12,7 @@
     configuration,
     platform_system,
     route,
+    settings,
 )
 
 KEYS = (0, 20000, 40000, 65535)
@@ -358,3 +359,22 @@
         async with asyncio.timeout(CONVERGE_S):
             await system.serves(names[1], *KEYS)
         _assert_one_holder(system)
+
+
+async def test_a_new_instance_learns_from_any_other() -> None:
+    """Guards against an instance that waits for the store or a leader."""
+    async with platform_system() as system:
+        names = [await system.add_instance() for _ in range(2)]
+        for name in names:
+            await system.serves(name, *KEYS)
+        await system.kill(names[0])
+        system.store.faults.down = True
+        made = settings(
+            len(names),
+            system.store,
+            seeds=(system.settings_by_name[names[1]].peer_address,),
+        )
+        system.settings_by_name[made.instance] = made
+        await system.start(made.instance)
+        status, _, _ = await system.ask(made.instance, '/elsewhere/x')
+        assert status == 404
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -16,7 +16,6 @@
 name = {name}
 data_centre = {zone}
 region = {region}
-first_start = true
 
 [data_centres]
 {zones}
