Ask a server who it is at the health paths of the configuration

Cause: the adapter asked /healthz, although services name their path. With another path a reused address kept its keys until the lease ended. Found by reading; the test with /alive fails before.

Change: on an answer 400 to a call about keys, the server is asked at each health path of the services in force. The stand-in's servers refuse requests without an id, as real ones do.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -4,7 +4,7 @@
 import gc
 import signal
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import structlog
@@ -73,6 +73,9 @@
 _GC_THRESHOLD = 5000
 
 
+HealthPaths = Callable[[], Iterable[str]]
+
+
 class Parts:
     """What the adapter supplies besides the settings."""
 
@@ -80,7 +83,7 @@
         self,
         *,
         store: Callable[[ClientPool], Store],
-        calls: Callable[[ClientPool], ServerCalls],
+        calls: Callable[[ClientPool, HealthPaths], ServerCalls],
         wire: RequestWire,
         decode_configuration: DecodeConfiguration,
         decode_server: DecodeServer,
@@ -150,7 +153,7 @@
             self._links,
             spread,
             self._dispatcher,
-            parts.calls(self._pool),
+            parts.calls(self._pool, self._beliefs.health_paths),
             self._metrics,
         )
         self._entry = Entry(
--- a/packages/edge/src/yuccadale_edge/_internal/beliefs.py
+++ b/packages/edge/src/yuccadale_edge/_internal/beliefs.py
@@ -252,6 +252,13 @@
         until = self.unreachable_until_by_server.get(server.server_id, 0)
         return until < elapsed_s()
 
+    def health_paths(self) -> list[str]:
+        """Returns the paths at which servers say who they are and how."""
+        if self.configuration is None:
+            return []
+        services = self.configuration.service_by_name.values()
+        return sorted({service.health_path for service in services})
+
     def keyed_services(self) -> list[str]:
         """Returns the services that divide keys among their servers."""
         if self.configuration is None:
--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -45,6 +45,7 @@
     lose_answers: bool = False
     extra_answers: bool = False
     full: bool = False
+    health_path: str = '/healthz'
     address: str = ''
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     runs: Counter[str] = field(default_factory=Counter)
@@ -104,7 +105,7 @@
     application = web.Application()
     application.router.add_post('/v1/grant', _grant(server))
     application.router.add_post('/v1/release', _release(server))
-    application.router.add_get('/healthz', _health(server))
+    application.router.add_get(server.health_path, _health(server))
     application.router.add_route('*', '/{path:.*}', _request(server))
     async with listening(application) as listener:
         server.address = listener.address
@@ -159,6 +160,8 @@
 def _request(server: PlatformServer):
     async def handle(request: web.Request) -> web.Response:
         attempt = request.headers.get('X-Attempt-Id', '')
+        if not attempt:
+            return web.Response(status=400, headers={'X-Not-Executed': '1'})
         refused = _refusal(server, request)
         if refused is not None:
             return refused
--- a/tests/platform/test_server_calls.py
+++ b/tests/platform/test_server_calls.py
@@ -25,12 +25,17 @@
     return OwnershipCall(kind, Holder(server_id, 1), 0, 99, fence)
 
 
+def _calls(*health_paths: str) -> PlatformServerCalls:
+    pool = ClientPool(asyncio.get_running_loop())
+    return PlatformServerCalls(pool, lambda: health_paths or ('/healthz',))
+
+
 async def test_a_higher_fence_refuses_a_grant() -> None:
     """Guards against a refusal that is taken as a grant."""
     async with running_store() as store:
         server = PlatformServer('k', 'ledger', 'a', keyed=True)
         async with running_server(server, store):
-            calls = PlatformServerCalls(ClientPool(asyncio.get_running_loop()))
+            calls = _calls()
             at = address(server.address)
             await calls.grant(at, _call('k', 7), LEASE_S)
             with pytest.raises(GrantRefusedError):
@@ -40,15 +45,18 @@
             assert not server.holds(5)
 
 
-async def test_a_reused_address_is_another_server() -> None:
+@pytest.mark.parametrize('health_path', ['/healthz', '/alive'])
+async def test_a_reused_address_is_another_server(health_path: str) -> None:
     """Guards against keys that wait for a server that has ended.
 
-    Its address had gone to a service without keys, which answers 400.
+    Its address had gone to a service without keys, which answers 400; where
+    it says who it is depends on the configuration.
     """
     async with running_store() as store:
         server = PlatformServer('other', 'stage', 'a', keyed=False)
+        server.health_path = health_path
         async with running_server(server, store):
-            calls = PlatformServerCalls(ClientPool(asyncio.get_running_loop()))
+            calls = _calls('/elsewhere', health_path)
             with pytest.raises(OtherServerError):
                 await calls.grant(
                     address(server.address), _call('k', 7), LEASE_S
