Log the inputs of refusals, further sends and moves

A refusal and a further send name the service, the key and the version of the owners that were believed; a move names the server that is relieved, its load over the mean and the work of the range. On-call engineers could not tell a stale owner from a moved one, nor why a range moved. No decision changes.

--- a/packages/edge/src/yuccadale_edge/_internal/beliefs.py
+++ b/packages/edge/src/yuccadale_edge/_internal/beliefs.py
@@ -226,6 +226,11 @@
         """Returns the owners of a service's keys."""
         return self.owners_by_service.setdefault(service, OwnerMap())
 
+    def owners_version(self, service: str) -> tuple[int, int] | None:
+        """Returns the version of what is known of a service's owners."""
+        owners = self.owners_by_service.get(service)
+        return None if owners is None else owners.version
+
     def apply_rows(
         self, table: str, rows: Rows, *, whole: bool, lapsed_grace: bool
     ) -> None:
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
@@ -39,11 +39,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """A range that shall go to another server."""
+    """A range that shall go to another server.
+
+    Attributes:
+        source: the server that is relieved, None if none was usable.
+        source_load: its load over the mean before the move, 0 without one.
+        weight: work of the range, in seconds a second.
+    """
 
     first: int
     last: int
     target: Holder
+    source: Holder | None = None
+    source_load: float = 0
+    weight: float = 0
 
 
 class KeyLoad:
@@ -192,12 +201,16 @@
         part = self._part(span, amount)
         if part is None or self._weight(part) < least / 2:
             return None
+        weight = self._weight(part)
+        source_load = self._relative(hottest) / self.mean
         self._spans.remove(span)
         self._spans.extend(_without(span, part))
         self._spans.append(Span(part.first, part.last, coolest, False))
-        self._load_by_holder[hottest] -= self._weight(part)
-        self._load_by_holder[coolest] += self._weight(part)
-        return Move(part.first, part.last, coolest)
+        self._load_by_holder[hottest] -= weight
+        self._load_by_holder[coolest] += weight
+        return Move(
+            part.first, part.last, coolest, hottest, source_load, weight
+        )
 
     def _best_span(self, holder: Holder, amount: float) -> Span | None:
         own = [
@@ -263,9 +276,10 @@
             last = self._profile.cut(first, span.last, max(room, least))
             if self._profile.weight(last + 1, span.last) < least:
                 last = span.last
-            self._load_by_holder[coolest] += self._profile.weight(first, last)
+            weight = self._profile.weight(first, last)
+            self._load_by_holder[coolest] += weight
             self._spans.append(Span(first, last, coolest, False))
-            moves.append(Move(first, last, coolest))
+            moves.append(Move(first, last, coolest, weight=weight))
             first = last + 1
         return moves
 
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
@@ -325,6 +325,9 @@
             first=move.first,
             last=move.last,
             to=move.target.server_id,
+            source=None if move.source is None else move.source.server_id,
+            source_load=round(move.source_load, 2),
+            weight=round(move.weight, 3),
             epoch=self._epoch,
         )
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/entry.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/entry.py
@@ -130,8 +130,9 @@
                 None,
                 Refused(ResultCode.service_unknown, 'no route matches'),
             )
+        service = self._turns.pick(route)
         try:
-            result = await self._route(request, route, configuration)
+            result = await self._route(request, route, configuration, service)
         except asyncio.CancelledError:
             self._metrics.count('caller_gone', route=route.name)
             _log.info(
@@ -142,7 +143,7 @@
             )
             raise
         if isinstance(result, Refused):
-            return self._refuse(request, route, result)
+            return self._refuse(request, route, result, service)
         took_ms = _since_ms(message.arrived_s)
         self._metrics.observe_ms('answer', took_ms, route=route.name)
         self._metrics.observe_ms('line_wait', result.waited_ms)
@@ -169,13 +170,17 @@
         return encode_message(await self._dispatcher.serve(_decode_work(body)))
 
     async def _route(
-        self, request: CallerRequest, route: Route, configuration: Configuration
+        self,
+        request: CallerRequest,
+        route: Route,
+        configuration: Configuration,
+        service_name: str,
     ) -> Result:
         arrived_s = request.message.arrived_s
         end_s = arrived_s + route.timeout_s
         if request.deadline_s is not None:
             end_s = min(end_s, request.deadline_s)
-        service = configuration.service_by_name.get(self._turns.pick(route))
+        service = configuration.service_by_name.get(service_name)
         if service is None:
             return Refused(ResultCode.service_unknown, 'service not declared')
         work = self._work(request, route, service.name, arrived_s)
@@ -217,6 +222,9 @@
                 'request is sent again',
                 request=work.request_id,
                 route=work.route,
+                service=work.service,
+                key=work.key,
+                owners_version=self._beliefs.owners_version(work.service),
                 server=result.server_id,
                 code=result.code,
                 reason=result.detail,
@@ -385,7 +393,11 @@
         )
 
     def _refuse(
-        self, request: CallerRequest, route: Route | None, refused: Refused
+        self,
+        request: CallerRequest,
+        route: Route | None,
+        refused: Refused,
+        service: str = '',
     ) -> Reply:
         code = ResultCode(refused.code)
         name = '' if route is None else route.name
@@ -402,7 +414,9 @@
             reason=refused.detail,
             outcome=refused.outcome,
             server=refused.server_id,
+            service=service,
             key=request.key,
+            owners_version=self._beliefs.owners_version(service),
             arrivals=refused.arrivals,
             retry_after_s=retry_after_s,
             after_ms=_since_ms(request.message.arrived_s),
