--- a/packages/client/src/yuccadale/_internal/commands/explain.py
+++ b/packages/client/src/yuccadale/_internal/commands/explain.py
@@ -1,30 +1,53 @@
-"""``yuccadale explain``: the meaning of result codes."""
+"""``yuccadale explain``: the meaning of result codes, and logged requests."""
 
+import sys
+from collections.abc import Iterator
 from typing import ClassVar
 
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
 
 from yuccadale_core.codes import CODE_TABLE, ResultCode
 
 from yuccadale._internal import exit_status
-from yuccadale._internal.command import OfflineCommand, Report
+from yuccadale._internal.command import JSON_OPTION, OfflineCommand, Report
 from yuccadale._internal.failures import CommandFailure
+from yuccadale._internal.request_log import describe, find_way, read_lines
 from yuccadale._internal.tables import table
 
 
 class ExplainCommand(OfflineCommand):
-    """Explains a code by its number or name; lists all without one."""
+    """Explains a code, or with a log what decided a request's way."""
 
     name = 'explain'
     arguments: ClassVar[list[Argument]] = [
-        argument('code', 'Number or name.', optional=True)
+        argument(
+            'subject',
+            'Number or name of a code; with --log the id of a request.',
+            optional=True,
+        )
+    ]
+    options: ClassVar[list[Option]] = [
+        JSON_OPTION,
+        option(
+            'log',
+            None,
+            'Log lines of all instances: a file, or - for standard input.',
+            flag=False,
+        ),
+    ]
+    examples: ClassVar[list[str]] = [
+        'explain 5002',
+        'explain queue_full',
+        'explain 9c41d07be2a35f68 --log=- < instances.log',
     ]
-    examples: ClassVar[list[str]] = ['explain 5002', 'explain queue_full']
 
     def report(self) -> Report:
-        """Looks the code up in the table of this version."""
-        wanted = self.argument('code')
+        """Looks the code up in the table of this version, or the request."""
+        wanted = self.argument('subject')
+        if self.option('log'):
+            return self._explain_request(wanted or '')
         if not wanted:
             return _all_codes()
         for code in CODE_TABLE:
@@ -34,6 +57,38 @@
             exit_status.NOT_FOUND, [f'There is no code {wanted}.']
         )
 
+    def _explain_request(self, request: str) -> Report:
+        way = find_way(read_lines(self._log_lines()), request)
+        if not way.steps:
+            raise CommandFailure(
+                exit_status.NOT_FOUND, [f'No line names request {request!r}.']
+            )
+        lines = [f'request {request}']
+        lines.extend(f'  {describe(step)}' for step in way.steps)
+        codes = dict.fromkeys(
+            step['code'] for step in way.steps if 'code' in step
+        )
+        for code in codes:
+            lines.extend(_one_code(ResultCode(code)).lines)
+        lines.append('what the instances came to believe before:')
+        lines.extend(f'  {describe(line)}' for line in way.context)
+        if way.left_out:
+            lines.append(f'left out of the log at that time: {way.left_out}')
+        document = {
+            'request': request,
+            'steps': way.steps,
+            'context': way.context,
+            'left_out': way.left_out,
+        }
+        return Report(document, lines)
+
+    def _log_lines(self) -> Iterator[str]:
+        named = self.option('log')
+        if named == '-':
+            yield from sys.stdin
+        else:
+            yield from self.read_file(named).splitlines()
+
 
 def _all_codes() -> Report:
     rows = [
