Tell instances that started at the same moment apart

Change: a life is the instance's name and the time of its start. The test in virtual time fails before.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
@@ -113,7 +113,7 @@
         """Whether this instance is the leader by what it knows."""
         return (
             self.leader is not None
-            and self.leader.incarnation == self._me.incarnation
+            and self.leader.life == self._me.life
             and not self.deposed
         )
 
@@ -135,7 +135,7 @@
         if leader.epoch <= self.epoch:
             return False
         self.leader = leader
-        self.deposed = leader.incarnation != self._me.incarnation
+        self.deposed = leader.life != self._me.life
         _log.info('leader changed', leader=leader.instance, epoch=leader.epoch)
         return True
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/news.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/news.py
@@ -28,7 +28,8 @@
     """Who leads; a later epoch replaces an earlier one.
 
     Attributes:
-        incarnation: tells a restarted instance from the one before.
+        incarnation: tells a restarted instance from the one before; another
+            instance may have started at the same moment.
     """
 
     epoch: int
@@ -37,6 +38,11 @@
     port: int
     incarnation: int
 
+    @property
+    def life(self) -> tuple[str, int]:
+        """What tells a process from all others."""
+        return self.instance, self.incarnation
+
 
 class Elector(NamedTuple):
     """An instance that the leader's row names."""
--- a/tests/builders/leadership_world.py
+++ b/tests/builders/leadership_world.py
@@ -234,6 +234,8 @@
         self.peer_by_name: dict[str, Peer] = {}
         self.problems: list[str] = []
         self.acting_s: float = 0
+        # Whether all instances start at the same moment.
+        self.one_life = False
         self._lives = 0
 
     async def run(self, steps: int) -> list[str]:
@@ -266,7 +268,7 @@
     def start(self, name: str) -> None:
         """Starts an instance, in place of its earlier life."""
         self.kill(name)
-        self._lives += 1
+        self._lives += not self.one_life
         self.peer_by_name[name] = Peer(self, name, self._lives)
 
     def kill(self, name: str) -> None:
--- a/tests/edge/test_leadership.py
+++ b/tests/edge/test_leadership.py
@@ -167,6 +167,29 @@
     assert not world.problems
 
 
+@in_virtual_time
+async def test_instances_that_start_at_the_same_moment_are_told_apart() -> (
+    None
+):
+    """Guards against a member that takes itself for the leader.
+
+    klatka-gw quiet-1 without processor time: OWNER 3551, since two instances
+    had started in the same nanosecond.
+    """
+    world = LeadershipWorld(4)
+    world.one_life = True
+    watch = await _settled(world)
+    assert world.acting() is not None
+    leading = [
+        name
+        for name, peer in world.peer_by_name.items()
+        if peer.leadership.leading()
+    ]
+    assert leading == [world.acting()]
+    await world.stop(watch)
+    assert not world.problems
+
+
 @in_virtual_time
 async def test_a_killed_leader_is_replaced_within_three_seconds() -> None:
     """Guards against leases of keys that end before a new leader renews."""
