Leave room at servers by the square root of their capacity

Cause: keys were divided so that all servers were equally busy.

Change: a server's fair load is its capacity less room in proportion to its square root, which is least waiting for queues with random arrivals; with no room all are equally busy.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
@@ -126,14 +126,14 @@
     def __init__(
         self,
         spans: Sequence[Span],
-        capacity_by_holder: Mapping[Holder, float],
+        fair_load_by_holder: Mapping[Holder, float],
         profile: LoadProfile,
     ) -> None:
         self._profile = profile
-        self._capacity_by_holder = capacity_by_holder
+        self._fair_load_by_holder = fair_load_by_holder
         self._spans = list(spans)
         self._load_by_holder: dict[Holder, float] = dict.fromkeys(
-            capacity_by_holder, 0
+            fair_load_by_holder, 0
         )
         usable = self._load_by_holder.keys()
         for span in spans:
@@ -142,9 +142,9 @@
 
     @property
     def mean(self) -> float:
-        """The load of each server if all were equal, by its capacity."""
+        """The load over the fair load if all servers were equally so."""
         total = self._profile.weight(0, KEY_COUNT - 1)
-        return total / sum(self._capacity_by_holder.values())
+        return total / sum(self._fair_load_by_holder.values())
 
     def place_unowned(self) -> list[Move]:
         """Gives ranges without a usable server to those with room."""
@@ -192,7 +192,7 @@
     def _relieve_one(self, hottest: Holder, least_share: float) -> Move | None:
         coolest = min(self._load_by_holder, key=self._relative)
         amount = min(self._excess(hottest), -self._excess(coolest))
-        least = self.mean * self._capacity_by_holder[coolest] * least_share
+        least = self.mean * self._fair_load_by_holder[coolest] * least_share
         if amount < least:
             return None
         span = self._best_span(hottest, amount)
@@ -272,7 +272,7 @@
         while first <= span.last:
             coolest = min(self._load_by_holder, key=self._relative)
             room = -self._excess(coolest)
-            least = self.mean * self._capacity_by_holder[coolest] / 4
+            least = self.mean * self._fair_load_by_holder[coolest] / 4
             last = self._profile.cut(first, span.last, max(room, least))
             if self._profile.weight(last + 1, span.last) < least:
                 last = span.last
@@ -287,10 +287,10 @@
         return self._profile.weight(span.first, span.last)
 
     def _relative(self, holder: Holder) -> float:
-        return self._load_by_holder[holder] / self._capacity_by_holder[holder]
+        return self._load_by_holder[holder] / self._fair_load_by_holder[holder]
 
     def _excess(self, holder: Holder) -> float:
-        fair = self.mean * self._capacity_by_holder[holder]
+        fair = self.mean * self._fair_load_by_holder[holder]
         return self._load_by_holder[holder] - fair
 
 
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/keeper.py
@@ -33,7 +33,10 @@
     Segment,
     SegmentTable,
 )
-from yuccadale_edge._internal.ownership.speeds import ServerSpeeds
+from yuccadale_edge._internal.ownership.speeds import (
+    ServerSpeeds,
+    fair_loads,
+)
 from yuccadale_edge._internal.store import (
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -288,7 +291,9 @@
             self._span(segment, usable, now_s)
             for segment in self.table.segments
         ]
-        balancer = Balancer(spans, capacity, self.load.profile())
+        profile = self.load.profile()
+        fair = fair_loads(capacity, profile.weight(0, KEY_COUNT - 1))
+        balancer = Balancer(spans, fair, profile)
         moves = balancer.place_unowned()
         moving = sum(
             1 for segment in self.table.segments if segment.target is not None
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/speeds.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/speeds.py
@@ -1,14 +1,49 @@
 """How fast servers are, learnt from the times of their answers."""
 
+from collections.abc import Mapping
+from math import sqrt
+
+from yuccadale_edge._internal.ownership.segments import Holder
+
 # Older answers count half after this many newer ones.
 _MEMORY = 150.0
 # Measured speed is trusted only within these factors of the mean.
 _SLOWEST = 0.15
 _FASTEST = 3.0
+# A server keeps at least this part of an even division by capacity, so that
+# it goes on showing its speed.
+_LEAST_PART = 0.2
 # Answers that count as if they had taken the mean time.
 _PRIOR = 8.0
 
 
+def fair_loads(
+    capacity_by_holder: Mapping[Holder, float], load: float
+) -> dict[Holder, float]:
+    """Divides work so that callers wait least.
+
+    A slow server takes longer for each request as well, so it is to be less
+    busy than a fast one: room is left in proportion to the square root of
+    the capacity, which is least waiting for single queues with random
+    arrivals. Where there is no room, all get work by their capacity.
+
+    Args:
+        capacity_by_holder: work in seconds a second that each can do.
+        load: work in seconds a second that is asked for.
+    """
+    total = sum(capacity_by_holder.values())
+    room = max(0, total - load)
+    roots = sum(map(sqrt, capacity_by_holder.values()))
+    even = (total - room) / total
+    return {
+        holder: max(
+            capacity * even * _LEAST_PART,
+            capacity - sqrt(capacity) * room / roots,
+        )
+        for holder, capacity in capacity_by_holder.items()
+    }
+
+
 class ServerSpeeds:
     """Speed of each server relative to the mean of its service."""
 
--- a/packages/edge/src/yuccadale_edge/ownership.py
+++ b/packages/edge/src/yuccadale_edge/ownership.py
@@ -22,7 +22,10 @@
     Segment,
     SegmentTable,
 )
-from yuccadale_edge._internal.ownership.speeds import ServerSpeeds
+from yuccadale_edge._internal.ownership.speeds import (
+    ServerSpeeds,
+    fair_loads,
+)
 
 __all__ = (
     'CLOCK_MARGIN',
@@ -40,6 +43,7 @@
     'SegmentTable',
     'ServerSpeeds',
     'Span',
+    'fair_loads',
     'record_of',
     'segments_of',
 )
--- a/tests/edge/test_leadership.py
+++ b/tests/edge/test_leadership.py
@@ -168,9 +168,7 @@
 
 
 @in_virtual_time
-async def test_instances_that_start_at_the_same_moment_are_told_apart() -> (
-    None
-):
+async def test_instances_that_start_at_the_same_moment_are_told_apart() -> None:
     """Guards against a member that takes itself for the leader.
 
     klatka-gw quiet-1 without processor time: OWNER 3551, since two instances
