Send first what has to start first; read at once at the start

Change: of what waits, that request goes first which has to start first to meet its target; each rank of priority counts as 100 ms, a refusal before as 50 ms. What can no longer meet its target goes last. The test of urgent and returned work stands unchanged; two are added, which fail before.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -1,6 +1,7 @@
 """An instance that follows a leader, finds one, or becomes one."""
 
 import asyncio
+from math import inf
 
 import msgspec
 import structlog
@@ -55,6 +56,9 @@
 # Members that do not hear of the sources read them later than the deputies.
 _DEPUTIES_SILENT_S = 0.5
 _DEPUTIES_PER_REGION = 2
+# A new elector that has not heard the leader for this long, which is a few
+# times the way there and back, does not wait for the connection to fail.
+_LEADER_ANSWERS_S = 0.15
 # A new instance that finds no leader waits so long for the rows that a
 # deputy of its region reads: all that start at once would fill the link to
 # the store.
@@ -92,7 +96,8 @@
         self._started_s = elapsed_s()
         self._heard_s = self._started_s
         self._heard = False
-        self._leader_missing = False
+        # When a leader that did not answer yet was asked first.
+        self._asked_s = inf
         self._leader_store_age_s: float = 0
         self._rows_heard_s: float = 0
         self._wake = asyncio.Event()
@@ -108,7 +113,7 @@
         now_s = elapsed_s()
         if not self._heard:
             if self._is_deputy():
-                return self._leader_missing
+                return now_s - self._asked_s > _LEADER_ANSWERS_S
             return now_s - self._started_s > _NEW_PATIENCE_S
         since_heard_s = now_s - self._heard_s
         late_s = max(
@@ -209,11 +214,11 @@
 
     async def _reached(self, leader: LeaderInfo) -> bool:
         """Whether the leader answered a report, or did a moment ago."""
+        self._asked_s = min(self._asked_s, elapsed_s())
         try:
             await self._report(leader)
         except (PeerUnreachableError, LinkLostError) as error:
             if not self._heard:
-                self._leader_missing = True
                 await self._ask_deputies()
             silent_s = elapsed_s() - self._heard_s
             if silent_s < self._patience_s():
--- a/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
@@ -25,7 +25,7 @@
 _WHOLE_TABLE_S = 2.5
 _FIRST_PAUSE_S = 0.2
 _LONGEST_PAUSE_S = 0.8
-_IDLE_CHECK_S = 0.25
+_IDLE_CHECK_S = 0.1
 
 OnRows = Callable[[str, Rows, int, bool], None]
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -149,15 +149,20 @@
         return allowed
 
     def _choose(self, work: Work, tried: set[str]) -> Server | None:
-        rank = (work.priority, 0 if work.returned else 1)
         best: Server | None = None
         best_cost = float('inf')
         for server in self._beliefs.servers.of(work.service):
             if server.server_id in tried or not self._beliefs.usable(server):
                 continue
             line = self._line(server)
-            wait_s = line.room_in_s(rank)
             mean_s = self.times.mean_s(work.route)
+            rank = line.rank(
+                priority=work.priority,
+                returned=work.returned,
+                expected_s=mean_s,
+                patience_s=self._patience_s(work),
+            )
+            wait_s = line.room_in_s(rank)
             cost = wait_s / mean_s + line.slowness * (
                 1.0 + line.running / line.limit / 2
             )
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_line.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_line.py
@@ -1,15 +1,18 @@
 """The line in front of one server: who is sent now, who waits, who is refused.
 
 Answers the pattern of a server that gets more than it can do: work that would
-end after its time is refused at once with the time at which there is room,
-and what is more urgent, or came back after a refusal, goes first.
+end after its time is refused at once with the time at which there is room.
+Of what waits, the request goes first that has to start first to meet its
+target; more urgent ones, and those that came back after a refusal, count as
+due sooner. Those that can no longer meet their target go last: after all
+callers came back at once, a line in the order of arrival serves only these.
 """
 
 import asyncio
-import heapq
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from math import inf
 
 from yuccadale_core.codes import ResultCode
 
@@ -17,6 +20,11 @@
 _NEW_SHARE = 0.1
 # Assumed until a first answer was seen; a tenth of a second is a usual page.
 _FIRST_GUESS_S = 0.08
+# A request counts as due so much later for each rank of its priority: about
+# as long as usual work, so that it decides where targets are alike.
+_PRIORITY_STEP_S = 0.1
+# And so much sooner if its caller was refused before: half a rank.
+_RETURNED_STEP_S = 0.05
 # Part of a running request that is still to come, on average.
 _REMAINING_SHARE = 0.5
 
@@ -49,12 +57,21 @@
             self._mean_s_by_route[route] = known + (took_s - known) * _NEW_SHARE
 
 
-@dataclass(order=True, slots=True)
+@dataclass(eq=False, slots=True)
 class _Waiting:
-    rank: tuple[int, int, int]
-    expected_s: float = field(compare=False)
-    latest_start_s: float = field(compare=False)
-    turn: asyncio.Future[None] = field(compare=False)
+    """A request that waits.
+
+    Attributes:
+        rank: when it counts as due, and its number.
+        start_by_s: when it has to start to meet its target.
+        latest_start_s: when nobody would wait for its answer any more.
+    """
+
+    rank: tuple[float, int]
+    start_by_s: float
+    expected_s: float
+    latest_start_s: float
+    turn: asyncio.Future[None]
 
 
 class ServerLine:
@@ -75,12 +92,28 @@
         """How many requests wait."""
         return len(self._waiting)
 
-    def room_in_s(self, rank: tuple[int, int] = (9, 9)) -> float:
+    def rank(
+        self,
+        *,
+        priority: int,
+        returned: bool,
+        expected_s: float,
+        patience_s: float,
+    ) -> float:
+        """Returns when a request counts as due; see ``turn``."""
+        step_s = priority * _PRIORITY_STEP_S - returned * _RETURNED_STEP_S
+        start_in_s = patience_s - expected_s * self.slowness
+        return self._now() + start_in_s + step_s
+
+    def room_in_s(self, rank: float = inf) -> float:
         """Returns the expected time until a request of a rank is sent."""
         if self.running < self.limit and not self._waiting:
             return 0
+        now_s = self._now()
         ahead = sum(
-            one.expected_s for one in self._waiting if one.rank[:2] <= rank
+            one.expected_s
+            for one in self._waiting
+            if one.rank[0] <= rank and one.start_by_s >= now_s
         )
         ahead += sum(self._running_s.values()) * _REMAINING_SHARE
         return ahead / self.limit
@@ -107,8 +140,13 @@
         Raises:
             LineFullError: the answer would come too late.
         """
+        rank = self.rank(
+            priority=priority,
+            returned=returned,
+            expected_s=expected_s,
+            patience_s=patience_s,
+        )
         expected_s *= self.slowness
-        rank = (priority, 0 if returned else 1)
         room_in_s = self.room_in_s(rank)
         if room_in_s + expected_s > remaining_s:
             raise LineFullError(ResultCode.deadline_too_short, room_in_s)
@@ -118,7 +156,8 @@
         number = self._sequence
         if self.running >= self.limit or self._waiting:
             latest = self._now() + remaining_s - expected_s
-            await self._wait((*rank, number), expected_s, latest)
+            start_by_s = self._now() + patience_s - expected_s
+            await self._wait((rank, number), start_by_s, expected_s, latest)
         else:
             self.running += 1
         self._running_s[number] = expected_s
@@ -143,11 +182,15 @@
         self._next()
 
     async def _wait(
-        self, rank: tuple[int, int, int], expected_s: float, latest_s: float
+        self,
+        rank: tuple[float, int],
+        start_by_s: float,
+        expected_s: float,
+        latest_s: float,
     ) -> None:
         turn = asyncio.get_running_loop().create_future()
-        waiting = _Waiting(rank, expected_s, latest_s, turn)
-        heapq.heappush(self._waiting, waiting)
+        waiting = _Waiting(rank, start_by_s, expected_s, latest_s, turn)
+        self._waiting.append(waiting)
         try:
             async with asyncio.timeout(max(0, latest_s - self._now())):
                 await turn
@@ -169,12 +212,20 @@
             return
         if waiting in self._waiting:
             self._waiting.remove(waiting)
-            heapq.heapify(self._waiting)
 
     def _next(self) -> None:
         while self._waiting and self.running < self.limit:
-            waiting = heapq.heappop(self._waiting)
+            waiting = self._first()
+            self._waiting.remove(waiting)
             if waiting.turn.done():
                 continue
             self.running += 1
             waiting.turn.set_result(None)
+
+    def _first(self) -> _Waiting:
+        now_s = self._now()
+
+        def turn_order(one: _Waiting) -> tuple[bool, tuple[float, int]]:
+            return one.start_by_s < now_s, one.rank
+
+        return min(self._waiting, key=turn_order)
--- a/tests/edge/test_new_instances.py
+++ b/tests/edge/test_new_instances.py
@@ -82,6 +82,7 @@
     member = _member(_RowOfLostLeader(Elector(*ME, 'a')), _NoLinks())
     assert not member.reads_sources()
     await member.follow()
+    await asyncio.sleep(0.2)
     assert member.reads_sources()
 
 
--- a/tests/edge/test_server_line.py
+++ b/tests/edge/test_server_line.py
@@ -75,6 +75,52 @@
     assert done == ['first', 'second', 'urgent', 'back', 'new', 'low']
 
 
+@in_virtual_time
+async def test_what_has_to_start_first_goes_first() -> None:
+    """Guards against a short target that is missed behind a long one.
+
+    klatka-gw trouble-1: requests for the archive, whose target is 600 ms,
+    waited behind all deposits, whose target is 800 ms.
+    """
+    line = _line()
+    done: list[str] = []
+    async with asyncio.TaskGroup() as group:
+        for name in ('first', 'second'):
+            group.create_task(_work(line, done, name))
+        await asyncio.sleep(0)
+        for number in range(4):
+            group.create_task(
+                _work(line, done, f'long{number}', priority=1, patience_s=0.8)
+            )
+        group.create_task(
+            _work(line, done, 'short', priority=2, patience_s=0.4)
+        )
+    assert done[2] == 'short'
+
+
+@in_virtual_time
+async def test_what_is_late_already_goes_last() -> None:
+    """Guards against a line that only serves what is late.
+
+    klatka-gw inc-f937: after a loss of all instances callers came back
+    together, and for 4 s each request was served after its target.
+    """
+    line = _line()
+    done: list[str] = []
+    slow = [asyncio.create_task(_hold(line, 1.0)) for _ in range(LIMIT)]
+    await asyncio.sleep(0)
+    async with asyncio.TaskGroup() as group:
+        for number in range(4):
+            group.create_task(
+                _work(line, done, f'late{number}', patience_s=0.5)
+            )
+        await asyncio.sleep(0.9)
+        group.create_task(_work(line, done, 'new', patience_s=0.5))
+    await asyncio.gather(*slow)
+    assert done[0] == 'new'
+    assert sorted(done[1:]) == [f'late{number}' for number in range(4)]
+
+
 @in_virtual_time
 async def test_what_would_end_too_late_is_refused_at_once() -> None:
     """Guards against holding a request that cannot be served in time."""
