Let the soak harm connections by loopback proxies, with overlapping faults

Each server, each instance and each instance's way to the store is reached through a proxy that delays, resets, silences or cuts one way; the store is cut from all instances for longer than a lease. Faults of processes and of connections run beside each other.

An instance may advertise an address that differs from the one that it listens on ([addresses] advertised), as behind an address translation.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -127,12 +127,12 @@
         store = parts.store(self._pool)
         contact = StoreContact()
         me = LeaderInfo(
-            0, settings.instance, *settings.peer_address, time.time_ns()
+            0, settings.instance, *settings.reached_at, time.time_ns()
         )
         spread = NewsSpread(settings, self._beliefs, self._links)
         electorate = Electorate(
             self._links,
-            settings.peer_address,
+            settings.reached_at,
             settings.instance,
             self._store_answers,
             self._known_epoch,
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -150,7 +150,7 @@
 
     def _line(self) -> RosterLine:
         """Returns this instance as others list it."""
-        host, port = self._settings.peer_address
+        host, port = self._settings.reached_at
         return RosterLine(
             self._settings.instance,
             host,
--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -171,7 +171,7 @@
         if elapsed_s() - self._heard_s < _LEADER_SILENT_S:
             return
         for address in self._settings.seeds:
-            if address == self._settings.peer_address:
+            if address == self._settings.reached_at:
                 continue
             seed = LeaderInfo(0, '', *address, 0)
             try:
@@ -249,7 +249,7 @@
         await self._leadership.look()
 
     def _is_here(self, leader: LeaderInfo) -> bool:
-        return (leader.host, leader.port) == self._settings.peer_address
+        return (leader.host, leader.port) == self._settings.reached_at
 
     async def _report(self, leader: LeaderInfo) -> None:
         body = _encode(self._reporter.report())
@@ -276,7 +276,7 @@
             return
         place = self._settings.place
         for elector in self._leadership.row_electors:
-            here = elector.address == self._settings.peer_address
+            here = elector.address == self._settings.reached_at
             if here or place.distance(elector.data_centre) > 1:
                 continue
             try:
@@ -352,7 +352,7 @@
         if not self._beliefs.instance_by_name:
             # The others are not known yet, but the leader's row names some.
             named = [one.address for one in self._leadership.row_electors]
-            return not named or self._settings.peer_address in named
+            return not named or self._settings.reached_at in named
         leader = self._leadership.leader
         peers = {one.name for one in self._spread.near()}
         if leader is not None:
--- a/packages/edge/src/yuccadale_edge/_internal/model.py
+++ b/packages/edge/src/yuccadale_edge/_internal/model.py
@@ -160,7 +160,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """Checked settings of one instance."""
+    """Checked settings of one instance.
+
+    Attributes:
+        peer_address: where it listens for other instances.
+        advertised_address: where they reach it, if that is elsewhere, as
+            behind an address translation.
+    """
 
     instance: str
     place: Place
@@ -171,3 +177,9 @@
     seeds: tuple[Address, ...]
     store_address: Address
     bounds: Bounds = field(default_factory=Bounds)
+    advertised_address: Address | None = None
+
+    @property
+    def reached_at(self) -> Address:
+        """Where other instances reach this one."""
+        return self.advertised_address or self.peer_address
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -5,11 +5,12 @@
 import signal
 import sys
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from tests.builders.platform_system import REGION_BY_ZONE, free_port
+from tests.soak.proxy import LoopbackProxy, running_proxy
 
 _SETTINGS = """\
 [instance]
@@ -24,6 +25,7 @@
 callers = 127.0.0.1:{callers}
 readiness = 127.0.0.1:{readiness}
 peers = 127.0.0.1:{peers}
+advertised = 127.0.0.1:{advertised}
 metrics = 127.0.0.1:{metrics}
 store = {store}
 
@@ -41,6 +43,7 @@
     zone: str
     directory: Path
     store: str
+    proxies: list[LoopbackProxy]
     ports: dict[str, int] = field(default_factory=dict)
     process: asyncio.subprocess.Process | None = None
     paused: bool = False
@@ -122,25 +125,54 @@
 async def soak_instances(
     count: int, directory: Path, store: tuple[str, int]
 ) -> AsyncIterator[list[SoakInstance]]:
-    """Runs instances; ends those processes that it started, by their ids."""
-    instances = [
-        _instance(number, directory, f'{store[0]}:{store[1]}')
-        for number in range(count)
-    ]
+    """Runs instances; ends those processes that it started, by their ids.
+
+    Each has a proxy of its own before the store, and one before itself.
+    """
+    async with AsyncExitStack() as stack:
+        instances = [
+            await _instance(number, directory, store, stack)
+            for number in range(count)
+        ]
+        async with _started(instances):
+            yield instances
+
+
+@asynccontextmanager
+async def _started(instances: list[SoakInstance]) -> AsyncIterator[None]:
     try:
         for instance in instances:
             await instance.start()
-        yield instances
+        yield
     finally:
         for started in instances:
             await started.end()
 
 
-def _instance(number: int, directory: Path, store: str) -> SoakInstance:
+async def _instance(
+    number: int,
+    directory: Path,
+    store: tuple[str, int],
+    stack: AsyncExitStack,
+) -> SoakInstance:
     zones = list(REGION_BY_ZONE)
     ports = {
         purpose: free_port()
         for purpose in ('callers', 'readiness', 'peers', 'metrics')
     }
-    zone = zones[number % len(zones)]
-    return SoakInstance(f'edge-{number}', zone, directory, store, ports)
+    before_peers = await stack.enter_async_context(
+        running_proxy(('127.0.0.1', ports['peers']), free_port())
+    )
+    before_store = await stack.enter_async_context(
+        running_proxy(store, free_port())
+    )
+    ports['advertised'] = before_peers.address[1]
+    host, port = before_store.address
+    return SoakInstance(
+        f'edge-{number}',
+        zones[number % len(zones)],
+        directory,
+        f'{host}:{port}',
+        [before_peers, before_store],
+        ports,
+    )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,7 +10,8 @@
 import sys
 import tempfile
 from collections import Counter
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -20,6 +21,7 @@
 from tests.builders.platform_store import RunningStore, running_store
 from tests.builders.platform_system import HOST, configuration
 from tests.soak.processes import SoakInstance, soak_instances
+from tests.soak.proxy import LoopbackProxy, running_proxy
 
 INSTANCES = 4
 KEYED_SERVERS = 4
@@ -28,12 +30,17 @@
 _DEADLINE_MS = 2000
 _PROMISES = frozenset((408, 421, 429, 503))
 _FAULT_PAUSES_S = (0.1, 0.4, 1.0)
+_CONNECTION_FAULT_S = (0.3, 1.0, 3.0)
+_STORE_CUT_S = 6.0
 _READY_S = 15.0
 _RECOVER_S = 10.0
 # Requests to each instance, about different keys, that have to succeed.
 _PROBES = 8
 
 
+Fault = Callable[[], Coroutine[None, None, None]]
+
+
 @dataclass
 class SoakReport:
     """What callers saw, and what broke a promise."""
@@ -53,6 +60,7 @@
         store: RunningStore,
         servers: list[PlatformServer],
         instances: list[SoakInstance],
+        proxies: list[LoopbackProxy],
         session: aiohttp.ClientSession,
     ) -> None:
         self.report = SoakReport(seed)
@@ -60,6 +68,11 @@
         self._store = store
         self._servers = servers
         self._instances = instances
+        # Before servers, the store and each instance.
+        self._proxies = [
+            *proxies,
+            *(proxy for one in instances for proxy in one.proxies),
+        ]
         self._session = session
         self._attempt = 0
         self._refused: list[str] = []
@@ -69,18 +82,22 @@
         await self._until_served(_READY_S, 'not served after the start')
         tasks = [asyncio.create_task(self._call()) for _ in range(CALLERS)]
         tasks.append(asyncio.create_task(self._watch_holders()))
-        faults = asyncio.create_task(self._inject())
+        # Two at a time, so that faults overlap as well as follow each other.
+        faults = [
+            asyncio.create_task(self._inject(self._process_faults())),
+            asyncio.create_task(self._inject(self._connection_faults())),
+        ]
         await asyncio.sleep(for_s)
-        for task in (*tasks, faults):
+        for task in (*tasks, *faults):
             task.cancel()
-        await asyncio.gather(*tasks, faults, return_exceptions=True)
+        await asyncio.gather(*tasks, *faults, return_exceptions=True)
         await self._heal()
         await self._until_served(_RECOVER_S, 'not served after the faults')
         self._check_runs()
         return self.report
 
-    async def _inject(self) -> None:
-        actions = (
+    def _process_faults(self) -> list[Fault]:
+        return [
             self._kill,
             self._terminate,
             self._pause,
@@ -89,13 +106,52 @@
             self._lose_answers,
             self._leave,
             self._reload,
-        )
+        ]
+
+    def _connection_faults(self) -> list[Fault]:
+        return [
+            self._delay,
+            self._reset,
+            self._silence,
+            self._cut_one_way,
+            self._cut_store_from_all,
+        ]
+
+    async def _inject(self, faults: list[Fault]) -> None:
         while True:
-            action = self._random.choice(actions)
-            self.report.faults.append(action.__name__.strip('_'))
-            await action()
+            fault = self._random.choice(faults)
+            self.report.faults.append(fault.__name__.strip('_'))
+            await fault()
             await asyncio.sleep(self._random.choice(_FAULT_PAUSES_S))
 
+    async def _delay(self) -> None:
+        proxy = self._random.choice(self._proxies)
+        proxy.delay_s = self._random.choice((0.02, 0.1, 0.5))
+        await asyncio.sleep(self._random.choice(_CONNECTION_FAULT_S))
+        proxy.heal()
+
+    async def _reset(self) -> None:
+        self._random.choice(self._proxies).reset()
+
+    async def _silence(self) -> None:
+        self._random.choice(self._proxies).silence()
+
+    async def _cut_one_way(self) -> None:
+        proxy = self._random.choice(self._proxies)
+        proxy.held = frozenset((self._random.choice(('there', 'back')),))
+        await asyncio.sleep(self._random.choice(_CONNECTION_FAULT_S))
+        proxy.heal()
+
+    async def _cut_store_from_all(self) -> None:
+        """Longer than a lease: the leader goes on by promises."""
+        doors = [instance.proxies[1] for instance in self._instances]
+        for door in doors:
+            door.refusing = True
+            door.reset()
+        await asyncio.sleep(_STORE_CUT_S)
+        for healed in doors:
+            healed.heal()
+
     async def _kill(self) -> None:
         instance = self._random.choice(self._instances)
         instance.signal(signal.SIGKILL)
@@ -150,6 +206,8 @@
     async def _heal(self) -> None:
         self._store.faults.down = False
         self._store.faults.lose_answers = False
+        for proxy in self._proxies:
+            proxy.heal()
         for server in self._servers:
             server.lose_answers = False
             self._store.state.put('servers', server.server_id, server.entry())
@@ -230,6 +288,19 @@
             self.report.problems.append(problem)
 
 
+@asynccontextmanager
+async def _reached_by_proxy(
+    server: PlatformServer, store: RunningStore
+) -> AsyncIterator[LoopbackProxy]:
+    """Runs a server that registers the address of a proxy before it."""
+    async with running_server(server, store):
+        host, _, port = server.address.rpartition(':')
+        async with running_proxy((host, int(port))) as proxy:
+            server.address = f'{proxy.address[0]}:{proxy.address[1]}'
+            store.state.put('servers', server.server_id, server.entry())
+            yield proxy
+
+
 async def play(seed: int, for_s: float, directory: Path) -> SoakReport:
     """Plays one seed; logs and settings stay in the directory."""
     servers = [
@@ -241,15 +312,18 @@
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_store())
         store.state.put('op', 'config', configuration())
-        for server in servers:
-            await stack.enter_async_context(running_server(server, store))
+        proxies = [
+            await stack.enter_async_context(_reached_by_proxy(server, store))
+            for server in servers
+        ]
         instances = await stack.enter_async_context(
             soak_instances(INSTANCES, directory, store.address)
         )
         session = await stack.enter_async_context(
             aiohttp.ClientSession(timeout=timeout)
         )
-        return await Soak(seed, store, servers, instances, session).run(for_s)
+        soak = Soak(seed, store, servers, instances, proxies, session)
+        return await soak.run(for_s)
 
 
 def main() -> int:
