Ask a server again that shed a request about its keys; count promises

Change: a request that its owner did not run is sent to it again after 30 ms, within the attempts of its route and the shared retry budget. It has not run, as the server says, so this holds for work that must not repeat too. The test with a server that sheds once fails before.

Promises and agreements of electors are counted on the metrics address. An elector reads the tables when the leader has not answered for 0.1 s.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -136,6 +136,7 @@
             settings.instance,
             self._store_answers,
             self._known_epoch,
+            self._metrics,
         )
         self._leadership = Leadership(
             store,
--- a/packages/edge/src/yuccadale_edge/_internal/membership/electorate.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/electorate.py
@@ -20,6 +20,7 @@
     Elector,
 )
 from yuccadale_edge._internal.membership.promises import Promises, is_majority
+from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.transport.client_pool import Address
 
 _log = structlog.get_logger()
@@ -84,12 +85,14 @@
         name: str,
         store_answers: Callable[[], Awaitable[bool]],
         known_epoch: Callable[[], int],
+        metrics: Metrics,
     ) -> None:
         self._links = links
         self._me = me
         self._name = name
         self._store_answers = store_answers
         self._known_epoch = known_epoch
+        self._metrics = metrics
         self._promises = Promises(elapsed_s)
 
     async def promised(
@@ -121,6 +124,7 @@
             and not await self._store_answers()
             and self._promises.promise(question.version)
         )
+        self._metrics.count('promises', given=str(given))
         _log.info(
             'promise to the leader' if given else 'no promise to the leader',
             epoch=question.epoch,
@@ -133,6 +137,7 @@
         """Answers an instance that wants to lead."""
         question = _decode_agree(body)
         given = self._promises.agree(question.version)
+        self._metrics.count('replacements', agreed=str(given))
         _log.info(
             'replacement agreed to' if given else 'replacement not agreed to',
             candidate=question.instance,
--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -58,7 +58,7 @@
 _DEPUTIES_PER_REGION = 2
 # A new elector that has not heard the leader for this long, which is a few
 # times the way there and back, does not wait for the connection to fail.
-_LEADER_ANSWERS_S = 0.15
+_LEADER_ANSWERS_S = 0.1
 # A new instance that finds no leader waits so long for the rows that a
 # deputy of its region reads: all that start at once would fill the link to
 # the store.
--- a/packages/edge/src/yuccadale_edge/_internal/routing/entry.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/entry.py
@@ -49,6 +49,10 @@
 # Part of the remaining time that a request waits for its keys to settle.
 _MOVE_WAIT_SHARE = 0.5
 _MAX_ROUNDS = 6
+# A server that did not run a request, though it holds the key, is asked again
+# after this: one that is full has room after some ms, and one that sheds a
+# part of its requests may take the next one.
+_SHED_PAUSE_S = 0.03
 
 FORWARD_TOPIC = 'forward'
 
@@ -213,6 +217,9 @@
                 return result
             if not self._may_send_again(work, arrivals):
                 return result
+            if result.code == ResultCode.server_shedding:
+                work.server_id = None
+                await asyncio.sleep(_SHED_PAUSE_S)
             self._metrics.count(
                 'retry',
                 service=work.service,
@@ -338,6 +345,7 @@
             return code == ResultCode.server_unreachable
         return code in {
             ResultCode.server_refused_token,
+            ResultCode.server_shedding,
             ResultCode.server_unreachable,
         }
 
--- a/tests/builders/leadership_world.py
+++ b/tests/builders/leadership_world.py
@@ -32,6 +32,7 @@
     LeaderInfo,
 )
 from yuccadale_edge._internal.membership.source_reader import StoreContact
+from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.store import (
     Rows,
     StoredRow,
@@ -169,6 +170,7 @@
             name,
             self._store_answers,
             self._known_epoch,
+            Metrics(),
         )
         self.leadership = Leadership(
             DoorToStore(world, name),
--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -32,6 +32,7 @@
         runs: how often each request id began to be worked on.
         work_s: time that a request takes.
         lose_answers: requests run, and their connections end unanswered.
+        shed_next: so many requests are refused although there is room.
         extra_answers: a second answer follows each one, a little later.
         history: what it was told about keys, in order.
     """
@@ -45,6 +46,7 @@
     lose_answers: bool = False
     extra_answers: bool = False
     full: bool = False
+    shed_next: int = 0
     health_path: str = '/healthz'
     address: str = ''
     born: int = field(default_factory=lambda: int(time.time() * 1000))
@@ -201,6 +203,9 @@
         return web.Response(status=421, headers=not_executed)
     if server.keyed and not server.holds(key):
         return web.Response(status=421, headers=not_executed)
+    if server.shed_next:
+        server.shed_next -= 1
+        return web.Response(status=503, headers={'X-Not-Executed': '1'})
     if server.full:
         return web.Response(status=503, headers=not_executed)
     return None
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -86,6 +86,20 @@
         assert _runs(system, 'full') == 0
 
 
+async def test_a_server_that_sheds_a_part_is_asked_again() -> None:
+    """Guards against a refusal where the owner would take the next request.
+
+    escoa-gw scale-1: 358 refusals a second while servers shed a half.
+    """
+    async with platform_system(keyed=1) as system:
+        name = await system.add_instance()
+        await system.serves(name, 7)
+        system.server_by_id['k0'].shed_next = 1
+        status, _, _ = await system.ask(name, '/keyed/x', key=7, attempt='shed')
+        assert status == 200
+        assert _runs(system, 'shed') == 1
+
+
 async def test_an_extra_answer_belongs_to_no_request() -> None:
     """Guards against handing an answer to the next request of a link."""
     async with platform_system(keyed=0) as system:
