--- a/tests/builders/platform_store.py
+++ b/tests/builders/platform_store.py
@@ -125,11 +125,17 @@
         yield RunningStore((host, int(bound)), state, faults)
 
 
-def _answer(state: PlatformStoreState, rows: list, status: int = 200):
+def _answer(
+    state: PlatformStoreState,
+    rows: list,
+    status: int = 200,
+    *,
+    has_more: bool = False,
+):
     document = {
         'rows': rows,
         'ver': state.version,
-        'has_more': False,
+        'has_more': has_more,
         'now': f'{int(time.monotonic() * 1000)}ms',
     }
     return web.json_response(document, status=status)
@@ -184,8 +190,14 @@
 
 def _get(state: PlatformStoreState):
     async def handle(request: web.Request) -> web.Response:
-        rows = state.rows(request.query['table'], -1, feed=False)
-        return _answer(state, rows[:_PAGE_ROWS])
+        first = request.query.get('from', '')
+        rows = [
+            row
+            for row in state.rows(request.query['table'], -1, feed=False)
+            if row['key'] >= first
+        ]
+        page = rows[:_PAGE_ROWS]
+        return _answer(state, page, has_more=len(rows) > len(page))
 
     return handle
 
