Close silent links to peers; wait for servers that may be leaving

Members asked their leader in vain for more than 10 s. After a question without an answer the peer now has to echo a frame within 1 s, or the link is closed and made anew; a slow answer keeps the link.

One that leaves stops listening before its work is done, and during an outage of the store nobody knows that it leaves. The proof now needs a list of servers of the last 1.5 s that says that it stays; otherwise its lease is waited out.

--- a/packages/edge/src/yuccadale_edge/_internal/beliefs.py
+++ b/packages/edge/src/yuccadale_edge/_internal/beliefs.py
@@ -7,6 +7,7 @@
 import asyncio
 from bisect import bisect_right
 from collections.abc import Callable, Iterable
+from math import inf
 from typing import NamedTuple
 
 import msgspec
@@ -32,6 +33,9 @@
 # its return if their servers live. One that really left may get nothing new
 # 2 s after its entry was seen to be gone, so the wait is shorter.
 LAPSED_GRACE_S = 1.6
+# The leader hears of the list at least each 1.2 s while the store is there;
+# a server that leaves has said so for longer when it stops listening.
+_FRESH_LIST_S = 1.5
 
 DecodeConfiguration = Callable[[bytes], Configuration]
 DecodeServer = Callable[[str, bytes], Server]
@@ -152,6 +156,16 @@
         )
         return True
 
+    def ready(self, server_id: str, incarnation: int) -> bool:
+        """Whether the last entry of a life of a server says that it stays."""
+        server = self.server_by_id.get(server_id)
+        return (
+            server is not None
+            and server.incarnation == incarnation
+            and server.state == ServerState.ready
+            and server_id not in self._lapsed
+        )
+
     def cold(self, server: Server) -> bool:
         """Whether a server is still slow after its start."""
         until_s = self._cold_until_s.get(
@@ -225,6 +239,8 @@
         self.configuration_row: StoredRow | None = None
         self.servers = ServerList(decode_server)
         self.version_by_table = dict.fromkeys(SOURCE_TABLES, 0)
+        # When rows, or that there are none, were last heard of each table.
+        self.heard_s_by_table = dict.fromkeys(SOURCE_TABLES, -inf)
         self.owners_by_service: dict[str, OwnerMap] = {}
         self.instance_by_name: dict[str, Instance] = {}
         self.roster_version = (0, 0)
@@ -258,6 +274,7 @@
         self, table: str, rows: Rows, *, whole: bool, lapsed_grace: bool
     ) -> None:
         """Takes rows of a source table; ``whole`` means that it is all."""
+        self.heard_s_by_table[table] = elapsed_s()
         changed = False
         listed = rows.rows
         if whole and table == SERVER_TABLE:
@@ -287,6 +304,12 @@
         services = self.configuration.service_by_name.values()
         return sorted({service.health_path for service in services})
 
+    def surely_stays(self, server_id: str, incarnation: int) -> bool:
+        """Whether a server is not leaving, by a list that is up to date."""
+        age_s = elapsed_s() - self.heard_s_by_table[SERVER_TABLE]
+        fresh = age_s < _FRESH_LIST_S
+        return fresh and self.servers.ready(server_id, incarnation)
+
     def keyed_services(self) -> list[str]:
         """Returns the services that divide keys among their servers."""
         if self.configuration is None:
--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -1,7 +1,10 @@
 """Links between instances: framed messages over kept TCP connections.
 
 Each instance dials the others for its own questions and news. A question may
-be cancelled; a link that is lost fails the questions that wait on it.
+be cancelled; a link that is lost fails the questions that wait on it. An open
+connection can go silent for good while new ones work, also where the kernel
+sees its bytes acknowledged: after a question without an answer the peer has
+to echo a frame, or the link is closed.
 """
 
 import asyncio
@@ -21,11 +24,16 @@
 _MAX_FRAME_BYTES = 80 * 1024 * 1024
 _UNACKNOWLEDGED_MS = 1500
 _CONNECT_TIMEOUT_S = 0.5
+# A peer that runs echoes a frame within some ms; a paused one is reached
+# again by a new link.
+_ECHO_TIMEOUT_S = 1.0
 
 _QUESTION = 0
 _ANSWER = 1
 _CANCEL = 2
 _NEWS = 3
+_PROBE = 4
+_ECHO = 5
 
 
 class LinkLostError(Exception):
@@ -74,6 +82,8 @@
         self._writer = writer
         self._future_by_number: dict[int, asyncio.Future[bytes]] = {}
         self._next_number = 0
+        self._frames_read = 0
+        self._probe: asyncio.Task[None] | None = None
         self.open = True
 
     async def ask(self, topic: str, body: bytes) -> bytes:
@@ -106,11 +116,17 @@
         if self.open:
             self._writer.write(_frame(_NEWS, 0, topic, body))
 
+    def prove(self) -> None:
+        """Closes the link unless the peer still answers on it."""
+        if self.open and self._probe is None:
+            self._probe = asyncio.create_task(self._await_echo())
+
     async def read(self, reader: asyncio.StreamReader) -> None:
         """Hands out answers until the link ends."""
         try:
             while True:
                 _, number, _, body = await _read_frame(reader)
+                self._frames_read += 1
                 future = self._future_by_number.get(number)
                 if future is not None and not future.done():
                     future.set_result(body)
@@ -128,6 +144,19 @@
             if not future.done():
                 future.set_exception(LinkLostError('the link was lost'))
 
+    async def _await_echo(self) -> None:
+        read_before = self._frames_read
+        self._writer.write(_frame(_PROBE, 0, '', b''))
+        await asyncio.sleep(_ECHO_TIMEOUT_S)
+        self._probe = None
+        if self.open and self._frames_read == read_before:
+            _log.warning(
+                'silent link to a peer closed',
+                waited_s=_ECHO_TIMEOUT_S,
+                questions=len(self._future_by_number),
+            )
+            self.close()
+
 
 class PeerLinks:
     """All links that this instance dialled, by address."""
@@ -151,6 +180,7 @@
             async with asyncio.timeout(timeout_s):
                 return await link.ask(topic, body)
         except TimeoutError as error:
+            link.prove()
             raise LinkLostError(f'no answer within {timeout_s} s') from error
 
     async def tell(self, address: Address, topic: str, body: bytes) -> bool:
@@ -237,6 +267,8 @@
         kind, number, topic, body = frame
         if kind == _NEWS:
             self._listen(topic, body)
+        elif kind == _PROBE:
+            writer.write(_frame(_ECHO, number, topic, b''))
         elif kind == _CANCEL:
             known = task_by_number.pop(number, None)
             if known is not None:
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -28,7 +28,8 @@
 
 _CALLS_PER_SERVER = 4
 # A first refusal of a connection may come from a cut; a second one later is
-# taken as proof that the process has ended.
+# taken as proof that the process has ended, unless it may be leaving: such a
+# process stops listening before its work is done.
 _REFUSED_TWICE_AFTER_S = 0.3
 # How long a server that a call did not reach is given no more keys.
 _UNREACHABLE_S = 1.5
@@ -204,9 +205,18 @@
         now_s = elapsed_s()
         first_s = self._refused_by_holder.setdefault(holder, now_s)
         self._unreachable(holder, reason)
-        if now_s - first_s >= _REFUSED_TWICE_AFTER_S:
+        if now_s - first_s < _REFUSED_TWICE_AFTER_S:
+            return
+        if self._beliefs.surely_stays(*holder):
             self._refused_by_holder.pop(holder)
             self.end(holder, 'its address refused two connections')
+        else:
+            _log.info(
+                'server may be leaving, its lease is waited out',
+                server=holder.server_id,
+                incarnation=holder.incarnation,
+                refused_for_s=round(now_s - first_s, 2),
+            )
 
     def _unreachable(self, holder: Holder, reason: str) -> None:
         until = self._beliefs.unreachable_until_by_server
--- a/tests/builders/platform_system.py
+++ b/tests/builders/platform_system.py
@@ -20,8 +20,11 @@
 HOST = 'shop.example'
 _PROBES = itertools.count()
 _PATIENCE_S = 15.0
-# Below the ports that connections get; runs side by side begin elsewhere.
-_PORTS = iter(range(12000 + os.getpid() * 37 % 15000, 32000))
+# Below the ports that connections get. Runs side by side have blocks of
+# their own, since a port is only taken when its process listens.
+_BLOCK_PORTS = 1000
+_FIRST_PORT = 12000 + os.getpid() % 20 * _BLOCK_PORTS
+_PORTS = itertools.cycle(range(_FIRST_PORT, _FIRST_PORT + _BLOCK_PORTS))
 
 
 def free_port() -> int:
@@ -30,7 +33,7 @@
     A port that the system picks may be taken by a connection before the
     instance listens on it.
     """
-    for port in _PORTS:
+    for port in itertools.islice(_PORTS, _BLOCK_PORTS):
         with socket.socket() as probe:
             try:
                 probe.bind(('127.0.0.1', port))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -38,7 +38,7 @@
 _PROBES = 8
 
 
-Fault = Callable[[], Coroutine[None, None, None]]
+Fault = Callable[[random.Random], Coroutine[None, None, None]]
 
 
 @dataclass
@@ -84,8 +84,12 @@
         tasks.append(asyncio.create_task(self._watch_holders()))
         # Two at a time, so that faults overlap as well as follow each other.
         faults = [
-            asyncio.create_task(self._inject(self._process_faults())),
-            asyncio.create_task(self._inject(self._connection_faults())),
+            asyncio.create_task(
+                self._inject(self._process_faults(), 'processes')
+            ),
+            asyncio.create_task(
+                self._inject(self._connection_faults(), 'connections')
+            ),
         ]
         await asyncio.sleep(for_s)
         for task in (*tasks, *faults):
@@ -117,32 +121,34 @@
             self._cut_store_from_all,
         ]
 
-    async def _inject(self, faults: list[Fault]) -> None:
+    async def _inject(self, faults: list[Fault], name: str) -> None:
+        # Of its own, so that a seed gives the same faults again.
+        chance = random.Random(f'{self.report.seed} {name}')
         while True:
-            fault = self._random.choice(faults)
+            fault = chance.choice(faults)
             self.report.faults.append(fault.__name__.strip('_'))
-            await fault()
-            await asyncio.sleep(self._random.choice(_FAULT_PAUSES_S))
+            await fault(chance)
+            await asyncio.sleep(chance.choice(_FAULT_PAUSES_S))
 
-    async def _delay(self) -> None:
-        proxy = self._random.choice(self._proxies)
-        proxy.delay_s = self._random.choice((0.02, 0.1, 0.5))
-        await asyncio.sleep(self._random.choice(_CONNECTION_FAULT_S))
+    async def _delay(self, chance: random.Random) -> None:
+        proxy = chance.choice(self._proxies)
+        proxy.delay_s = chance.choice((0.02, 0.1, 0.5))
+        await asyncio.sleep(chance.choice(_CONNECTION_FAULT_S))
         proxy.heal()
 
-    async def _reset(self) -> None:
-        self._random.choice(self._proxies).reset()
+    async def _reset(self, chance: random.Random) -> None:
+        chance.choice(self._proxies).reset()
 
-    async def _silence(self) -> None:
-        self._random.choice(self._proxies).silence()
+    async def _silence(self, chance: random.Random) -> None:
+        chance.choice(self._proxies).silence()
 
-    async def _cut_one_way(self) -> None:
-        proxy = self._random.choice(self._proxies)
-        proxy.held = frozenset((self._random.choice(('there', 'back')),))
-        await asyncio.sleep(self._random.choice(_CONNECTION_FAULT_S))
+    async def _cut_one_way(self, chance: random.Random) -> None:
+        proxy = chance.choice(self._proxies)
+        proxy.held = frozenset((chance.choice(('there', 'back')),))
+        await asyncio.sleep(chance.choice(_CONNECTION_FAULT_S))
         proxy.heal()
 
-    async def _cut_store_from_all(self) -> None:
+    async def _cut_store_from_all(self, chance: random.Random) -> None:
         """Longer than a lease: the leader goes on by promises."""
         doors = [instance.proxies[1] for instance in self._instances]
         for door in doors:
@@ -152,14 +158,14 @@
         for healed in doors:
             healed.heal()
 
-    async def _kill(self) -> None:
-        instance = self._random.choice(self._instances)
+    async def _kill(self, chance: random.Random) -> None:
+        instance = chance.choice(self._instances)
         instance.signal(signal.SIGKILL)
         await instance.ended()
         await instance.start()
 
-    async def _terminate(self) -> None:
-        instance = self._random.choice(self._instances)
+    async def _terminate(self, chance: random.Random) -> None:
+        instance = chance.choice(self._instances)
         # A process that is still starting ends by the signal itself.
         if instance.paused or not await instance.listens():
             return
@@ -169,33 +175,33 @@
             self.report.problems.append(f'{instance.name} ended badly')
         await instance.start()
 
-    async def _pause(self) -> None:
-        instance = self._random.choice(self._instances)
+    async def _pause(self, chance: random.Random) -> None:
+        instance = chance.choice(self._instances)
         instance.signal(signal.SIGSTOP)
-        await asyncio.sleep(self._random.choice((0.5, 2.0, 5.0)))
+        await asyncio.sleep(chance.choice((0.5, 2.0, 5.0)))
         instance.signal(signal.SIGCONT)
 
-    async def _reload(self) -> None:
-        self._random.choice(self._instances).signal(signal.SIGHUP)
+    async def _reload(self, chance: random.Random) -> None:
+        chance.choice(self._instances).signal(signal.SIGHUP)
 
-    async def _store_down(self) -> None:
+    async def _store_down(self, chance: random.Random) -> None:
         self._store.faults.down = True
-        await asyncio.sleep(self._random.choice((0.5, 2.0, 4.0)))
+        await asyncio.sleep(chance.choice((0.5, 2.0, 4.0)))
         self._store.faults.down = False
 
-    async def _lose_store_answers(self) -> None:
+    async def _lose_store_answers(self, chance: random.Random) -> None:
         self._store.faults.lose_answers = True
         await asyncio.sleep(1.0)
         self._store.faults.lose_answers = False
 
-    async def _lose_answers(self) -> None:
-        server = self._random.choice(self._servers)
+    async def _lose_answers(self, chance: random.Random) -> None:
+        server = chance.choice(self._servers)
         server.lose_answers = True
         await asyncio.sleep(0.5)
         server.lose_answers = False
 
-    async def _leave(self) -> None:
-        server = self._random.choice(self._servers)
+    async def _leave(self, chance: random.Random) -> None:
+        server = chance.choice(self._servers)
         for state in ('draining', 'ready'):
             self._store.state.put(
                 'servers', server.server_id, server.entry(state)
