--- a/tests/builders/leadership_world.py
+++ b/tests/builders/leadership_world.py
@@ -235,7 +235,6 @@
         self.islands: list[set[str]] = []
         self.peer_by_name: dict[str, Peer] = {}
         self.problems: list[str] = []
-        self.acting_s: float = 0
         # Whether all instances start at the same moment.
         self.one_life = False
         self._lives = 0
@@ -297,7 +296,6 @@
             if len(acting) > 1:
                 now_s = asyncio.get_running_loop().time()
                 self.problems.append(f'{now_s:.2f} s: {acting} may act')
-            self.acting_s += _OBSERVE_S * bool(acting)
             await asyncio.sleep(_OBSERVE_S)
 
     def acting(self) -> str | None:
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -24,6 +24,12 @@
     return sum(one.runs[attempt] for one in system.server_by_id.values())
 
 
+async def _added_at_all(system: PlatformSystem, names: list[str]) -> bool:
+    """Whether all the instances serve the route that a test added."""
+    answers = [await system.ask(one, '/added/x') for one in names]
+    return all(status == 200 for status, _, _ in answers)
+
+
 def _assert_one_holder(system: PlatformSystem) -> None:
     for key in KEYS:
         holders = [
@@ -135,8 +141,7 @@
         await system.store.state.wake()
 
         async def added_everywhere() -> bool:
-            answers = [await system.ask(one, '/added/x') for one in names]
-            return all(status == 200 for status, _, _ in answers)
+            return await _added_at_all(system, names)
 
         await system.until(added_everywhere)
         for bad in (configuration(3), {'version': '0000000f'}, b'{"cut'):
@@ -238,8 +243,7 @@
         await system.store.state.wake()
 
         async def added_everywhere() -> bool:
-            answers = [await system.ask(one, '/added/x') for one in names]
-            return all(status == 200 for status, _, _ in answers)
+            return await _added_at_all(system, names)
 
         async with asyncio.timeout(CONVERGE_S):
             await system.until(added_everywhere)
