Prove links between instances by bytes from the peer, not by a write buffer

Cause: a probe counted a shrinking write buffer as progress. Under uvloop the buffer holds the probe itself until the end of the loop's step, so each probe of a stalled link succeeded, and a leader on stalled links was asked for 15 s. Links that carry only notifications were never probed.

Change: only bytes read from the peer keep a link. A receiver acknowledges the parts of a large frame, so that a busy link is kept. A probe is sent when a response is late by 0.35 s instead of after the request's timeout, and when notifications are sent on a link on which nothing was read for 3 s. A timeout on a connection to a server or to the store closes the idle connections to the same address that were not used since.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -3,8 +3,11 @@
 Each instance dials its peers to send its own requests and notifications. A
 request can be cancelled; the loss of a link fails the requests that wait on
 it. An open connection can stall for good although its bytes are acknowledged
-and new connections work. Therefore, after a request without a response, the
-peer has to echo a probe frame, or the link is closed.
+and new connections work. Therefore, while a response is late or nothing was
+received for some time, the peer has to echo a probe frame, or the link is
+closed. Only bytes from the peer count: bytes that left a write buffer may be
+in a buffer of the kernel or of a proxy. A peer that receives a large frame
+acknowledges its parts, since it reads the probe only after that frame.
 """
 
 import asyncio
@@ -16,6 +19,7 @@
 import msgspec
 import structlog
 
+from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.transport.client_pool import Address
 
 _log = structlog.get_logger()
@@ -25,9 +29,17 @@
 _READ_CHUNK_BYTES = 64 * 1024
 _TCP_USER_TIMEOUT_MS = 1500
 _CONNECT_TIMEOUT_S = 0.5
-# A running peer echoes a probe within a few ms unless large frames are sent
-# before it; a peer that was paused is reached again by a new link.
+# A running peer echoes a probe within a few ms; a peer that was paused is
+# reached again by a new link.
 _ECHO_TIMEOUT_S = 1.0
+# A response is late after this time. Most responses to reports take a few ms.
+_LATE_RESPONSE_S = 0.35
+# A link that carries only notifications is probed when nothing was received on
+# it for this long.
+_PROOF_INTERVAL_S = 3.0
+# A receiver acknowledges a large frame at least this often. A link that is
+# slower than this in the time of an echo counts as stalled.
+_ACKNOWLEDGED_BYTES = 16 * 1024
 
 _REQUEST = 0
 _RESPONSE = 1
@@ -65,11 +77,26 @@
 
     Attributes:
         bytes_read: number of bytes read, including incomplete frames.
+        read_s: when bytes were last read, or when the link was opened.
     """
 
-    def __init__(self, reader: asyncio.StreamReader) -> None:
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        acknowledge: Callable[[], None] | None = None,
+    ) -> None:
+        """Creates a reader.
+
+        Args:
+            reader: the stream.
+            acknowledge: called for each ``_ACKNOWLEDGED_BYTES`` of a frame
+                that is not complete yet.
+        """
         self.bytes_read = 0
+        self.read_s = elapsed_s()
         self._reader = reader
+        self._acknowledge = acknowledge
+        self._unacknowledged_bytes = 0
 
     async def read(self) -> Any:
         """Returns the next frame.
@@ -92,11 +119,22 @@
                 raise EOFError(
                     f'connection closed {left} bytes before the end of a frame'
                 )
-            self.bytes_read += len(chunk)
             chunks.append(chunk)
             left -= len(chunk)
+            self._record_chunk(len(chunk), left)
         return b''.join(chunks)
 
+    def _record_chunk(self, size: int, left: int) -> None:
+        self.bytes_read += size
+        self.read_s = elapsed_s()
+        self._unacknowledged_bytes += size
+        if left == 0:
+            self._unacknowledged_bytes = 0
+        elif self._unacknowledged_bytes >= _ACKNOWLEDGED_BYTES:
+            self._unacknowledged_bytes = 0
+            if self._acknowledge is not None:
+                self._acknowledge()
+
 
 def _set_socket_options(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info('socket')
@@ -120,7 +158,7 @@
         self._writer = writer
         self._future_by_request_id: dict[int, asyncio.Future[bytes]] = {}
         self._last_request_id = 0
-        self._probe: asyncio.Task[None] | None = None
+        self._probe_task: asyncio.Task[None] | None = None
         self.open = True
 
     async def request(self, topic: str, body: bytes) -> bytes:
@@ -139,6 +177,9 @@
         )
         self._future_by_request_id[request_id] = future
         self._writer.write(_frame(_REQUEST, request_id, topic, body))
+        late = asyncio.get_running_loop().call_later(
+            _LATE_RESPONSE_S, self.probe
+        )
         try:
             return await future
         except asyncio.CancelledError:
@@ -146,17 +187,21 @@
                 self._writer.write(_frame(_CANCEL, request_id, topic, b''))
             raise
         finally:
+            late.cancel()
             self._future_by_request_id.pop(request_id, None)
 
     def notify(self, topic: str, body: bytes) -> None:
         """Sends a message that gets no response."""
-        if self.open:
-            self._writer.write(_frame(_NOTIFICATION, 0, topic, body))
+        if not self.open:
+            return
+        self._writer.write(_frame(_NOTIFICATION, 0, topic, body))
+        if elapsed_s() - self._frames.read_s > _PROOF_INTERVAL_S:
+            self.probe()
 
     def probe(self) -> None:
         """Sends a probe, and closes the link if the peer does not echo it."""
-        if self.open and self._probe is None:
-            self._probe = asyncio.create_task(self._await_echo())
+        if self.open and self._probe_task is None:
+            self._probe_task = asyncio.create_task(self._await_echo())
 
     async def read(self) -> None:
         """Passes responses to their requests until the link ends."""
@@ -181,28 +226,18 @@
                 future.set_exception(LinkLostError('the link was lost'))
 
     async def _await_echo(self) -> None:
-        """Closes the link if no bytes are received or sent on it any more."""
-        self._writer.write(_frame(_PROBE, 0, '', b''))
         read_before = self._frames.bytes_read
-        unsent_before = self._unsent_bytes()
+        self._writer.write(_frame(_PROBE, 0, '', b''))
         await asyncio.sleep(_ECHO_TIMEOUT_S)
-        self._probe = None
-        progressed = (
-            self._frames.bytes_read > read_before
-            or self._unsent_bytes() < unsent_before
-        )
-        if self.open and not progressed:
+        self._probe_task = None
+        if self.open and self._frames.bytes_read == read_before:
             _log.warning(
                 'stalled link to a peer closed, next request reconnects',
                 waited_s=_ECHO_TIMEOUT_S,
-                questions=len(self._future_by_request_id),
-                unsent_bytes=unsent_before,
+                requests=len(self._future_by_request_id),
             )
             self.close()
 
-    def _unsent_bytes(self) -> int:
-        return self._writer.transport.get_write_buffer_size()
-
 
 class PeerLinks:
     """All links that this instance dialled, by address of the peer."""
@@ -310,7 +345,11 @@
         _set_socket_options(writer)
         self._writers.add(writer)
         task_by_request_id: dict[int, asyncio.Task[None]] = {}
-        frames = FrameReader(reader)
+
+        def acknowledge() -> None:
+            writer.write(_frame(_ECHO, 0, '', b''))
+
+        frames = FrameReader(reader, acknowledge)
         try:
             while True:
                 self._handle_frame(
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
@@ -39,6 +39,9 @@
     ) -> AsyncIterator[ClientConnection]:
         """Provides a connection for the block; keeps it if it is reusable.
 
+        After a timeout in the block, idle connections that were not used since
+        its begin are closed: connections to an address can all stall at once.
+
         Args:
             address: host and port.
             connect_timeout_s: the longest time for opening a connection.
@@ -50,8 +53,12 @@
         connection = None if force_new else self._take_idle(address)
         if connection is None:
             connection = await self._open(address, connect_timeout_s)
+        began = self._loop.time()
         try:
             yield connection
+        except TimeoutError:
+            self._close_unused_since(address, began)
+            raise
         finally:
             if connection.reusable:
                 self._idle_by_address.setdefault(address, []).append(connection)
@@ -78,6 +85,13 @@
             else:
                 self._idle_by_address.pop(address)
 
+    def _close_unused_since(self, address: Address, moment_s: float) -> None:
+        idle = self._idle_by_address.get(address, [])
+        for connection in list(idle):
+            if connection.idle_since <= moment_s:
+                idle.remove(connection)
+                connection.close()
+
     def _take_idle(self, address: Address) -> ClientConnection | None:
         idle = self._idle_by_address.get(address)
         now = self._loop.time()
--- /dev/null
+++ b/tests/edge/test_client_pool.py
@@ -0,0 +1,90 @@
+"""Connections to servers and the store that stall or end."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from tests.builders.raw_server import RawServer, Script, run_raw_server
+from yuccadale_edge._internal.transport.client_connection import Answer
+from yuccadale_edge._internal.transport.client_pool import Address, ClientPool
+
+_REQUEST = b'GET /x HTTP/1.1\r\nhost: s\r\n\r\n'
+_OK = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
+_IDLE = 3
+_TIMEOUT_S = 0.2
+
+
+def _accept_any(_answer: Answer) -> bool:
+    return True
+
+
+def _stalls_after_one_answer(raw: RawServer) -> Script:
+    """Returns a script; the first connections answer one request each."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        answers_all = raw.connections > _IDLE
+        while True:
+            await raw.read_request(reader)
+            writer.write(_OK)
+            while not answers_all:
+                # The connection stays open and is read.
+                if not await reader.read(1024):
+                    return
+
+    return script
+
+
+@asynccontextmanager
+async def _idle_connections() -> AsyncIterator[tuple[ClientPool, Address]]:
+    """Yields a pool with idle connections that have stalled."""
+    async with run_raw_server(_stalls_after_one_answer) as raw:
+        host, _, port = raw.address.rpartition(':')
+        address = (host, int(port))
+        pool = ClientPool(asyncio.get_running_loop())
+        await asyncio.gather(
+            *(_send(pool, address, force_new=True) for _ in range(_IDLE))
+        )
+        yield pool, address
+        pool.close_idle(address)
+
+
+async def _send(
+    pool: ClientPool, address: Address, *, force_new: bool = False
+) -> Answer:
+    async with pool.acquire(
+        address, _TIMEOUT_S, force_new=force_new
+    ) as connection:
+        async with asyncio.timeout(_TIMEOUT_S):
+            return await connection.exchange(_REQUEST, _accept_any)
+
+
+async def test_a_timeout_closes_idle_connections_that_may_have_stalled() -> (
+    None
+):
+    """Guards against one lost request for each stalled connection.
+
+    Connections to a server or to the store can all stall at the same moment.
+    """
+    async with _idle_connections() as (pool, address):
+        with pytest.raises(TimeoutError):
+            await _send(pool, address)
+        assert (await _send(pool, address)).status == 200
+
+
+async def test_a_timeout_keeps_connections_used_since() -> None:
+    """Guards against new connections after each slow answer."""
+    async with _idle_connections() as (pool, address):
+        pool.close_idle(address)
+        await _send(pool, address, force_new=True)
+        opened = pool.opened
+        with pytest.raises(TimeoutError):
+            async with pool.acquire(address, _TIMEOUT_S, force_new=True):
+                await asyncio.sleep(0.01)
+                await _send(pool, address)
+                raise TimeoutError
+        await _send(pool, address)
+        assert pool.opened == opened + 1
--- a/tests/edge/test_links.py
+++ b/tests/edge/test_links.py
@@ -12,6 +12,8 @@
 
 _SLOW_S = 0.5
 _LARGE_BYTES = 8_000_000
+# A late response, then the time for an echo, and time to run.
+_LOST_WITHIN_S = 5.0
 
 
 async def _handle_request(topic: str, body: bytes) -> bytes:
@@ -82,6 +84,57 @@
         assert len(await answered) == _LARGE_BYTES
 
 
+async def test_a_link_that_is_busy_with_a_large_request_is_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a large request body whose transfer never completes.
+
+    The peer reads the probe only after the request, so it has to acknowledge
+    the parts of the request.
+    """
+    monkeypatch.setattr(links, '_ECHO_TIMEOUT_S', 0.2, raising=True)
+    monkeypatch.setattr(links, '_LATE_RESPONSE_S', 0.05, raising=True)
+    async with _peer() as (dialled, proxy):
+        await dialled.request(proxy.address, 'quick', b'1', 1.0)
+        proxy.delay_s = 0.02
+        body = bytes(_LARGE_BYTES)
+        answer = await dialled.request(proxy.address, 'quick', body, 20.0)
+        assert len(answer) == _LARGE_BYTES
+
+
+async def test_a_stalled_link_is_replaced_while_a_response_is_due(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that waits on a stalled link to its deadline.
+
+    A forwarded request may have a deadline of several seconds.
+    """
+    monkeypatch.setattr(links, '_ECHO_TIMEOUT_S', 0.2, raising=True)
+    async with _peer() as (dialled, proxy):
+        await dialled.request(proxy.address, 'quick', b'1', 1.0)
+        proxy.stall_connections()
+        began_s = asyncio.get_running_loop().time()
+        with pytest.raises(links.LinkLostError):
+            await dialled.request(proxy.address, 'quick', b'2', 20.0)
+        assert asyncio.get_running_loop().time() - began_s < _LOST_WITHIN_S
+
+
+async def test_a_stalled_link_of_notifications_is_replaced(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against updates of a leader that a member never receives."""
+    monkeypatch.setattr(links, '_ECHO_TIMEOUT_S', 0.1, raising=True)
+    monkeypatch.setattr(links, '_PROOF_INTERVAL_S', 0.1, raising=True)
+    async with _peer() as (dialled, proxy):
+        assert await dialled.notify(proxy.address, 'news', b'1')
+        proxy.stall_connections()
+        received = proxy.accepted
+        for _ in range(20):
+            await dialled.notify(proxy.address, 'news', b'2')
+            await asyncio.sleep(0.05)
+        assert proxy.accepted > received
+
+
 async def test_a_slow_answer_does_not_end_the_link(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -16,6 +16,7 @@
         blocked_directions: directions in which bytes wait until the fault
             ends, of ``to_target`` and ``from_target``.
         refuse_connections: whether new connections are closed at once.
+        accepted: number of connections forwarded so far.
     """
 
     def __init__(self, target: tuple[str, int]) -> None:
@@ -23,6 +24,7 @@
         self.delay_s: float = 0
         self.blocked_directions: frozenset[str] = frozenset()
         self.refuse_connections = False
+        self.accepted = 0
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
         self._stalled: set[asyncio.StreamWriter] = set()
@@ -56,6 +58,7 @@
         except OSError:
             writer.transport.abort()
             return
+        self.accepted += 1
         self._writers.update((writer, target_writer))
         forwarding = [
             asyncio.create_task(
