Know the age of configuration and servers, and read the store before a bound

Cause: an instance took rows for current whenever any update of a leader came. After a restart in a storm of changes it followed a leader that lost power; the next leader's updates came without the rows, which it held back for 0.7 s as if it had broadcast them, and the instance answered 404 for a route 2.06 s after the acknowledgement.

Change: each instance keeps, for each source table, when its rows were last confirmed as the newest: from the begin of its own read (or the end of the read's wait if nothing changed), or from the moment it asked a reader whose answer brings its own age. Broadcasts confirm nothing. 0.3 s before the age exceeds the bounds for configuration and draining, the instance reads the store itself; beyond it an unknown route is refused with 503 and code 2009. A new leader sends rows that it did not broadcast at once. Reads wait 0.4 of the bound for changes. An instance is ready only when its configuration was confirmed.

Ruled out: rows lost by the relay of a region (both regions saw it).

--- a/packages/core/src/yuccadale_core/_internal/codes.py
+++ b/packages/core/src/yuccadale_core/_internal/codes.py
@@ -34,6 +34,7 @@
     slot_moving = 2006
     no_declaration = 2007
     slot_not_ours = 2008
+    declaration_outdated = 2009
 
     queue_full = 3001
     deadline_too_short = 3002
@@ -165,6 +166,12 @@
         ResultCode.slot_not_ours: CodeEntry(
             503, _NOT_RUN, 'The group does not own the slot yet.', _SEND_AGAIN
         ),
+        ResultCode.declaration_outdated: CodeEntry(
+            503,
+            _NOT_RUN,
+            'No known route matches, but a newer declaration may have one.',
+            _SEND_AGAIN,
+        ),
         ResultCode.queue_full: CodeEntry(
             429, _NOT_RUN, "The server's queue is full.", _SEND_AGAIN
         ),
--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -43,6 +43,7 @@
     StoreUnavailableError,
 )
 from yuccadale_edge._internal.system_view import (
+    CONFIGURATION_TABLE,
     SOURCE_TABLES,
     DecodeConfiguration,
     DecodeServer,
@@ -119,7 +120,9 @@
         self._pool = ClientPool(asyncio.get_running_loop())
         self._links = PeerLinks()
         self._system_view = SystemView(
-            adapter.decode_configuration, adapter.decode_server
+            adapter.decode_configuration,
+            adapter.decode_server,
+            settings.bounds.max_source_age_s,
         )
         self._retry_budget_by_service: dict[str, RetryBudget] = {}
         self._dispatcher = Dispatcher(
@@ -181,7 +184,7 @@
                 self._system_view,
                 contact,
                 self._metrics,
-                self._cluster.should_read_sources,
+                self._cluster.read_wait_s,
                 self._cluster.publish_rows,
             )
             for table in SOURCE_TABLES
@@ -237,6 +240,7 @@
         if settings == self._settings:
             return
         self._settings = settings
+        self._system_view.max_source_age_s = settings.bounds.max_source_age_s
         self._cluster.reconfigure(settings)
         for budget in self._retry_budget_by_service.values():
             budget.reconfigure(settings.bounds)
@@ -272,6 +276,7 @@
         return (
             not self._stopping.is_set()
             and self._system_view.configuration is not None
+            and self._system_view.is_confirmed(CONFIGURATION_TABLE)
             and bool(self._system_view.servers.server_by_id)
         )
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -77,7 +77,7 @@
             calls,
             metrics,
         )
-        self.should_read_sources = self._member.should_read_sources
+        self.read_wait_s = self._member.read_wait_s
 
     def reconfigure(self, settings: Settings) -> None:
         """Applies changed settings; addresses need a restart."""
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from math import inf
 
 import msgspec
 import structlog
@@ -50,6 +51,7 @@
 # that no requests are forwarded to it.
 _MEMBER_TIMEOUT_S = 1.3
 _MAX_OWNER_CHANGES = 400
+_MAX_RECENT_BROADCASTS = 64
 _SERVICE_CHECK_INTERVAL_S = 0.25
 _ROSTER_INTERVAL_S = 0.25
 # Rows that were broadcast arrive within this time, also over a slow link.
@@ -60,6 +62,8 @@
 _decode_unconfirmed_grants = msgspec.msgpack.Decoder(UnconfirmedGrants).decode
 
 _OwnerChange = tuple[int, list[OwnedRange]]
+# The version of broadcast rows, and when they were broadcast.
+_Broadcast = tuple[int, float]
 
 
 class Leader:
@@ -93,10 +97,9 @@
         self._metrics = metrics
         self._manager_by_service: dict[str, OwnershipManager] = {}
         self._last_report_s_by_member: dict[str, float] = {}
-        # By member and table: the version that it reported, and since when.
-        self._missing_since_by_member: dict[
-            tuple[str, str], tuple[int, float]
-        ] = {}
+        self._broadcasts_by_table: dict[str, deque[_Broadcast]] = {}
+        # By member and table: when rows were last sent to it alone.
+        self._rows_sent_s_by_member: dict[tuple[str, str], float] = {}
         self._roster_sequence = 0
         self._roster_changed = False
         self._owner_changes_by_service: dict[str, deque[_OwnerChange]] = {}
@@ -135,7 +138,9 @@
         report = _decode_report(body)
         if not self._leadership.leading():
             not_leading = NotLeading(
-                self._leadership.leader, self._sources_for_new(report)
+                self._leadership.leader,
+                self._sources_for_new(report),
+                self._system_view.source_ages(),
             )
             return _encode(ReportResponse(not_leading=not_leading))
         self._apply_report(report)
@@ -152,6 +157,10 @@
 
     def broadcast_rows(self, source: SourceRows) -> None:
         """Broadcasts rows that this instance read from the store."""
+        broadcasts = self._broadcasts_by_table.setdefault(
+            source.table, deque(maxlen=_MAX_RECENT_BROADCASTS)
+        )
+        broadcasts.append((source.version, elapsed_s()))
         update = self._new_update()
         update.sources = [source]
         self._broadcast(update)
@@ -167,6 +176,8 @@
         self._manager_by_service = {}
         self._owner_changes_by_service = {}
         self._owner_sequence_by_service = {}
+        self._broadcasts_by_table = {}
+        self._rows_sent_s_by_member = {}
         self._update_roster(force=True)
         async with asyncio.TaskGroup() as group:
             renewal = group.create_task(self._leadership.keep_renewing())
@@ -342,6 +353,7 @@
 
     def _update_for(self, report: Report) -> LeaderUpdate:
         update = self._new_update()
+        update.source_ages = self._system_view.source_ages()
         for table in SOURCE_TABLES:
             after = report.version_by_table.get(table, 0)
             if self._needs_rows(report.entry.instance, table, after):
@@ -361,7 +373,7 @@
             self._source_after(table, 0)
             for table in SOURCE_TABLES
             if not report.version_by_table.get(table)
-            and self._system_view.version_by_table[table]
+            and self._system_view.status_by_table[table].version
         ]
 
     def _needs_rows(self, member: str, table: str, after: int) -> bool:
@@ -369,23 +381,36 @@
 
         Rows that were broadcast are sent again only when they have not
         arrived in time; a copy with each report would fill a slow link with a
-        large configuration.
+        large configuration. A new leader did not broadcast what its
+        predecessor did, so it sends that at once.
         """
-        version = self._system_view.version_by_table[table]
-        if after >= version:
+        key = (member, table)
+        if after >= self._system_view.status_by_table[table].changed_version:
+            self._rows_sent_s_by_member.pop(key, None)
             return False
         now_s = elapsed_s()
-        known = self._missing_since_by_member.get((member, table))
-        if after and (known is None or known[0] != after):
-            self._missing_since_by_member[member, table] = (after, now_s)
-            return False
-        if known is not None and now_s - known[1] < _ROWS_DELIVERY_S:
+        sent_s = max(
+            self._broadcast_s(table, after) if after else -inf,
+            self._rows_sent_s_by_member.get(key, -inf),
+        )
+        if now_s - sent_s < _ROWS_DELIVERY_S:
             return False
-        self._missing_since_by_member[member, table] = (after, now_s)
+        self._rows_sent_s_by_member[key] = now_s
         return True
 
+    def _broadcast_s(self, table: str, after: int) -> float:
+        """Returns when the first change after a version was broadcast."""
+        return next(
+            (
+                sent_s
+                for version, sent_s in self._broadcasts_by_table.get(table, ())
+                if version > after
+            ),
+            -inf,
+        )
+
     def _source_after(self, table: str, after: int) -> SourceRows:
-        version = self._system_view.version_by_table[table]
+        version = self._system_view.status_by_table[table].version
         if table == SERVER_TABLE:
             rows = list(self._system_view.servers.row_by_id.values())
         else:
--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -59,6 +59,11 @@
 # The leader writes to the store every 0.5 s; without an answer for this long
 # it has lost the store.
 _STORE_TIMEOUT_S = 1.0
+# Longest wait of a read for changes, and its share of the age at which rows are
+# outdated. The rest is for the way to the other instances, and for a retry
+# after a connection that stalled, which is detected only by this wait.
+_MAX_CHANGES_WAIT_S = 1.2
+_CHANGES_WAIT_SHARE = 0.4
 # Other instances start to read the source tables this much later than the
 # standbys.
 _STANDBY_READ_S = 0.5
@@ -116,8 +121,24 @@
         """Applies changed settings; addresses need a restart."""
         self._settings = settings
 
+    def read_wait_s(self, table: str) -> float | None:
+        """Returns for how long a read of a source table waits for changes.
+
+        Returns:
+            None if this instance does not have to read the table; 0 to read
+            it at once, before its rows are outdated.
+        """
+        if self._system_view.needs_confirmation(table):
+            return 0
+        if self.should_read_sources():
+            return min(
+                _MAX_CHANGES_WAIT_S,
+                self._system_view.max_source_age_s * _CHANGES_WAIT_SHARE,
+            )
+        return None
+
     def should_read_sources(self) -> bool:
-        """Whether this instance reads the source tables from the store.
+        """Whether this instance follows the source tables in the store.
 
         A new instance first waits for the rows of the leader or a standby.
         """
@@ -148,7 +169,8 @@
     def handle_rows(self, body: bytes) -> None:
         """Handles rows that a standby read from the store."""
         source = _decode_rows(body)
-        if source.after <= self._system_view.version_by_table[source.table]:
+        known = self._system_view.status_by_table[source.table].version
+        if source.after <= known:
             # After a gap the time stays, so that this instance reads the
             # missing rows itself.
             self._rows_received_s = elapsed_s()
@@ -276,6 +298,7 @@
 
     async def _send_report(self, leader: LeaderInfo) -> None:
         body = _encode(self._reporter.report())
+        asked_s = elapsed_s()
         response = _decode_response(
             await self._links.request(
                 (leader.host, leader.port),
@@ -286,10 +309,14 @@
         )
         if response.update is not None:
             self._apply_update(response.update)
+            self._system_view.confirm_sources(
+                response.update.source_ages, asked_s
+            )
             return
         redirect = response.not_leading or NotLeading(None)
         for source in redirect.sources:
             self._apply_source(source)
+        self._system_view.confirm_sources(redirect.source_ages, asked_s)
         if redirect.leader is None or not self._leadership.accept_leader(
             redirect.leader
         ):
@@ -299,7 +326,7 @@
 
     async def _request_sources_from_electors(self) -> None:
         """Requests the source tables from the electors of this region."""
-        if all(self._system_view.version_by_table.values()):
+        if all(self._system_view.version_by_table().values()):
             return
         place = self._settings.place
         for elector in self._leadership.row_electors:
@@ -313,7 +340,7 @@
                     'no leader found through an elector, trying the next one',
                     peer=elector.address,
                     reason=str(error),
-                    version_by_table=self._system_view.version_by_table,
+                    version_by_table=self._system_view.version_by_table(),
                 )
 
     def _apply_update(self, update: LeaderUpdate) -> None:
@@ -334,7 +361,7 @@
             self._apply_owners(owners)
 
     def _apply_source(self, source: SourceRows) -> None:
-        known = self._system_view.version_by_table[source.table]
+        known = self._system_view.status_by_table[source.table].version
         rows = tuple(row.decode() for row in source.rows)
         # After a gap the version stays, so that the response to the next
         # report carries the missing rows.
--- a/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from yuccadale_edge._internal.ownership.segments import UnconfirmedGrant
+from yuccadale_edge._internal.source_status import SourceAge
 from yuccadale_edge._internal.store import StoredRow
 from yuccadale_edge._internal.system_view import OwnedRange
 from yuccadale_edge._internal.transport.client_pool import Address
@@ -155,6 +156,8 @@
         sources: rows of the source tables.
         roster: the instances that report to the leader.
         owners: owners of keys, by service.
+        source_ages: confirmations of the source tables. Only a response to a
+            report has them, since a broadcast may arrive late.
     """
 
     leader: LeaderInfo
@@ -163,6 +166,7 @@
     sources: list[SourceRows] = []
     roster: Roster | None = None
     owners: list[OwnersUpdate] = []
+    source_ages: list[SourceAge] = []
 
 
 class NotLeading(msgspec.Struct, array_like=True):
@@ -172,10 +176,12 @@
         leader: the leader that it knows, if any.
         sources: whole tables, for those of which the requesting instance has
             no rows.
+        source_ages: confirmations of the source tables.
     """
 
     leader: LeaderInfo | None
     sources: list[SourceRows] = []
+    source_ages: list[SourceAge] = []
 
 
 class ServiceTime(msgspec.Struct, array_like=True):
--- a/packages/edge/src/yuccadale_edge/_internal/membership/reports.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/reports.py
@@ -49,7 +49,7 @@
         ]
         return Report(
             self._roster_entry(),
-            dict(self._system_view.version_by_table),
+            self._system_view.version_by_table(),
             self._system_view.membership_version,
             {
                 name: owners.version
--- a/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
@@ -17,10 +17,6 @@
 
 _log = structlog.get_logger()
 
-# Wait of a read for changes. A stalled connection is detected only by this
-# timeout; it leaves time for a retry before a new configuration has to be in
-# effect.
-_CHANGES_WAIT_S = 1.2
 # Many instances that read whole tables at once share a link between regions;
 # a shorter timeout would fill the link with retries.
 _TABLE_READ_TIMEOUT_S = 2.5
@@ -56,7 +52,7 @@
         system_view: SystemView,
         contact: StoreContact,
         metrics: Metrics,
-        needed: Callable[[], bool],
+        read_wait_s: Callable[[str], float | None],
         on_rows: OnRows,
     ) -> None:
         """Creates a reader.
@@ -67,7 +63,8 @@
             system_view: gets the rows.
             contact: gets the time of each answer of the store.
             metrics: counts failures.
-            needed: tells whether this instance has to read the table.
+            read_wait_s: returns for how long a read of the table waits for
+                changes, None while this instance does not have to read it.
             on_rows: called after each read with the table, the rows, the
                 version before them and whether removed servers are kept for
                 a grace period.
@@ -77,7 +74,7 @@
         self._system_view = system_view
         self._contact = contact
         self._metrics = metrics
-        self._needed = needed
+        self._read_wait_s = read_wait_s
         self._on_rows = on_rows
         self._failing_since_s: float | None = None
         self._removal_grace_until_s: float = 0
@@ -86,11 +83,12 @@
         """Reads the table and its changes until cancelled."""
         backoff_s = _MIN_BACKOFF_S
         while True:
-            if not self._needed():
+            wait_s = self._read_wait_s(self._table)
+            if wait_s is None:
                 await asyncio.sleep(_IDLE_CHECK_INTERVAL_S)
                 continue
             try:
-                await self._read_once()
+                await self._read_once(wait_s)
             except StoreUnavailableError as error:
                 self._record_failure(str(error))
                 await asyncio.sleep(backoff_s)
@@ -98,28 +96,38 @@
             else:
                 backoff_s = _MIN_BACKOFF_S
 
-    async def _read_once(self) -> None:
-        after = self._system_view.version_by_table[self._table]
-        full_snapshot = after == 0
+    async def _read_once(self, wait_s: float) -> None:
+        status = self._system_view.status_by_table[self._table]
+        began_s = elapsed_s()
+        confirmed_s = began_s
+        full_snapshot = status.version == 0
         if not full_snapshot:
             try:
                 rows = await self._store.changes(
-                    self._table, after, _CHANGES_WAIT_S
+                    self._table, status.version, wait_s
                 )
             except HistoryLostError:
                 _log.warning(
                     'change history lost, reading the whole table',
                     table=self._table,
-                    version=after,
+                    version=status.version,
                 )
                 full_snapshot = True
+            else:
+                if not rows.rows and elapsed_s() - began_s >= wait_s:
+                    # The store answered after the wait.
+                    confirmed_s += wait_s
         if full_snapshot:
             rows = await self._store.read(self._table, _TABLE_READ_TIMEOUT_S)
         self._record_success()
         grace = elapsed_s() < self._removal_grace_until_s
-        before = self._system_view.version_by_table[self._table]
+        before = status.version
         self._system_view.apply_rows(
-            self._table, rows, full_snapshot=full_snapshot, removal_grace=grace
+            self._table,
+            rows,
+            full_snapshot=full_snapshot,
+            removal_grace=grace,
+            confirmed_s=confirmed_s,
         )
         self._on_rows(self._table, rows, before, grace)
 
--- a/packages/edge/src/yuccadale_edge/_internal/model.py
+++ b/packages/edge/src/yuccadale_edge/_internal/model.py
@@ -146,6 +146,10 @@
         retry_ratio: retries allowed in a window, per first send.
         retry_window_s: length of that window.
         min_retries: retries that are always allowed in a window.
+        configuration_s: time from a change of the configuration until it is
+            in force everywhere.
+        draining_s: time from a server's notice that it leaves until it gets
+            no more requests.
     """
 
     max_lease_s: float = 10.0
@@ -153,12 +157,19 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     min_retries: float = 60.0
+    configuration_s: float = 2.0
+    draining_s: float = 2.0
 
     @property
     def lease_s(self) -> float:
         """The lease duration of a grant."""
         return min(self.max_lease_s, LEASE_S)
 
+    @property
+    def max_source_age_s(self) -> float:
+        """The age from which configuration or servers may be outdated."""
+        return min(self.configuration_s, self.draining_s)
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -34,7 +34,11 @@
     Served,
 )
 from yuccadale_edge._internal.routing.senders import choose_sender
-from yuccadale_edge._internal.system_view import Instance, SystemView
+from yuccadale_edge._internal.system_view import (
+    CONFIGURATION_TABLE,
+    Instance,
+    SystemView,
+)
 from yuccadale_edge._internal.transport.server_connection import (
     CallerMessage,
     Reply,
@@ -53,6 +57,8 @@
 _CALLER_RETRY_SHARE = 0.95
 # Retry-After of a refused request when no better estimate exists.
 _DEFAULT_RETRY_AFTER_S = 0.5
+# An outdated configuration is usually confirmed within this time.
+_CONFIRMATION_RETRY_S = 0.3
 # Moving keys usually have a new owner within this time.
 _TYPICAL_MOVE_S = 0.25
 # Share of the remaining time that a request waits for its key to get an owner.
@@ -103,6 +109,31 @@
     }
 
 
+def find_route(
+    system_view: SystemView, host: str, path: str
+) -> tuple[Configuration, Route] | Refused:
+    """Returns the configuration in force and the route of a request.
+
+    An unknown route is refused as such only while the configuration is known
+    to be the newest; a newer one may have the route.
+    """
+    configuration = system_view.configuration
+    if configuration is None:
+        return Refused(
+            ResultCode.no_declaration, 'no configuration loaded yet', 1.0
+        )
+    route = configuration.route_for(host, path)
+    if route is not None:
+        return configuration, route
+    if system_view.is_outdated(CONFIGURATION_TABLE):
+        return Refused(
+            ResultCode.declaration_outdated,
+            'no route matches, and the configuration may be outdated',
+            _CONFIRMATION_RETRY_S,
+        )
+    return Refused(ResultCode.service_unknown, 'no route matches')
+
+
 class RequestRouter:
     """Routes callers' requests on one instance."""
 
@@ -134,24 +165,10 @@
     async def handle(self, message: CallerMessage) -> Reply:
         """Answers one caller request."""
         request = self._codec.read_request(message)
-        configuration = self._system_view.configuration
-        if configuration is None:
-            return self._refuse(
-                request,
-                None,
-                Refused(
-                    ResultCode.no_declaration,
-                    'no configuration loaded yet',
-                    1.0,
-                ),
-            )
-        route = configuration.route_for(request.host, request.path)
-        if route is None:
-            return self._refuse(
-                request,
-                None,
-                Refused(ResultCode.service_unknown, 'no route matches'),
-            )
+        found = find_route(self._system_view, request.host, request.path)
+        if isinstance(found, Refused):
+            return self._refuse(request, None, found)
+        configuration, route = found
         service = self._round_robin.pick(route)
         try:
             result = await self._route(request, route, configuration, service)
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -21,6 +21,7 @@
     ServerState,
 )
 from yuccadale_edge._internal.ownership.segments import Holder
+from yuccadale_edge._internal.source_status import SourceAge, SourceStatus
 from yuccadale_edge._internal.store import Rows, StoredRow
 from yuccadale_edge._internal.transport.client_pool import Address
 
@@ -37,6 +38,8 @@
 # available. A leaving server announces it for longer than this before it stops
 # listening.
 _MAX_LIST_AGE_S = 1.5
+# Time for a read of the store before rows exceed their age limit.
+_CONFIRMATION_TIME_S = 0.3
 # A leaving server listens for at least 2 s after the store has its state, which
 # reaches the list up to 1.2 s later.
 _LEAVING_LISTEN_S = 0.8
@@ -268,19 +271,26 @@
 
 
 class SystemView:
-    """Everything that this instance knows, and an event for its changes."""
+    """Everything that this instance knows, and an event for its changes.
+
+    Attributes:
+        max_source_age_s: rows of the source tables that are older may differ
+            from what the operators require by now.
+    """
 
     def __init__(
         self,
         decode_configuration: DecodeConfiguration,
         decode_server: DecodeServer,
+        max_source_age_s: float,
     ) -> None:
+        self.max_source_age_s = max_source_age_s
         self.configuration: Configuration | None = None
         self.configuration_row: StoredRow | None = None
         self.servers = ServerList(decode_server)
-        self.version_by_table = dict.fromkeys(SOURCE_TABLES, 0)
-        # When an update of each table, even one without rows, last arrived.
-        self.received_s_by_table = dict.fromkeys(SOURCE_TABLES, -inf)
+        self.status_by_table = {
+            table: SourceStatus() for table in SOURCE_TABLES
+        }
         self.owners_by_service: dict[str, OwnerMap] = {}
         self.instance_by_name: dict[str, Instance] = {}
         self.membership_version = (0, 0)
@@ -317,6 +327,7 @@
         *,
         full_snapshot: bool,
         removal_grace: bool,
+        confirmed_s: float = -inf,
     ) -> None:
         """Applies rows of a source table.
 
@@ -325,8 +336,8 @@
             rows: rows and the version that they lead to.
             full_snapshot: whether the rows are the whole table.
             removal_grace: whether to keep removed servers for a grace period.
+            confirmed_s: when the rows were the newest of the store.
         """
-        self.received_s_by_table[table] = elapsed_s()
         changed = False
         updates = rows.rows
         if full_snapshot and table == SERVER_TABLE:
@@ -336,12 +347,56 @@
                 changed |= self.servers.apply(row, removal_grace=removal_grace)
             else:
                 changed |= self._apply_configuration(row)
-        self.version_by_table[table] = max(
-            rows.version, self.version_by_table[table]
+        versions = [update.version for update in updates]
+        self.status_by_table[table].record_rows(
+            rows.version, max(versions, default=0), confirmed_s
         )
         if changed:
             self.wake()
 
+    def confirm_sources(
+        self, ages: Iterable[SourceAge], asked_s: float
+    ) -> None:
+        """Applies the confirmations of another instance.
+
+        Args:
+            ages: of the source tables.
+            asked_s: when that instance was asked for them.
+        """
+        for age in ages:
+            status = self.status_by_table.get(age.table)
+            if status is not None:
+                status.record_age(age, asked_s)
+
+    def source_ages(self) -> list[SourceAge]:
+        """Returns the confirmations of the source tables to send."""
+        now_s = elapsed_s()
+        ages = [
+            status.age(table, now_s)
+            for table, status in self.status_by_table.items()
+        ]
+        return [age for age in ages if age is not None]
+
+    def version_by_table(self) -> dict[str, int]:
+        """Returns the known version of each source table."""
+        return {
+            table: status.version
+            for table, status in self.status_by_table.items()
+        }
+
+    def is_outdated(self, table: str) -> bool:
+        """Whether changes may be in force that this instance does not know."""
+        return self._source_age_s(table) > self.max_source_age_s
+
+    def needs_confirmation(self, table: str) -> bool:
+        """Whether confirmed rows will be outdated unless the store is read."""
+        read_age_s = self.max_source_age_s - _CONFIRMATION_TIME_S
+        return read_age_s < self._source_age_s(table) < inf
+
+    def is_confirmed(self, table: str) -> bool:
+        """Whether the rows were the newest of the store at some moment."""
+        return self._source_age_s(table) < inf
+
     def usable(self, server: Server) -> bool:
         """Whether new requests may be sent to a server."""
         if server.state != ServerState.ready:
@@ -361,8 +416,7 @@
 
         If such a server refuses connections, it has crashed.
         """
-        age_s = elapsed_s() - self.received_s_by_table[SERVER_TABLE]
-        fresh = age_s < _MAX_LIST_AGE_S
+        fresh = self._source_age_s(SERVER_TABLE) < _MAX_LIST_AGE_S
         return fresh and self.servers.is_listening(server_id, incarnation)
 
     def keyed_services(self) -> list[str]:
@@ -375,6 +429,9 @@
             if service.keyed
         ]
 
+    def _source_age_s(self, table: str) -> float:
+        return elapsed_s() - self.status_by_table[table].confirmed_s
+
     def _removals_of_missing(self, rows: Rows) -> Iterable[StoredRow]:
         present = {row.key for row in rows.rows}
         return [
--- /dev/null
+++ b/tests/builders/configuration_world.py
@@ -0,0 +1,413 @@
+"""Simulated instances that follow the operators' configuration.
+
+Instances, links and the store run in virtual time. The check asks each instance
+how it routes a request; it uses no knowledge of versions, ages or leaders.
+"""
+
+import asyncio
+import random
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType, SimpleNamespace
+
+from tests.builders.leadership_world import StoredRows
+from yuccadale_core.codes import ResultCode
+from yuccadale_edge._internal.clock import elapsed_s
+from yuccadale_edge._internal.membership.broadcaster import Broadcaster
+from yuccadale_edge._internal.membership.cluster import Cluster
+from yuccadale_edge._internal.membership.electorate import (
+    Electorate,
+    choose_electors,
+)
+from yuccadale_edge._internal.membership.leadership import Leadership
+from yuccadale_edge._internal.membership.links import (
+    LinkLostError,
+    PeerUnreachableError,
+)
+from yuccadale_edge._internal.membership.messages import LeaderInfo
+from yuccadale_edge._internal.membership.source_reader import (
+    SourceReader,
+    StoreContact,
+)
+from yuccadale_edge._internal.model import (
+    Bounds,
+    CallerLimits,
+    Configuration,
+    Place,
+    Route,
+    Settings,
+    WeightedService,
+)
+from yuccadale_edge._internal.observability.metrics import Metrics
+from yuccadale_edge._internal.routing.request_router import find_route
+from yuccadale_edge._internal.routing.requests import Refused
+from yuccadale_edge._internal.store import (
+    Rows,
+    StoredRow,
+    StoreUnavailableError,
+    WriteConflict,
+)
+from yuccadale_edge._internal.system_view import (
+    CONFIGURATION_TABLE,
+    SOURCE_TABLES,
+    SystemView,
+)
+from yuccadale_edge._internal.transport.client_pool import Address
+
+HOST = 'shop.example'
+_REGION_BY_DATA_CENTRE = MappingProxyType(
+    {'a': 'north', 'b': 'north', 'c': 'south'}
+)
+_NEIGHBOUR_DELAY_S = 0.002
+_REGION_DELAY_S = 0.012
+_STORE_DELAY_S = 0.004
+_READ_TIMEOUT_S = 0.9
+_WATCH_INTERVAL_S = 0.02
+# Instances are in touch when nothing was done to them for this long.
+_CONTACT_S = 3.0
+
+
+def _decode_configuration(content: bytes) -> Configuration:
+    version = int(content)
+    routes = tuple(
+        Route(
+            f'r{number}',
+            HOST,
+            f'/{number}/',
+            # The service shows the configuration by which it was chosen.
+            (WeightedService(f'service-{version}', 1.0),),
+            repeatable=True,
+            timeout_s=1.0,
+            target_latency_s=1.0,
+            max_attempts=1,
+            priority=1,
+        )
+        for number in range(version + 1)
+    )
+    limits = CallerLimits(1000, 1000, 1.0, 1.0)
+    return Configuration(version, {HOST: routes}, {}, limits)
+
+
+@dataclass
+class SimulatedTables:
+    """The tables of the store."""
+
+    rows_by_table: dict[str, StoredRows] = field(default_factory=dict)
+    version: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def table(self, name: str) -> StoredRows:
+        """Returns the rows of a table."""
+        return self.rows_by_table.setdefault(name, StoredRows())
+
+    def write(
+        self, name: str, puts: Mapping[str, bytes], expected: Mapping[str, int]
+    ) -> int | WriteConflict:
+        """Writes if the expected versions hold; wakes the waiting reads."""
+        table = self.table(name)
+        table.version = self.version
+        written = table.write(puts, expected)
+        self.version = table.version
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return written
+
+    def after(self, name: str, version: int) -> tuple[StoredRow, ...]:
+        """Returns the rows of a table after a version."""
+        return tuple(
+            row
+            for row in self.table(name).row_by_key.values()
+            if row.version > version
+        )
+
+
+class _Store:
+    """The store as one instance reaches it."""
+
+    def __init__(self, world: 'ConfigurationWorld', name: str) -> None:
+        self._world = world
+        self._name = name
+
+    async def read(self, table: str, _wait_s: float = 0) -> Rows:
+        """Reads a table."""
+        await self._reach_store()
+        tables = self._world.tables
+        rows = Rows(tables.after(table, -1), tables.version)
+        await self._reach_store()
+        return rows
+
+    async def changes(self, table: str, after: int, wait_s: float) -> Rows:
+        """Waits for changes."""
+        await self._reach_store()
+        if self._name in self._world.stalled_reads:
+            await asyncio.sleep(wait_s + _READ_TIMEOUT_S)
+            raise StoreUnavailableError('no answer')
+        tables = self._world.tables
+        end_s = elapsed_s() + wait_s
+        while not tables.after(table, after) and elapsed_s() < end_s:
+            try:
+                async with asyncio.timeout(end_s - elapsed_s()):
+                    await tables.changed.wait()
+            except TimeoutError:
+                break
+        rows = Rows(tables.after(table, after), tables.version)
+        await self._reach_store()
+        return rows
+
+    async def write(
+        self, table: str, puts: Mapping[str, bytes], expected: Mapping[str, int]
+    ) -> int | WriteConflict:
+        """Writes rows."""
+        await self._reach_store()
+        return self._world.tables.write(table, puts, expected)
+
+    async def _reach_store(self) -> None:
+        await asyncio.sleep(_STORE_DELAY_S)
+        if self._name in self._world.without_store:
+            await asyncio.sleep(_STORE_DELAY_S)
+            raise StoreUnavailableError('the store is not reachable')
+
+
+class _Links:
+    """The links of one instance to its peers."""
+
+    def __init__(self, world: 'ConfigurationWorld', name: str) -> None:
+        self._world = world
+        self._name = name
+
+    async def request(
+        self, address: Address, topic: str, body: bytes, timeout_s: float
+    ) -> bytes:
+        """Sends a request to a peer."""
+        peer = await self._reach_peer(address)
+        async with asyncio.timeout(timeout_s):
+            answer = await peer.cluster.handle_request(topic, body)
+        if peer is not await self._reach_peer(address):
+            raise LinkLostError('the peer was restarted')
+        return answer
+
+    async def notify(self, address: Address, topic: str, body: bytes) -> bool:
+        """Sends a message that gets no response."""
+        try:
+            peer = await self._reach_peer(address)
+        except PeerUnreachableError:
+            return False
+        peer.cluster.handle_message(topic, body)
+        return True
+
+    async def _reach_peer(self, address: Address) -> 'FollowingInstance':
+        world = self._world
+        await asyncio.sleep(world.delay_s(self._name, address))
+        for peer in world.instance_by_name.values():
+            if peer.settings.contact_address == address:
+                return peer
+        raise PeerUnreachableError('refused')
+
+
+class FollowingInstance:
+    """One incarnation of an instance."""
+
+    def __init__(self, world: 'ConfigurationWorld', name: str) -> None:
+        self.settings = world.settings_by_name[name]
+        self.started_s = elapsed_s()
+        links: object = _Links(world, name)
+        contact = StoreContact()
+        store = _Store(world, name)
+        self.system_view = SystemView(
+            _decode_configuration,
+            lambda *_: None,  # type: ignore[arg-type, return-value]
+            self.settings.bounds.max_source_age_s,
+        )
+        metrics = Metrics()
+        broadcaster = Broadcaster(
+            self.settings,
+            self.system_view,
+            links,  # type: ignore[arg-type]
+        )
+        electorate = Electorate(
+            links,  # type: ignore[arg-type]
+            self.settings.contact_address,
+            name,
+            self._store_answers,
+            lambda: self.leadership.epoch,
+            metrics,
+        )
+        self.leadership = Leadership(
+            store,
+            LeaderInfo(
+                0, name, *self.settings.contact_address, world.next_number()
+            ),
+            contact,
+            electorate,
+            lambda: choose_electors(broadcaster.peers()),
+        )
+        self.cluster = Cluster(
+            self.settings,
+            self.system_view,
+            self.leadership,
+            electorate,
+            contact,
+            links,  # type: ignore[arg-type]
+            broadcaster,
+            SimpleNamespace(service_time_samples=[]),  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            metrics,
+        )
+        readers = [
+            SourceReader(
+                table,
+                store,
+                self.system_view,
+                contact,
+                metrics,
+                self.cluster.read_wait_s,
+                self.cluster.publish_rows,
+            )
+            for table in SOURCE_TABLES
+        ]
+        self.tasks = [
+            asyncio.create_task(task)
+            for task in (self.cluster.run(), *(one.run() for one in readers))
+        ]
+
+    def problem(self, required_version: int) -> str | None:
+        """Returns what is wrong with the route of a required configuration."""
+        added = find_route(self.system_view, HOST, f'/{required_version}/')
+        if isinstance(added, Refused):
+            if added.code == ResultCode.service_unknown:
+                return 'denies a route'
+        first = find_route(self.system_view, HOST, '/0/')
+        if isinstance(first, Refused) or first[0].version >= required_version:
+            return None
+        return 'routes by an old configuration'
+
+    async def _store_answers(self) -> bool:
+        return await self.leadership.store_answers()
+
+
+class ConfigurationWorld:
+    """Instances, links, the store and a storm of configuration changes.
+
+    Attributes:
+        without_store: names of the instances that do not reach the store.
+        stalled_reads: names of the instances whose reads of changes get no
+            answer, while their other calls do.
+        problems: what the check found.
+    """
+
+    def __init__(self, seed: int, names: Collection[str]) -> None:
+        self.random = random.Random(seed)
+        self.tables = SimulatedTables()
+        self.without_store: set[str] = set()
+        self.stalled_reads: set[str] = set()
+        self.instance_by_name: dict[str, FollowingInstance] = {}
+        self.problems: list[str] = []
+        self.settings_by_name = {
+            name: _settings(name, number) for number, name in enumerate(names)
+        }
+        self._acknowledged: list[tuple[float, int]] = []
+        self._store_lost_s_by_name: dict[str, float] = {}
+        self._last_number = 0
+
+    def next_number(self) -> int:
+        """Returns a number that was not returned before."""
+        self._last_number += 1
+        return self._last_number
+
+    def start(self, *names: str) -> None:
+        """Starts instances, in place of their earlier incarnations."""
+        for name in names:
+            self.kill(name)
+            self.instance_by_name[name] = FollowingInstance(self, name)
+
+    def kill(self, *names: str) -> None:
+        """Kills instances."""
+        for name in names:
+            instance = self.instance_by_name.pop(name, None)
+            if instance is not None:
+                for task in instance.tasks:
+                    task.cancel()
+
+    def leader(self) -> str:
+        """Returns the leading instance, or any if there is none."""
+        for name, instance in self.instance_by_name.items():
+            if instance.leadership.may_act():
+                return name
+        return min(self.settings_by_name)
+
+    def delay_s(self, name: str, address: Address) -> float:
+        """Returns the delay from an instance to an address."""
+        own = self.settings_by_name[name].place
+        for settings in self.settings_by_name.values():
+            if settings.contact_address == address:
+                if own.distance(settings.place.data_centre) > 1:
+                    return _REGION_DELAY_S
+        return _NEIGHBOUR_DELAY_S * (1 + self.random.random())
+
+    def write_configuration(self) -> None:
+        """Writes the next configuration, as an operator does."""
+        version = len(self._acknowledged)
+        self.tables.write(
+            CONFIGURATION_TABLE, {'config': str(version).encode()}, {}
+        )
+        self._acknowledged.append((elapsed_s(), version))
+
+    async def storm(self, changes: int, interval_s: float) -> None:
+        """Changes the configuration in quick succession."""
+        for _ in range(changes):
+            self.write_configuration()
+            await asyncio.sleep(interval_s)
+
+    async def watch(self) -> None:
+        """Checks all instances until cancelled."""
+        while True:
+            now_s = elapsed_s()
+            for name in self.without_store:
+                self._store_lost_s_by_name[name] = now_s
+            for name, instance in self.instance_by_name.items():
+                self._check(name, instance, now_s)
+            await asyncio.sleep(_WATCH_INTERVAL_S)
+
+    def stop(self) -> None:
+        """Stops all instances."""
+        self.kill(*list(self.instance_by_name))
+
+    def _check(
+        self, name: str, instance: FollowingInstance, now_s: float
+    ) -> None:
+        bound_s = instance.settings.bounds.configuration_s
+        required = [
+            version
+            for acknowledged_s, version in self._acknowledged
+            if now_s - acknowledged_s > bound_s
+        ]
+        problem = instance.problem(max(required, default=0))
+        disturbed_s = max(
+            instance.started_s, self._store_lost_s_by_name.get(name, 0)
+        )
+        in_touch = now_s - disturbed_s > _CONTACT_S
+        if problem == 'routes by an old configuration' and not in_touch:
+            return
+        if problem is not None and required:
+            self.problems.append(f'{now_s:.2f} s: {name} {problem}')
+
+
+def _settings(name: str, number: int) -> Settings:
+    data_centre = sorted(_REGION_BY_DATA_CENTRE)[number % 3]
+    place = Place(
+        data_centre,
+        _REGION_BY_DATA_CENTRE[data_centre],
+        _REGION_BY_DATA_CENTRE,
+    )
+    address = ('10.0.0.1', number)
+    return Settings(
+        name,
+        place,
+        address,
+        address,
+        address,
+        address,
+        seeds=(('10.0.0.1', 0), ('10.0.0.1', 1)),
+        store_address=address,
+        bounds=Bounds(),
+    )
--- a/tests/edge/test_call_runner.py
+++ b/tests/edge/test_call_runner.py
@@ -52,14 +52,22 @@
 
 
 def _system_view(server: Server) -> SystemView:
-    system_view = SystemView(lambda _: None, lambda *_: server)  # type: ignore
+    system_view = SystemView(
+        lambda _: None,  # type: ignore[arg-type, return-value]
+        lambda *_: server,
+        max_source_age_s=2.0,
+    )
     _receive(system_view, StoredRow('s', b'{}', 1))
     return system_view
 
 
 def _receive(system_view: SystemView, *rows: StoredRow) -> None:
     system_view.apply_rows(
-        SERVER_TABLE, Rows(rows, 1), full_snapshot=False, removal_grace=True
+        SERVER_TABLE,
+        Rows(rows, 1),
+        full_snapshot=False,
+        removal_grace=True,
+        confirmed_s=asyncio.get_running_loop().time(),
     )
 
 
--- a/tests/edge/test_new_instances.py
+++ b/tests/edge/test_new_instances.py
@@ -61,7 +61,11 @@
 def _member(leadership: _LostLeadership, links: _UnreachableLinks) -> Member:
     place = Place('a', 'north', _REGION_BY_DATA_CENTRE)
     settings = Settings('new', place, ME, ME, ME, ME, (), ME)
-    system_view = SystemView(lambda _: None, lambda *_: None)  # type: ignore
+    system_view = SystemView(
+        lambda _: None,  # type: ignore[arg-type, return-value]
+        lambda *_: None,  # type: ignore[arg-type, return-value]
+        max_source_age_s=2.0,
+    )
     dispatcher = type('Dispatcher', (), {'service_time_samples': []})
     return Member(
         settings,
