Let the owner keep its keys until the move is recorded

Cause: an owner was asked to release keys as soon as their move was planned, while the next server may get them only when the store has recorded the plan. With the store lost in between, the keys had no owner until it was back.

Change: the owner keeps the keys, and its lease is renewed, until the move is recorded.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -141,6 +141,17 @@
         """The server that owns the keys or is to become the owner."""
         return self.target or self.owner
 
+    @property
+    def keeper(self) -> Holder | None:
+        """The server that is to keep or get the keys now.
+
+        The owner keeps them until the store has recorded where they go: no
+        other server can get them before.
+        """
+        if self.owner is not None and not self.recorded:
+            return self.owner
+        return self.intended_owner
+
     def renewable(self, holder: Holder) -> bool:
         """Whether a server's lease may be renewed with the same fence.
 
@@ -424,33 +435,29 @@
     def _segment_calls(
         self, segment: Segment, now_s: float, renew_s: float
     ) -> Iterator[OwnershipCall]:
-        intended_owner = segment.intended_owner
+        keeper = segment.keeper
         other_holders = [
-            held for held in segment.lease_by_holder if held != intended_owner
+            held for held in segment.lease_by_holder if held != keeper
         ]
         if (
             other_holders
-            and segment.target is not None
+            and keeper != segment.owner
             and segment.owner is not None
         ):
             # Requests stop before the owner is asked to release.
             self._set_owner(segment, None)
         yield from self._releases(segment, other_holders)
-        if (
-            intended_owner is None
-            or other_holders
-            or intended_owner in segment.in_flight
-        ):
+        if keeper is None or other_holders or keeper in segment.in_flight:
             return
-        lease = self._lease_to_send(segment, intended_owner)
+        lease = self._lease_to_send(segment, keeper)
         if lease is None:
             return
         if lease.accepted and now_s - lease.sent_s < renew_s:
             return
         lease.sent_s = now_s
-        segment.in_flight.add(intended_owner)
+        segment.in_flight.add(keeper)
         yield _make_call(
-            CallKind.grant, segment, intended_owner, lease.fence, lease.handover
+            CallKind.grant, segment, keeper, lease.fence, lease.handover
         )
 
     def _releases(
@@ -462,18 +469,14 @@
                 segment.in_flight.add(holder)
                 yield _make_call(CallKind.release, segment, holder, lease.fence)
 
-    def _lease_to_send(
-        self, segment: Segment, intended_owner: Holder
-    ) -> Lease | None:
+    def _lease_to_send(self, segment: Segment, keeper: Holder) -> Lease | None:
         """Returns the lease to grant or renew, None if it is not recorded."""
-        own = segment.lease_by_holder.get(intended_owner)
-        if own is not None and segment.renewable(intended_owner):
+        own = segment.lease_by_holder.get(keeper)
+        if own is not None and segment.renewable(keeper):
             return own
         if not segment.recorded or segment.reserved_fence is None:
             return None
-        return self._new_lease(
-            segment, intended_owner, segment.reserved_fence, own
-        )
+        return self._new_lease(segment, keeper, segment.reserved_fence, own)
 
     def _handle_acceptance(self, segment: Segment, holder: Holder) -> None:
         if segment.intended_owner != holder:
@@ -531,7 +534,8 @@
 
     def _remove_ended_leases(self, segment: Segment, now_s: float) -> None:
         for holder, lease in list(segment.lease_by_holder.items()):
-            kept = holder == segment.intended_owner and not lease.released
+            needed = holder in {segment.intended_owner, segment.keeper}
+            kept = needed and not lease.released
             if kept or holder in segment.in_flight:
                 continue
             if now_s > lease.end_s:
--- /dev/null
+++ b/tests/edge/test_segments.py
@@ -0,0 +1,59 @@
+"""The leader's table of key leases: single rules, without servers."""
+
+from yuccadale_edge.ownership import (
+    KEY_COUNT,
+    CallKind,
+    Holder,
+    OwnershipCall,
+    SegmentTable,
+)
+
+LEASE_S = 5.0
+RENEW_S = 1.0
+OWNER = Holder('owner', 1)
+OTHER = Holder('other', 1)
+
+
+def _owned_table() -> SegmentTable:
+    """Returns a table in which one server owns all keys, granted at 0 s."""
+    table = SegmentTable(1, LEASE_S, RENEW_S)
+    table.plan(0, KEY_COUNT - 1, OWNER)
+    table.mark_recorded(table.reserve_fences())
+    _accept(table, table.calls_due(0), now_s=0)
+    return table
+
+
+def _accept(
+    table: SegmentTable, calls: list[OwnershipCall], now_s: float
+) -> None:
+    for call in calls:
+        if call.kind == CallKind.grant:
+            table.grant_answered(call, accepted=True, now_s=now_s)
+        else:
+            table.release_answered(call, None, now_s)
+
+
+def test_owner_keeps_its_keys_until_the_move_is_recorded() -> None:
+    """Guards against keys without an owner while the store is unavailable.
+
+    A move was planned just before the store failed. The owner was asked to
+    release its keys, and nobody could get them before the store was back.
+    """
+    table = _owned_table()
+    table.plan(0, 99, OTHER)
+    for now_s in (1.0, 2.0, 3.0):
+        calls = table.calls_due(now_s)
+        assert {call.kind for call in calls} == {CallKind.grant}
+        assert {call.holder for call in calls} == {OWNER}
+        _accept(table, calls, now_s)
+    assert table.at(0).owner == OWNER
+    table.mark_recorded(table.reserve_fences())
+    released = table.calls_due(3.1)
+    assert [(call.kind, call.holder) for call in released] == [
+        (CallKind.release, OWNER)
+    ]
+    _accept(table, released, 3.2)
+    granted = table.calls_due(3.3)
+    assert [(call.kind, call.holder) for call in granted] == [
+        (CallKind.grant, OTHER)
+    ]
