Lead, stand by and relay on the machines that can carry it

Cause: leaders were chosen by start order and name.

Change: the settings have what a machine may use; the roster has its capacity. Standbys, electors and relays are the most capable machines. A leader hands its role to one of at least twice its capacity, when no keys move, and a stopping leader names its successor.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/broadcaster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/broadcaster.py
@@ -12,7 +12,11 @@
     RELAY_TOPIC,
 )
 from yuccadale_edge._internal.model import Settings
-from yuccadale_edge._internal.system_view import Instance, SystemView
+from yuccadale_edge._internal.system_view import (
+    Instance,
+    SystemView,
+    most_capable_first,
+)
 
 _log = structlog.get_logger()
 
@@ -73,10 +77,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @staticmethod
+    def choose_relay(members: list[Instance]) -> Instance:
+        """Returns the instance that relays updates to its region."""
+        return min(members, key=most_capable_first)
+
     async def _send_to_region(
         self, members: list[Instance], body: bytes
     ) -> None:
-        relay = min(members)
+        relay = self.choose_relay(members)
         if await self._links.notify(relay.address, RELAY_TOPIC, body):
             return
         _log.info(
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -13,6 +13,7 @@
 from yuccadale_edge._internal.membership.member import REPORT_INTERVAL_S, Member
 from yuccadale_edge._internal.membership.messages import (
     LEADER_UPDATE_TOPIC,
+    NOMINATION_TOPIC,
     PROMISE_TOPIC,
     RELAY_TOPIC,
     REPORT_TOPIC,
@@ -135,7 +136,7 @@
         self._member.draining = True
         self._leader.draining = True
         if self._leadership.leading():
-            await self._leader.resign()
+            await self._leader.hand_over()
 
     async def handle_request(self, topic: str, body: bytes) -> bytes:
         """Returns the response to a request of another instance.
@@ -158,6 +159,7 @@
             RELAY_TOPIC: self._member.relay_leader_update,
             ROWS_TOPIC: self._member.handle_rows,
             UNCONFIRMED_GRANTS_TOPIC: self._leader.handle_unconfirmed_grants,
+            NOMINATION_TOPIC: self._member.handle_nomination,
         }.get(topic)
         if handler is None:
             _log.warning('message of a peer has an unknown topic', topic=topic)
@@ -173,4 +175,5 @@
             port,
             self._settings.place.data_centre,
             leaving=self._draining,
+            capacity=self._settings.machine.capacity,
         )
--- a/packages/edge/src/yuccadale_edge/_internal/membership/electorate.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/electorate.py
@@ -20,7 +20,7 @@
 )
 from yuccadale_edge._internal.membership.promises import Promises, is_majority
 from yuccadale_edge._internal.observability.metrics import Metrics
-from yuccadale_edge._internal.system_view import Instance
+from yuccadale_edge._internal.system_view import Instance, most_capable_first
 from yuccadale_edge._internal.transport.client_pool import Address
 
 _log = structlog.get_logger()
@@ -71,9 +71,10 @@
     """
     counts: Counter[str] = Counter()
     ranked: list[tuple[int, Elector]] = []
-    for _, address, data_centre in sorted(peers):
-        counts[data_centre] += 1
-        ranked.append((counts[data_centre], Elector(*address, data_centre)))
+    for peer in sorted(peers, key=most_capable_first):
+        counts[peer.data_centre] += 1
+        elector = Elector(*peer.address, peer.data_centre)
+        ranked.append((counts[peer.data_centre], elector))
     ranked.sort()
     count = min(len(ranked), MAX_ELECTORS)
     count -= 1 - count % 2
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -12,6 +12,7 @@
 from yuccadale_edge._internal.membership.leadership import Leadership
 from yuccadale_edge._internal.membership.links import PeerLinks
 from yuccadale_edge._internal.membership.messages import (
+    NOMINATION_TOPIC,
     UNCONFIRMED_GRANTS_TOPIC,
     LeaderUpdate,
     NotLeading,
@@ -25,9 +26,11 @@
     UnconfirmedGrants,
     Version,
     encode_source_row,
+    instance_of,
 )
 from yuccadale_edge._internal.membership.reports import Reporter
 from yuccadale_edge._internal.membership.source_reader import StoreContact
+from yuccadale_edge._internal.membership.succession import Succession
 from yuccadale_edge._internal.model import Settings
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.call_runner import ServerCalls
@@ -36,6 +39,10 @@
     KEYS_PREFIX,
     decode_record,
 )
+from yuccadale_edge._internal.store import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from yuccadale_edge._internal.system_view import (
     SERVER_TABLE,
     SOURCE_TABLES,
@@ -43,6 +50,7 @@
     OwnedRange,
     SystemView,
     decode_owner,
+    most_capable_first,
 )
 
 _log = structlog.get_logger()
@@ -52,6 +60,9 @@
 _MEMBER_TIMEOUT_S = 1.3
 _MAX_OWNER_CHANGES = 400
 _MAX_RECENT_BROADCASTS = 64
+# After a resignation another instance leads within this time, or the grants
+# that servers may still apply have expired.
+_NEXT_LEADER_WAIT_S = 5.0
 _SERVICE_CHECK_INTERVAL_S = 0.25
 _ROSTER_INTERVAL_S = 0.25
 # Rows that were broadcast arrive within this time, also over a slow link.
@@ -96,7 +107,9 @@
         self._calls = calls
         self._metrics = metrics
         self._manager_by_service: dict[str, OwnershipManager] = {}
+        # Reports to this leader, and those that are assumed after a takeover.
         self._last_report_s_by_member: dict[str, float] = {}
+        self._reported_s_by_member: dict[str, float] = {}
         self._broadcasts_by_table: dict[str, deque[_Broadcast]] = {}
         # By member and table: when rows were last sent to it alone.
         self._rows_sent_s_by_member: dict[tuple[str, str], float] = {}
@@ -109,6 +122,26 @@
         """Applies changed settings; addresses need a restart."""
         self._settings = settings
 
+    async def hand_over(self) -> None:
+        """Resigns, and asks the most capable instance to lead at once.
+
+        If none is reached, the others find out by themselves that this
+        instance has resigned.
+
+        Raises:
+            StoreUnavailableError, StoreOutcomeUnknownError: see ``resign``.
+        """
+        epoch = self._leadership.epoch
+        await self.resign()
+        for peer in sorted(self._reporting_peers(), key=most_capable_first):
+            if await self._links.notify(
+                peer.address, NOMINATION_TOPIC, _encode(epoch)
+            ):
+                _log.info(
+                    'leadership handed over', epoch=epoch, successor=peer.name
+                )
+                return
+
     async def resign(self) -> None:
         """Finishes the grants and releases, and resigns as leader.
 
@@ -169,6 +202,7 @@
         """Runs the leader's tasks until another instance leads."""
         epoch = self._leadership.epoch
         self._last_report_s_by_member = {self._settings.instance: elapsed_s()}
+        self._reported_s_by_member = {}
         # Known members have twice the timeout for their first report.
         assumed_report_s = elapsed_s() + _MEMBER_TIMEOUT_S
         for name in self._system_view.instance_by_name:
@@ -185,6 +219,7 @@
                 group.create_task(self._leadership.extend_by_promises()),
                 group.create_task(self._maintain_roster()),
                 group.create_task(self._run_managers()),
+                group.create_task(self._hand_over_when_due()),
             ]
             await renewal
             for task in tasks:
@@ -199,6 +234,7 @@
         self, epoch: int, manager_by_service: dict[str, OwnershipManager]
     ) -> None:
         """Sends the next leader the grants that servers may still apply."""
+        await self._wait_for_next_leader(epoch)
         for service, manager in manager_by_service.items():
             message = UnconfirmedGrants(
                 epoch, service, await manager.unconfirmed_grants()
@@ -216,6 +252,40 @@
                 doubts=len(message.unconfirmed_grants),
             )
 
+    async def _wait_for_next_leader(self, epoch: int) -> None:
+        until_s = elapsed_s() + _NEXT_LEADER_WAIT_S
+        while self._leadership.epoch == epoch and elapsed_s() < until_s:
+            await asyncio.sleep(_ROSTER_INTERVAL_S / 2)
+
+    async def _hand_over_when_due(self) -> None:
+        """Hands the role to an instance on a more capable machine."""
+        succession = Succession(self._settings.machine.capacity, elapsed_s)
+        due = False
+        while not due:
+            await asyncio.sleep(_ROSTER_INTERVAL_S)
+            if not self.draining and self._leadership.may_plan():
+                due = succession.is_due(
+                    self._reporting_peers(), keys_moving=self._keys_moving()
+                )
+        try:
+            await self.hand_over()
+        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+            _log.warning('could not resign', reason=str(error))
+
+    def _reporting_peers(self) -> list[Instance]:
+        """Returns the peers that have just reported to this leader."""
+        now_s = elapsed_s()
+        return [
+            peer
+            for peer in self._broadcaster.peers()
+            if now_s - self._reported_s_by_member.get(peer.name, -inf)
+            < _MEMBER_TIMEOUT_S
+        ]
+
+    def _keys_moving(self) -> bool:
+        managers = self._manager_by_service.values()
+        return any(manager.keys_moving for manager in managers)
+
     async def _maintain_roster(self) -> None:
         while True:
             self._apply_report(self._reporter.report())
@@ -277,8 +347,10 @@
         name = report.entry.instance
         now_s = elapsed_s()
         self._last_report_s_by_member[name] = now_s
+        self._reported_s_by_member[name] = now_s
         if report.entry.leaving:
             self._last_report_s_by_member.pop(name)
+            self._reported_s_by_member.pop(name)
             self._update_roster(force=False)
         else:
             self._record_member(report.entry)
@@ -291,9 +363,7 @@
 
     def _record_member(self, entry: RosterEntry) -> None:
         known = self._system_view.instance_by_name.get(entry.instance)
-        reported = Instance(
-            entry.instance, (entry.host, entry.port), entry.data_centre
-        )
+        reported = instance_of(entry)
         if known != reported:
             self._system_view.instance_by_name[entry.instance] = reported
             # Sent with the next roster check: many may join at the same time.
@@ -335,7 +405,12 @@
 
     def _roster(self) -> Roster:
         entries = [
-            RosterEntry(one.name, *one.address, one.data_centre)
+            RosterEntry(
+                one.name,
+                *one.address,
+                one.data_centre,
+                capacity=one.capacity,
+            )
             for one in self._system_view.instance_by_name.values()
         ]
         return Roster(self._system_view.membership_version, entries)
--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -30,6 +30,7 @@
     ReportResponse,
     Roster,
     SourceRows,
+    instance_of,
 )
 from yuccadale_edge._internal.membership.reports import Reporter
 from yuccadale_edge._internal.model import Settings
@@ -39,10 +40,10 @@
 )
 from yuccadale_edge._internal.store import Rows
 from yuccadale_edge._internal.system_view import (
-    Instance,
     Owner,
     SystemView,
     decode_owner,
+    most_capable_first,
 )
 
 _log = structlog.get_logger()
@@ -81,6 +82,7 @@
 _encode = msgspec.msgpack.Encoder().encode
 _decode_rows = msgspec.msgpack.Decoder(SourceRows).decode
 _decode_update = msgspec.msgpack.Decoder(LeaderUpdate).decode
+_decode_epoch = msgspec.msgpack.Decoder(int).decode
 _decode_response = msgspec.msgpack.Decoder(ReportResponse).decode
 
 
@@ -115,6 +117,7 @@
         self._first_report_s = inf
         self._leader_store_age_s: float = 0
         self._rows_received_s: float = 0
+        self._nominated = False
         self._report_now = asyncio.Event()
 
     def reconfigure(self, settings: Settings) -> None:
@@ -185,6 +188,12 @@
         self.handle_leader_update(body)
         self._broadcaster.broadcast_in_region(LEADER_UPDATE_TOPIC, body)
 
+    def handle_nomination(self, body: bytes) -> None:
+        """Handles the request of a leader that has resigned to lead now."""
+        if _decode_epoch(body) == self._leadership.epoch:
+            self._nominated = True
+            self._report_now.set()
+
     async def follow(self) -> None:
         """Reports to the leader once, or searches for a leader.
 
@@ -194,7 +203,9 @@
                 leader; the next read of the row shows the outcome.
         """
         leader = self._leadership.leader
-        if leader is not None and not self._is_self(leader):
+        nominated = self._nominated
+        self._nominated = False
+        if leader is not None and not self._is_self(leader) and not nominated:
             if await self._report_to(leader):
                 return
         await self._leadership.refresh()
@@ -378,10 +389,7 @@
             return
         self._system_view.membership_version = roster.version
         self._system_view.instance_by_name = {
-            entry.instance: Instance(
-                entry.instance, (entry.host, entry.port), entry.data_centre
-            )
-            for entry in roster.entries
+            entry.instance: instance_of(entry) for entry in roster.entries
         }
         _log.info(
             'roster changed',
@@ -411,8 +419,14 @@
             electors = [one.address for one in self._leadership.row_electors]
             return not electors or self._settings.contact_address in electors
         leader = self._leadership.leader
-        peers = {one.name for one in self._broadcaster.region_peers()}
-        if leader is not None:
-            peers.discard(leader.instance)
-        names = sorted({*peers, self._settings.instance})
-        return self._settings.instance in names[:_STANDBYS_PER_REGION]
+        peers = self._broadcaster.region_peers()
+        ranked = sorted(
+            (
+                one
+                for one in (*peers, instance_of(self._reporter.roster_entry()))
+                if leader is None or one.name != leader.instance
+            ),
+            key=most_capable_first,
+        )
+        standbys = [one.name for one in ranked[:_STANDBYS_PER_REGION]]
+        return self._settings.instance in standbys
--- a/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
@@ -8,7 +8,7 @@
 from yuccadale_edge._internal.ownership.segments import UnconfirmedGrant
 from yuccadale_edge._internal.source_status import SourceAge
 from yuccadale_edge._internal.store import StoredRow
-from yuccadale_edge._internal.system_view import OwnedRange
+from yuccadale_edge._internal.system_view import Instance, OwnedRange
 from yuccadale_edge._internal.transport.client_pool import Address
 
 REPORT_TOPIC = 'report'
@@ -18,6 +18,7 @@
 UNCONFIRMED_GRANTS_TOPIC = 'doubts'
 PROMISE_TOPIC = 'promise'
 VOTE_TOPIC = 'agree'
+NOMINATION_TOPIC = 'nominate'
 
 # Compression gains little for smaller rows.
 _COMPRESS_ABOVE_BYTES = 1500
@@ -114,6 +115,7 @@
         port: port at which peers reach it.
         data_centre: data centre of the instance.
         leaving: whether the instance drains and takes no more requests.
+        capacity: see ``Machine.capacity``.
     """
 
     instance: str
@@ -121,6 +123,17 @@
     port: int
     data_centre: str
     leaving: bool = False
+    capacity: float = 0
+
+
+def instance_of(entry: RosterEntry) -> Instance:
+    """Returns the instance that a roster entry describes."""
+    return Instance(
+        entry.instance,
+        (entry.host, entry.port),
+        entry.data_centre,
+        entry.capacity,
+    )
 
 
 class Roster(msgspec.Struct, array_like=True):
--- a/packages/edge/src/yuccadale_edge/_internal/membership/reports.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/reports.py
@@ -22,7 +22,7 @@
         system_view: SystemView,
         dispatcher: Dispatcher,
     ) -> None:
-        self._roster_entry = entry
+        self.roster_entry = entry
         self._system_view = system_view
         self._dispatcher = dispatcher
         self._work_by_service: dict[str, dict[int, float]] = {}
@@ -48,7 +48,7 @@
             if until_s > now_s
         ]
         return Report(
-            self._roster_entry(),
+            self.roster_entry(),
             self._system_view.version_by_table(),
             self._system_view.membership_version,
             {
--- a/packages/edge/src/yuccadale_edge/_internal/model.py
+++ b/packages/edge/src/yuccadale_edge/_internal/model.py
@@ -171,6 +171,33 @@
         return min(self.configuration_s, self.draining_s)
 
 
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """What one process may use of its machine.
+
+    Attributes:
+        cores: processor cores.
+        core_share: share of each core.
+        memory_mb: memory beyond which the process is killed.
+        descriptors: open files and connections.
+        link_mbps: rate of the network link, in Mbit/s.
+    """
+
+    cores: float = 1.0
+    core_share: float = 1.0
+    memory_mb: float = 300.0
+    descriptors: int = 4096
+    link_mbps: float = 100.0
+
+    @property
+    def capacity(self) -> float:
+        """Processor capacity in cores times the rate of the link.
+
+        Work for many instances is limited by either of them.
+        """
+        return self.cores * self.core_share * self.link_mbps
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """The validated settings of one instance.
@@ -190,6 +217,7 @@
     seeds: tuple[Address, ...]
     store_address: Address
     bounds: Bounds = field(default_factory=Bounds)
+    machine: Machine = field(default_factory=Machine)
     advertised_address: Address | None = None
 
     @property
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -120,6 +120,13 @@
         self._previous_epoch = 0
         self._assumed_until_s: float = 0
 
+    @property
+    def keys_moving(self) -> bool:
+        """Whether keys are to get another owner."""
+        return any(
+            segment.target is not None for segment in self.table.segments
+        )
+
     def take_over(self, record: KeysRecord | None) -> None:
         """Starts from the record of an earlier leader.
 
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -268,6 +268,12 @@
     name: str
     address: Address
     data_centre: str
+    capacity: float = 0
+
+
+def most_capable_first(instance: Instance) -> tuple[float, str]:
+    """Sort key: machines that can carry more come first, then by name."""
+    return -instance.capacity, instance.name
 
 
 class SystemView:
