--- a/packages/core/src/yuccadale_core/_internal/codes.py
+++ b/packages/core/src/yuccadale_core/_internal/codes.py
@@ -63,6 +63,7 @@
     submission_outcome_unknown = 5004
 
     platform_unavailable = 6001
+    instance_failed = 6002
 
     not_authorised = 7001
 
@@ -295,6 +296,12 @@
             "The platform's service does not answer.",
             'Wait until the platform is back; what is in force stays so.',
         ),
+        ResultCode.instance_failed: CodeEntry(
+            500,
+            _UNKNOWN,
+            'An instance failed unexpectedly; the work may have run.',
+            "Look for 'unexpected error' in the logs of the instance.",
+        ),
         ResultCode.not_authorised: CodeEntry(
             403,
             _NOT_RUN,
--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -42,6 +42,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from yuccadale_edge._internal.supervision import supervise
 from yuccadale_edge._internal.system_view import (
     CONFIGURATION_TABLE,
     SOURCE_TABLES,
@@ -192,7 +193,7 @@
         self._limits = ServerLimits()
         self._callers = ListenerState(self._router.handle, self._limits)
         self._peers = PeerServer(
-            self._answer_peer, self._cluster.handle_message
+            self._answer_peer, self._cluster.handle_message, self._metrics
         )
         self._stopping = asyncio.Event()
 
@@ -215,12 +216,12 @@
             stack.callback(callers.close)
             stack.callback(self._links.close)
             tasks = [
-                asyncio.create_task(self._cluster.run()),
-                asyncio.create_task(self._housekeeping()),
-                *(asyncio.create_task(one.run()) for one in self._readers),
+                ('membership', self._cluster.run),
+                ('housekeeping', self._housekeeping),
+                *((f'reader of {one.table}', one.run) for one in self._readers),
             ]
-            for task in tasks:
-                task.add_done_callback(self._on_task_end)
+            for name, run in tasks:
+                task = asyncio.create_task(supervise(name, run, self._metrics))
                 stack.callback(task.cancel)
             gc.collect()
             gc.freeze()
@@ -364,14 +365,6 @@
             reuse_address=True,
         )
 
-    def _on_task_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled():
-            return
-        _log.error(
-            'background task ended; stopping', reason=repr(task.exception())
-        )
-        self._stopping.set()
-
 
 def _loggable(settings: Settings) -> dict[str, object]:
     return {
--- a/packages/edge/src/yuccadale_edge/_internal/membership/electorate.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/electorate.py
@@ -63,6 +63,11 @@
 _decode_flag = msgspec.msgpack.Decoder(bool).decode
 
 
+def _decode_answer(response: bytes) -> bool:
+    # An instance that does not know the topic responds with no bytes.
+    return bool(response) and _decode_flag(response)
+
+
 def choose_electors(peers: Iterable[Instance]) -> tuple[Elector, ...]:
     """Chooses electors among a leader's peers, across all data centres.
 
@@ -215,11 +220,15 @@
     ) -> Elector | None:
         """Returns the elector if it accepted, otherwise None."""
         if elector.address == self._own_address:
-            response = await self._handle_locally(topic, body)
+            accepted = _decode_answer(await self._handle_locally(topic, body))
         else:
             try:
-                response = await self._links.request(
-                    elector.address, topic, body, _RESPONSE_TIMEOUT_S
+                accepted = await self._links.request(
+                    elector.address,
+                    topic,
+                    body,
+                    _RESPONSE_TIMEOUT_S,
+                    _decode_answer,
                 )
             except (PeerUnreachableError, LinkLostError) as error:
                 _log.info(
@@ -228,8 +237,7 @@
                     reason=str(error),
                 )
                 return None
-        # An instance that does not know the topic responds with no bytes.
-        return elector if response and _decode_flag(response) else None
+        return elector if accepted else None
 
     async def _handle_locally(self, topic: str, body: bytes) -> bytes:
         if topic == PROMISE_TOPIC:
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Awaitable, Callable
+from functools import partial
 from math import inf
 
 import msgspec
@@ -37,12 +39,14 @@
 from yuccadale_edge._internal.ownership.manager import OwnershipManager
 from yuccadale_edge._internal.ownership.records import (
     KEYS_PREFIX,
+    InvalidRecordError,
     decode_record,
 )
 from yuccadale_edge._internal.store import (
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from yuccadale_edge._internal.supervision import supervise
 from yuccadale_edge._internal.system_view import (
     SERVER_TABLE,
     SOURCE_TABLES,
@@ -200,7 +204,8 @@
 
     async def lead(self) -> None:
         """Runs the leader's tasks until another instance leads."""
-        epoch = self._leadership.epoch
+        leadership = self._leadership
+        epoch = leadership.epoch
         self._last_report_s_by_member = {self._settings.instance: elapsed_s()}
         self._reported_s_by_member = {}
         # Known members have twice the timeout for their first report.
@@ -214,12 +219,12 @@
         self._rows_sent_s_by_member = {}
         self._update_roster(force=True)
         async with asyncio.TaskGroup() as group:
-            renewal = group.create_task(self._leadership.keep_renewing())
+            renewal = self._start(group, 'renewal', leadership.keep_renewing)
             tasks = [
-                group.create_task(self._leadership.extend_by_promises()),
-                group.create_task(self._maintain_roster()),
-                group.create_task(self._run_managers()),
-                group.create_task(self._hand_over_when_due()),
+                self._start(group, 'promises', leadership.extend_by_promises),
+                self._start(group, 'roster', self._maintain_roster),
+                self._start(group, 'services', self._run_managers),
+                self._start(group, 'hand-over', self._hand_over_when_due),
             ]
             await renewal
             for task in tasks:
@@ -230,6 +235,14 @@
             )
         self._manager_by_service = {}
 
+    def _start(
+        self,
+        group: asyncio.TaskGroup,
+        name: str,
+        run: Callable[[], Awaitable[None]],
+    ) -> asyncio.Task[None]:
+        return group.create_task(supervise(name, run, self._metrics))
+
     async def _send_unconfirmed_grants(
         self, epoch: int, manager_by_service: dict[str, OwnershipManager]
     ) -> None:
@@ -293,16 +306,26 @@
             await asyncio.sleep(_ROSTER_INTERVAL_S)
 
     async def _run_managers(self) -> None:
+        started: set[str] = set()
         async with asyncio.TaskGroup() as group:
             while True:
-                known = self._manager_by_service.keys()
-                services = self._system_view.keyed_services()
-                for service in set(services).difference(known):
-                    manager = self._create_manager(service)
-                    self._manager_by_service[service] = manager
-                    group.create_task(manager.run())
+                services = set(self._system_view.keyed_services())
+                for service in services.difference(started):
+                    self._start(
+                        group,
+                        f'keys of {service}',
+                        partial(self._run_manager, service),
+                    )
+                started |= services
                 await asyncio.sleep(_SERVICE_CHECK_INTERVAL_S)
 
+    async def _run_manager(self, service: str) -> None:
+        manager = self._manager_by_service.get(service)
+        if manager is None:
+            manager = self._create_manager(service)
+            self._manager_by_service[service] = manager
+        await manager.run()
+
     def _create_manager(self, service: str) -> OwnershipManager:
         leadership = self._leadership
         manager = OwnershipManager(
@@ -319,7 +342,20 @@
             self._settings.bounds.lease_s,
         )
         row = leadership.row_by_key.get(KEYS_PREFIX + service)
-        manager.take_over(None if row is None else decode_record(row.content))
+        if row is None:
+            return manager
+        try:
+            manager.take_over(decode_record(row.content))
+        except InvalidRecordError as error:
+            _log.error(
+                'stored keys unreadable, waiting until all leases have expired',
+                service=service,
+                row_version=row.version,
+                reason=str(error),
+            )
+            manager.rebuild(
+                self._system_view.owners(service).ranges(elapsed_s())
+            )
         return manager
 
     def _publish_owners(self, service: str, ranges: list[OwnedRange]) -> None:
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable, Mapping
 
 import msgspec
@@ -22,6 +23,10 @@
     promised_lease_end_s,
 )
 from yuccadale_edge._internal.membership.source_reader import StoreContact
+from yuccadale_edge._internal.ownership.records import (
+    KEYS_PREFIX,
+    recorded_epoch,
+)
 from yuccadale_edge._internal.store import (
     Store,
     StoredRow,
@@ -54,6 +59,8 @@
 _STORE_FAILURE_VALID_S = 1.2
 # Well above the read time of a slow store.
 _STORE_PROBE_TIMEOUT_S = 0.6
+# Epochs that replace a lost one count in these.
+_EPOCH_SECONDS = 60
 
 
 class LeaderRow(msgspec.Struct, array_like=True):
@@ -75,6 +82,19 @@
 _decode = msgspec.json.Decoder(LeaderRow).decode
 
 
+def _decode_row(row: StoredRow) -> LeaderRow | None:
+    """Returns the content of the leader's row, None if it is unreadable."""
+    try:
+        return _decode(row.content)
+    except (msgspec.DecodeError, RecursionError) as error:
+        _log.warning(
+            'row of the leader unreadable',
+            row_version=row.version,
+            reason=str(error),
+        )
+        return None
+
+
 class Leadership:
     """The leader's row as this instance knows it, and its own lease.
 
@@ -110,6 +130,8 @@
         self._version_changed_s: float = 0
         self._store_failed_s: float = 0
         self._resigned = False
+        # Whether the stored row cannot be read.
+        self._row_lost = False
         self._write_lock = asyncio.Lock()
         # Every elector set that the stored row may have, including writes
         # whose outcome is unknown.
@@ -167,7 +189,12 @@
         if row is None:
             return
         self.observe_version(row.version)
-        content = _decode(row.content)
+        content = _decode_row(row)
+        self._row_lost = content is None
+        if content is None:
+            self._resigned = False
+            self.row_electors = ()
+            return
         self._resigned = content.resigned
         self.row_electors = content.electors
         self.accept_leader(content.leader)
@@ -222,7 +249,12 @@
         unchanged_s = elapsed_s() - self._version_changed_s
         if unchanged_s <= TAKEOVER_S + handicap_s:
             return None
-        if unchanged_s > TAKEOVER_WITHOUT_VOTES_S or not self.row_electors:
+        if unchanged_s > TAKEOVER_WITHOUT_VOTES_S:
+            return version
+        if self._row_lost:
+            # The leader may act by promises of electors that are unknown.
+            return None
+        if not self.row_electors:
             return version
         if await self._electorate.request_votes(self.row_electors, version):
             return version
@@ -246,7 +278,7 @@
                 shows the outcome.
         """
         began_s = elapsed_s()
-        mine = msgspec.structs.replace(self._me, epoch=self.epoch + 1)
+        mine = msgspec.structs.replace(self._me, epoch=self._next_epoch())
         electors = self._choose_electors()
         written = await self._store.write(
             OWN_TABLE,
@@ -258,6 +290,7 @@
             return False
         self.version = written
         self._resigned = False
+        self._row_lost = False
         self.leader = mine
         self.deposed = False
         self._extend_lease(began_s, electors)
@@ -369,20 +402,46 @@
         if row is None:
             self.version = 0
             return
-        content = _decode(row.content)
+        content = _decode_row(row)
+        if content is None:
+            if elapsed_s() < self._lease_until_s:
+                # Nobody else may have taken over yet: the next renewal
+                # repairs the row.
+                self.version = row.version
+            else:
+                self._depose(row.version)
+            return
         mine = self.leader is not None and content.leader == self.leader
         if mine and not content.resigned:
             # An earlier renewal without a response was applied after all.
             self.version = row.version
             self._elector_sets = [content.electors]
             return
-        self.version = row.version
+        self._depose(row.version)
+        self.accept_leader(content.leader)
+        _log.warning('leadership lost', leader=content.leader.instance)
+
+    def _depose(self, version: int) -> None:
+        self.version = version
         self._version_changed_s = elapsed_s()
         self.deposed = True
         self._lease_until_s = 0
         self._promised_until_s = 0
-        self.accept_leader(content.leader)
-        _log.warning('leadership lost', leader=content.leader.instance)
+
+    def _next_epoch(self) -> int:
+        """Returns an epoch above every one whose fences servers have seen.
+
+        The records of keys are written before their fences are used. An epoch
+        that was lost with the leader's row is below the time in minutes, since
+        leaders change less often.
+        """
+        epochs = [
+            recorded_epoch(row.content)
+            for key, row in self.row_by_key.items()
+            if key.startswith(KEYS_PREFIX)
+        ]
+        lost = int(time.time() // _EPOCH_SECONDS) if self._row_lost else 0
+        return max(self.epoch, lost, *epochs, 0) + 1
 
     def _led_before_restart(self) -> bool:
         """Whether the leader was an earlier incarnation at this address."""
--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -14,12 +14,14 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import TypeVar
 
 import msgspec
 import structlog
 
 from yuccadale_edge._internal.clock import elapsed_s
+from yuccadale_edge._internal.observability.metrics import Metrics
+from yuccadale_edge._internal.supervision import contained
 from yuccadale_edge._internal.transport.client_pool import Address
 
 _log = structlog.get_logger()
@@ -47,6 +49,21 @@
 _NOTIFICATION = 3
 _PROBE = 4
 _ECHO = 5
+_FAILURE = 6
+
+
+class Frame(msgspec.Struct, array_like=True):
+    """One message on a link.
+
+    Attributes:
+        kind: one of the constants above.
+        request_id: of a request, its response and its cancellation.
+    """
+
+    kind: int
+    request_id: int
+    topic: str
+    body: bytes
 
 
 class LinkLostError(Exception):
@@ -57,18 +74,29 @@
     """No link could be established; nothing was sent."""
 
 
+class RequestFailedError(LinkLostError):
+    """The peer failed to handle the request; the link goes on."""
+
+
+class UnreadableMessageError(LinkLostError):
+    """The peer sent bytes that are no message; the link was closed."""
+
+
 # Errors after which a link cannot be read any more.
-_LINK_ERRORS = (OSError, EOFError, msgspec.DecodeError, LinkLostError)
+_LINK_ERRORS = (OSError, EOFError, LinkLostError)
+# Raised for bytes that are no message; deep nesting ends in a RecursionError.
+DECODE_ERRORS = (msgspec.DecodeError, RecursionError)
 
+_Message = TypeVar('_Message')
 RequestHandler = Callable[[str, bytes], Awaitable[bytes]]
 MessageHandler = Callable[[str, bytes], None]
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder()
+_decoder = msgspec.msgpack.Decoder(Frame)
 
 
 def _frame(kind: int, request_id: int, topic: str, body: bytes) -> bytes:
-    packed = _encoder.encode((kind, request_id, topic, body))
+    packed = _encoder.encode(Frame(kind, request_id, topic, body))
     return len(packed).to_bytes(_LENGTH_BYTES, 'big') + packed
 
 
@@ -98,17 +126,20 @@
         self._acknowledge = acknowledge
         self._unacknowledged_bytes = 0
 
-    async def read(self) -> Any:
+    async def read(self) -> Frame:
         """Returns the next frame.
 
         Raises:
-            OSError, EOFError, msgspec.DecodeError, LinkLostError: the link
-                cannot be used any more.
+            OSError, EOFError, LinkLostError: the link cannot be used any more.
         """
         size = int.from_bytes(await self._read_exactly(_LENGTH_BYTES), 'big')
         if size > _MAX_FRAME_BYTES:
             raise LinkLostError(f'frame of {size} bytes exceeds the size limit')
-        return _decoder.decode(await self._read_exactly(size))
+        packed = await self._read_exactly(size)
+        try:
+            return _decoder.decode(packed)
+        except DECODE_ERRORS as error:
+            raise UnreadableMessageError(f'invalid frame: {error}') from error
 
     async def _read_exactly(self, size: int) -> bytes:
         chunks: list[bytes] = []
@@ -207,10 +238,7 @@
         """Passes responses to their requests until the link ends."""
         try:
             while True:
-                _, request_id, _, body = await self._frames.read()
-                future = self._future_by_request_id.get(request_id)
-                if future is not None and not future.done():
-                    future.set_result(body)
+                self._handle_frame(await self._frames.read())
         except _LINK_ERRORS as error:
             _log.debug('link to a peer closed', reason=repr(error))
         finally:
@@ -225,6 +253,15 @@
             if not future.done():
                 future.set_exception(LinkLostError('the link was lost'))
 
+    def _handle_frame(self, frame: Frame) -> None:
+        future = self._future_by_request_id.get(frame.request_id)
+        if future is None or future.done():
+            return
+        if frame.kind == _RESPONSE:
+            future.set_result(frame.body)
+        elif frame.kind == _FAILURE:
+            future.set_exception(RequestFailedError('unexpected error'))
+
     async def _await_echo(self) -> None:
         read_before = self._frames.bytes_read
         self._writer.write(_frame(_PROBE, 0, '', b''))
@@ -246,10 +283,16 @@
         self._link_by_address: dict[Address, PeerLink] = {}
         self._lock_by_address: dict[Address, asyncio.Lock] = {}
         self._readers: set[asyncio.Task[None]] = set()
+        self._unreadable_peers: set[Address] = set()
 
     async def request(
-        self, address: Address, topic: str, body: bytes, timeout_s: float
-    ) -> bytes:
+        self,
+        address: Address,
+        topic: str,
+        body: bytes,
+        timeout_s: float,
+        decode: Callable[[bytes], _Message],
+    ) -> _Message:
         """Sends a request to a peer and waits for its response.
 
         Args:
@@ -257,21 +300,32 @@
             topic: topic of the request.
             body: encoded request.
             timeout_s: longest wait for the response.
+            decode: decodes the response; its errors are `DECODE_ERRORS`.
 
         Returns:
-            The encoded response.
+            The decoded response.
 
         Raises:
             PeerUnreachableError: nothing was sent.
             LinkLostError: no response; the peer may have handled the request.
+            UnreadableMessageError: the response could not be decoded.
         """
         link = await self._link(address)
         try:
             async with asyncio.timeout(timeout_s):
-                return await link.request(topic, body)
+                response = await link.request(topic, body)
         except TimeoutError as error:
             link.probe()
             raise LinkLostError(f'no response within {timeout_s} s') from error
+        try:
+            message = decode(response)
+        except DECODE_ERRORS as error:
+            self._close_unreadable(address, topic, error)
+            raise UnreadableMessageError(
+                f'unreadable response to {topic}: {error}'
+            ) from error
+        self._unreadable_peers.discard(address)
+        return message
 
     async def notify(self, address: Address, topic: str, body: bytes) -> bool:
         """Sends a message that gets no response.
@@ -297,6 +351,20 @@
         for address in list(self._link_by_address):
             self.drop(address)
 
+    def _close_unreadable(
+        self, address: Address, topic: str, error: Exception
+    ) -> None:
+        """Closes a link with an unreadable response; logs the first one."""
+        self.drop(address)
+        if address not in self._unreadable_peers:
+            self._unreadable_peers.add(address)
+            _log.warning(
+                'unreadable response of a peer, link closed',
+                peer=address,
+                topic=topic,
+                reason=str(error),
+            )
+
     async def _link(self, address: Address) -> PeerLink:
         known = self._link_by_address.get(address)
         if known is not None and known.open:
@@ -312,9 +380,9 @@
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(*address)
+            _set_socket_options(writer)
         except (OSError, TimeoutError) as error:
             raise PeerUnreachableError(f'cannot connect: {error!r}') from error
-        _set_socket_options(writer)
         link = PeerLink(reader, writer)
         self._link_by_address[address] = link
         task = asyncio.create_task(link.read())
@@ -331,18 +399,33 @@
     """
 
     def __init__(
-        self, handle_request: RequestHandler, handle_message: MessageHandler
+        self,
+        handle_request: RequestHandler,
+        handle_message: MessageHandler,
+        metrics: Metrics,
     ) -> None:
+        """Creates the server.
+
+        Args:
+            handle_request: returns the response to a topic and body.
+            handle_message: handles a topic and body without a response.
+            metrics: counts messages that could not be handled.
+        """
         self._handle_request = handle_request
         self._handle_message = handle_message
+        self._metrics = metrics
         self._writers: set[asyncio.StreamWriter] = set()
+        self._unreadable_hosts: set[str] = set()
         self.active_requests = 0
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serves one link until it ends, and cancels its requests then."""
-        _set_socket_options(writer)
+        """Serves one link until it ends, and cancels its requests then.
+
+        A message that cannot be decoded ends the link. Another error ends only
+        the handling of its message.
+        """
         self._writers.add(writer)
         task_by_request_id: dict[int, asyncio.Task[None]] = {}
 
@@ -351,10 +434,9 @@
 
         frames = FrameReader(reader, acknowledge)
         try:
-            while True:
-                self._handle_frame(
-                    writer, task_by_request_id, await frames.read()
-                )
+            await self._serve_frames(writer, task_by_request_id, frames)
+        except UnreadableMessageError as error:
+            self._log_unreadable(writer, str(error))
         except _LINK_ERRORS as error:
             _log.debug('link from a peer closed', reason=repr(error))
         finally:
@@ -365,31 +447,57 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def _serve_frames(
+        self,
+        writer: asyncio.StreamWriter,
+        task_by_request_id: dict[int, asyncio.Task[None]],
+        frames: FrameReader,
+    ) -> None:
+        _set_socket_options(writer)
+        while True:
+            frame = await frames.read()
+            with contained(
+                'message of a peer',
+                self._metrics,
+                passing=(UnreadableMessageError,),
+            ):
+                self._handle_frame(writer, task_by_request_id, frame)
+
     def _handle_frame(
         self,
         writer: asyncio.StreamWriter,
         task_by_request_id: dict[int, asyncio.Task[None]],
-        frame: Any,
+        frame: Frame,
     ) -> None:
-        kind, request_id, topic, body = frame
-        if kind == _NOTIFICATION:
-            self._handle_message(topic, body)
-        elif kind == _PROBE:
-            writer.write(_frame(_ECHO, request_id, topic, b''))
-        elif kind == _CANCEL:
-            known = task_by_request_id.pop(request_id, None)
-            if known is not None:
-                known.cancel()
-        else:
-            task = asyncio.create_task(
-                self._respond(writer, request_id, topic, body)
-            )
-            task_by_request_id[request_id] = task
+        if frame.kind == _NOTIFICATION:
+            self._receive(frame)
+        elif frame.kind == _PROBE:
+            writer.write(_frame(_ECHO, frame.request_id, frame.topic, b''))
+        elif frame.kind == _CANCEL:
+            _cancel(task_by_request_id.pop(frame.request_id, None))
+        elif frame.kind == _REQUEST:
+            self._start_request(writer, task_by_request_id, frame)
+
+    def _start_request(
+        self,
+        writer: asyncio.StreamWriter,
+        task_by_request_id: dict[int, asyncio.Task[None]],
+        frame: Frame,
+    ) -> None:
+        def forget(_done: asyncio.Task[None]) -> None:
+            task_by_request_id.pop(frame.request_id, None)
 
-            def forget(_done: asyncio.Task[None]) -> None:
-                task_by_request_id.pop(request_id, None)
+        task = asyncio.create_task(self._respond(writer, frame))
+        task_by_request_id[frame.request_id] = task
+        task.add_done_callback(forget)
 
-            task.add_done_callback(forget)
+    def _receive(self, frame: Frame) -> None:
+        try:
+            self._handle_message(frame.topic, frame.body)
+        except DECODE_ERRORS as error:
+            raise UnreadableMessageError(
+                f'unreadable message {frame.topic}: {error}'
+            ) from error
 
     def _close_link(
         self,
@@ -402,18 +510,43 @@
         writer.transport.abort()
 
     async def _respond(
-        self,
-        writer: asyncio.StreamWriter,
-        request_id: int,
-        topic: str,
-        body: bytes,
+        self, writer: asyncio.StreamWriter, frame: Frame
     ) -> None:
         self.active_requests += 1
+        kind = _FAILURE
+        response = b''
         try:
-            response = await self._handle_request(topic, body)
-            writer.write(_frame(_RESPONSE, request_id, topic, response))
+            with contained(
+                'request of a peer', self._metrics, passing=DECODE_ERRORS
+            ):
+                response = await self._handle_request(frame.topic, frame.body)
+                kind = _RESPONSE
+        except DECODE_ERRORS as error:
+            self._log_unreadable(writer, str(error))
+            writer.transport.abort()
+            return
         finally:
             self.active_requests -= 1
+        writer.write(_frame(kind, frame.request_id, frame.topic, response))
+
+    def _log_unreadable(
+        self, writer: asyncio.StreamWriter, reason: str
+    ) -> None:
+        """Logs the first unreadable message of each host."""
+        self._metrics.count('unreadable_messages')
+        host = writer.get_extra_info('peername', ('',))[0]
+        if host not in self._unreadable_hosts:
+            self._unreadable_hosts.add(host)
+            _log.warning(
+                'unreadable message of a peer, link closed',
+                peer=host,
+                reason=reason,
+            )
+
+
+def _cancel(task: asyncio.Task[None] | None) -> None:
+    if task is not None:
+        task.cancel()
 
 
 @asynccontextmanager
--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -37,9 +37,11 @@
 from yuccadale_edge._internal.model import Settings
 from yuccadale_edge._internal.ownership.records import (
     KEYS_PREFIX,
+    InvalidRecordError,
+    SegmentRecord,
     decode_record,
 )
-from yuccadale_edge._internal.store import Rows
+from yuccadale_edge._internal.store import Rows, StoredRow
 from yuccadale_edge._internal.system_view import (
     Owner,
     SystemView,
@@ -179,8 +181,8 @@
     def handle_rows(self, body: bytes) -> None:
         """Handles rows that a standby read from the store."""
         source = _decode_rows(body)
-        known = self._system_view.status_by_table[source.table].version
-        if source.after <= known:
+        status = self._system_view.status_by_table.get(source.table)
+        if status is not None and source.after <= status.version:
             # After a gap the time stays, so that this instance reads the
             # missing rows itself.
             self._rows_received_s = elapsed_s()
@@ -265,7 +267,7 @@
             owners = self._system_view.owners(service)
             if service == key or owners.version != _NO_VERSION:
                 continue
-            for segment in decode_record(row.content).segments:
+            for segment in _recorded_segments(row, service):
                 if segment.holders:
                     holder = segment.holders[0].holder
                     owners.assign(segment.first, segment.last, Owner(holder, 0))
@@ -342,13 +344,12 @@
     async def _send_report(self, leader: LeaderInfo) -> None:
         body = _encode(self._reporter.report())
         asked_s = elapsed_s()
-        response = _decode_response(
-            await self._links.request(
-                (leader.host, leader.port),
-                REPORT_TOPIC,
-                body,
-                _REPORT_TIMEOUT_S,
-            )
+        response = await self._links.request(
+            (leader.host, leader.port),
+            REPORT_TOPIC,
+            body,
+            _REPORT_TIMEOUT_S,
+            _decode_response,
         )
         if response.update is not None:
             self._apply_update(response.update)
@@ -404,7 +405,11 @@
             self._apply_owners(owners)
 
     def _apply_source(self, source: SourceRows) -> None:
-        known = self._system_view.status_by_table[source.table].version
+        status = self._system_view.status_by_table.get(source.table)
+        if status is None:
+            # An instance of a later version may have more tables.
+            return
+        known = status.version
         rows = tuple(row.decode() for row in source.rows)
         # After a gap the version stays, so that the response to the next
         # report carries the missing rows.
@@ -462,3 +467,16 @@
         )
         standbys = [one.name for one in ranked[:_STANDBYS_PER_REGION]]
         return self._settings.instance in standbys
+
+
+def _recorded_segments(row: StoredRow, service: str) -> list[SegmentRecord]:
+    try:
+        return decode_record(row.content).segments
+    except InvalidRecordError as error:
+        _log.warning(
+            'stored owners unreadable',
+            service=service,
+            row_version=row.version,
+            reason=str(error),
+        )
+        return []
--- a/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/source_reader.py
@@ -69,7 +69,7 @@
                 version before them and whether removed servers are kept for
                 a grace period.
         """
-        self._table = table
+        self.table = table
         self._store = store
         self._system_view = system_view
         self._contact = contact
@@ -83,7 +83,7 @@
         """Reads the table and its changes until cancelled."""
         backoff_s = _MIN_BACKOFF_S
         while True:
-            wait_s = self._read_wait_s(self._table)
+            wait_s = self._read_wait_s(self.table)
             if wait_s is None:
                 await asyncio.sleep(_IDLE_CHECK_INTERVAL_S)
                 continue
@@ -97,19 +97,19 @@
                 backoff_s = _MIN_BACKOFF_S
 
     async def _read_once(self, wait_s: float) -> None:
-        status = self._system_view.status_by_table[self._table]
+        status = self._system_view.status_by_table[self.table]
         began_s = elapsed_s()
         confirmed_s = began_s
         full_snapshot = status.version == 0
         if not full_snapshot:
             try:
                 rows = await self._store.changes(
-                    self._table, status.version, wait_s
+                    self.table, status.version, wait_s
                 )
             except HistoryLostError:
                 _log.warning(
                     'change history lost, reading the whole table',
-                    table=self._table,
+                    table=self.table,
                     version=status.version,
                 )
                 full_snapshot = True
@@ -118,24 +118,24 @@
                     # The store answered after the wait.
                     confirmed_s += wait_s
         if full_snapshot:
-            rows = await self._store.read(self._table, _TABLE_READ_TIMEOUT_S)
+            rows = await self._store.read(self.table, _TABLE_READ_TIMEOUT_S)
         self._record_success()
         grace = elapsed_s() < self._removal_grace_until_s
         before = status.version
         self._system_view.apply_rows(
-            self._table,
+            self.table,
             rows,
             full_snapshot=full_snapshot,
             removal_grace=grace,
             confirmed_s=confirmed_s,
         )
-        self._on_rows(self._table, rows, before, grace)
+        self._on_rows(self.table, rows, before, grace)
 
     def _record_failure(self, reason: str) -> None:
-        self._metrics.count('store_failures', table=self._table)
+        self._metrics.count('store_failures', table=self.table)
         if self._failing_since_s is None:
             self._failing_since_s = elapsed_s()
-            _log.warning('store lost', table=self._table, reason=reason)
+            _log.warning('store lost', table=self.table, reason=reason)
 
     def _record_success(self) -> None:
         self._contact.record_answer()
@@ -143,7 +143,7 @@
             now_s = elapsed_s()
             _log.info(
                 'store regained',
-                table=self._table,
+                table=self.table,
                 after_s=round(now_s - self._failing_since_s, 2),
             )
             self._failing_since_s = None
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -4,7 +4,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 
 import structlog
 
@@ -43,6 +44,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from yuccadale_edge._internal.supervision import supervise
 from yuccadale_edge._internal.system_view import OwnedRange, SystemView
 
 _log = structlog.get_logger()
@@ -127,16 +129,13 @@
             segment.target is not None for segment in self.table.segments
         )
 
-    def take_over(self, record: KeysRecord | None) -> None:
+    def take_over(self, record: KeysRecord) -> None:
         """Starts from the record of an earlier leader.
 
         That leader may have renewed the leases of all recorded servers until
         the takeover.
         """
-        if record is None:
-            return
-        latest_end_s = elapsed_s() + self.table.lease_s * CLOCK_MARGIN
-        latest_end_s += _CALL_END_S
+        latest_end_s = self._latest_lease_end_s()
         for segment in record.segments:
             for held in segment.holders:
                 self._runner.address_by_holder[held.holder] = (
@@ -152,11 +151,40 @@
             self._recorded = False
         self.table.changed = [(0, KEY_COUNT - 1)]
 
+    def rebuild(self, ranges: Iterable[OwnedRange]) -> None:
+        """Starts without the record of an earlier leader.
+
+        Any server may hold any key until the leases of that leader have
+        expired. Until then requests go to the owners that are known here, and
+        these get the keys again.
+
+        Args:
+            ranges: the owners as far as this instance knows them.
+        """
+        owner_by_range = {
+            (known.first, known.last): Holder(
+                known.server_id, known.incarnation
+            )
+            for known in ranges
+            if known.server_id is not None
+        }
+        self.table.load_owners(owner_by_range, self._latest_lease_end_s())
+        self.table.changed = [(0, KEY_COUNT - 1)]
+        self._recorded = False
+
     async def run(self) -> None:
-        """Runs the control loop until cancelled."""
-        while True:
-            await self._tick()
-            await asyncio.sleep(TICK_INTERVAL_S)
+        """Plans moves and runs calls until cancelled.
+
+        Each goes on when the other fails, so that leases are renewed.
+        """
+        async with asyncio.TaskGroup() as group:
+            for name, tick in (
+                ('plans', self._plan_and_record),
+                ('calls', self._run_calls),
+            ):
+                task = f'{name} for {self.service}'
+                run = partial(self._repeat, tick)
+                group.create_task(supervise(task, run, self._metrics))
 
     async def unconfirmed_grants(self) -> list[UnconfirmedGrant]:
         """Stops sending calls; returns grants that servers may still apply."""
@@ -193,21 +221,32 @@
         )
         return KEYS_PREFIX + self.service, encode_record(record)
 
-    async def _tick(self) -> None:
-        if self._ending:
-            return
-        self._end_restarted()
+    async def _repeat(self, tick: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            if not self._ending:
+                await tick()
+            await asyncio.sleep(TICK_INTERVAL_S)
+
+    async def _plan_and_record(self) -> None:
         if self._may_plan():
             # Released keys are granted to the next server only after the
             # store has recorded the plan.
             self._plan_if_due(elapsed_s())
         if self._may_record():
             await self._record()
+
+    async def _run_calls(self) -> None:
+        self._end_restarted()
         if self._may_call():
             lease_ending = self._lease_left_s() < _FINAL_RENEWAL_S
             self._runner.start_due(_FINAL_RENEWAL_S if lease_ending else None)
         self._publish_changes()
 
+    def _latest_lease_end_s(self) -> float:
+        """Returns when the last lease by an earlier leader has expired."""
+        lease_s = self.table.lease_s * CLOCK_MARGIN
+        return elapsed_s() + lease_s + _CALL_END_S
+
     def _plan_if_due(self, now_s: float) -> None:
         if now_s - self._planned_s >= PLAN_INTERVAL_S:
             self._planned_s = now_s
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/records.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/records.py
@@ -4,11 +4,15 @@
 
 import msgspec
 
+from yuccadale_edge._internal.model import KEY_COUNT
 from yuccadale_edge._internal.ownership.segments import (
+    UNKNOWN_HOLDER,
     Holder,
     Lease,
     Segment,
     SegmentTable,
+    epoch_of,
+    unknown_lease,
 )
 from yuccadale_edge._internal.transport.client_pool import Address
 
@@ -60,8 +64,45 @@
     all_calls_answered: bool = False
 
 
+class InvalidRecordError(Exception):
+    """A stored record that cannot be decoded, or does not cover all keys."""
+
+
 encode_record = msgspec.json.Encoder().encode
-decode_record = msgspec.json.Decoder(KeysRecord).decode
+_decode = msgspec.json.Decoder(KeysRecord).decode
+
+
+def decode_record(content: bytes) -> KeysRecord:
+    """Decodes a stored record.
+
+    Raises:
+        InvalidRecordError: the content is no complete record.
+    """
+    try:
+        record = _decode(content)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise InvalidRecordError(str(error)) from error
+    next_first = 0
+    for segment in record.segments:
+        if segment.first != next_first or segment.last < segment.first:
+            raise InvalidRecordError(f'no segment begins at key {next_first}')
+        next_first = segment.last + 1
+    if next_first != KEY_COUNT:
+        raise InvalidRecordError(f'the segments end before key {next_first}')
+    return record
+
+
+def recorded_epoch(content: bytes) -> int:
+    """Returns the highest epoch of a stored record, 0 if it is unreadable."""
+    try:
+        record = decode_record(content)
+    except InvalidRecordError:
+        return 0
+    fences = [0]
+    for segment in record.segments:
+        fences.append(segment.last_fence)
+        fences.extend(holder.fence for holder in segment.holders)
+    return max(record.epoch, epoch_of(max(fences)))
 
 
 def record_of(
@@ -111,17 +152,21 @@
         recorded=True,
         last_fence=max((record.last_fence, *fences)),
     )
-    for held in record.holders:
-        segment.lease_by_holder[held.holder] = Lease(
-            held.fence,
+    for stored in record.holders:
+        lease = Lease(
+            stored.fence,
             until_s=latest_end_s,
             unconfirmed_until_s=unconfirmed_until_s,
             accepted=True,
         )
-    if len(record.holders) == 1:
-        segment.owner = record.holders[0].holder
-    elif record.holders:
-        segment.target = record.holders[0].holder
+        if stored.holder == UNKNOWN_HOLDER:
+            lease = unknown_lease(latest_end_s)
+        segment.lease_by_holder[stored.holder] = lease
+    known = [one for one in segment.lease_by_holder if one != UNKNOWN_HOLDER]
+    if len(record.holders) == 1 and known:
+        segment.owner = known[0]
+    elif known:
+        segment.target = known[0]
     return segment
 
 
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -13,7 +13,7 @@
 * At most one call about a key is in flight to a server.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from typing import NamedTuple
@@ -35,6 +35,11 @@
     incarnation: int
 
 
+# Stands for whichever server may hold keys after the record was lost. No call
+# is sent to it; its leases expire.
+UNKNOWN_HOLDER = Holder('', 0)
+
+
 class CallKind(StrEnum):
     """What a call asks of a server."""
 
@@ -421,6 +426,31 @@
         """Replaces all segments by those that an earlier leader recorded."""
         self.segments = sorted(segments, key=_first_key)
 
+    def load_owners(
+        self,
+        owner_by_range: Mapping[tuple[int, int], Holder],
+        latest_end_s: float,
+    ) -> None:
+        """Replaces all segments when nobody knows which servers hold keys.
+
+        Args:
+            owner_by_range: servers that probably hold ranges of keys. They get
+                requests, and are granted the keys again.
+            latest_end_s: when every earlier lease has expired.
+        """
+        self.segments = [Segment(0, LAST_KEY)]
+        for first, last in owner_by_range:
+            self.split(first)
+            self.split(last + 1)
+        for (first, last), owner in owner_by_range.items():
+            for segment in self.in_range(first, last):
+                self._set_owner(segment, owner)
+        for segment in self.segments:
+            segment.lease_by_holder[UNKNOWN_HOLDER] = unknown_lease(
+                latest_end_s
+            )
+        self._plan_version += 1
+
     def _unconfirmed_s(
         self, segment: Segment, holder: Holder, now_s: float
     ) -> float:
@@ -549,6 +579,21 @@
         self.changed.append((segment.first, segment.last))
 
 
+def unknown_lease(latest_end_s: float) -> Lease:
+    """Returns a lease of ``UNKNOWN_HOLDER``, for which no call is due."""
+    return Lease(
+        fence=0,
+        until_s=latest_end_s,
+        unconfirmed_until_s=latest_end_s,
+        released=True,
+    )
+
+
+def epoch_of(fence: int) -> int:
+    """Returns the epoch of the leader that assigned a fence."""
+    return fence >> _FENCE_COUNTER_BITS
+
+
 def _first_key(segment: Segment) -> int:
     return segment.first
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -13,6 +13,7 @@
     LinkLostError,
     PeerLinks,
     PeerUnreachableError,
+    RequestFailedError,
 )
 from yuccadale_edge._internal.model import (
     Configuration,
@@ -34,6 +35,7 @@
     Served,
 )
 from yuccadale_edge._internal.routing.senders import choose_sender
+from yuccadale_edge._internal.supervision import contained
 from yuccadale_edge._internal.system_view import (
     CONFIGURATION_TABLE,
     Instance,
@@ -165,6 +167,22 @@
     async def handle(self, message: CallerMessage) -> Reply:
         """Answers one caller request."""
         request = self._codec.read_request(message)
+        with contained('request of a caller', self._metrics):
+            return await self._answer(request)
+        return self._refuse(
+            request,
+            None,
+            Refused(ResultCode.instance_failed, 'unexpected error'),
+        )
+
+    async def handle_forwarded(self, body: bytes) -> bytes:
+        """Serves a request that another instance forwarded."""
+        return encode_message(
+            await self._dispatcher.serve(_decode_request(body))
+        )
+
+    async def _answer(self, request: CallerRequest) -> Reply:
+        message = request.message
         found = find_route(self._system_view, request.host, request.path)
         if isinstance(found, Refused):
             return self._refuse(request, None, found)
@@ -204,12 +222,6 @@
             )
         return self._codec.reply(result.answer)
 
-    async def handle_forwarded(self, body: bytes) -> bytes:
-        """Serves a request that another instance forwarded."""
-        return encode_message(
-            await self._dispatcher.serve(_decode_request(body))
-        )
-
     async def _route(
         self,
         request: CallerRequest,
@@ -370,21 +382,21 @@
             if sender is None or sender.name == self._instance:
                 return await self._dispatcher.serve(routed)
             try:
-                answer = await self._links.request(
+                return await self._links.request(
                     sender.address,
                     FORWARD_TOPIC,
                     encode_message(routed),
                     routed.remaining_ms / _MS_PER_S + _LINK_GRACE_S,
+                    _decode_result,
                 )
             except PeerUnreachableError as error:
                 self._mark_suspected(sender, str(error))
             except LinkLostError as error:
-                self._mark_suspected(sender, str(error))
+                if not isinstance(error, RequestFailedError):
+                    self._mark_suspected(sender, str(error))
                 return Refused(
                     ResultCode.link_lost, f'{sender.name}: {error}', attempts=1
                 )
-            else:
-                return _decode_result(answer)
 
     def _sender_key(self, routed: RoutedRequest) -> tuple[str, str]:
         if routed.server_id is not None:
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
@@ -15,6 +15,8 @@
 # sent while the server closes it could be lost, and may not be retried.
 _IDLE_SHARE = 0.6
 _DEFAULT_IDLE_S = 4.0
+# The last two are raised for an address without a valid host or port.
+_CONNECT_ERRORS = (OSError, TimeoutError, ValueError, OverflowError)
 
 
 class ClientPool:
@@ -112,7 +114,7 @@
                 )
         except ConnectionRefusedError as refused:
             raise PortClosedError(str(refused)) from refused
-        except (OSError, TimeoutError) as error:
+        except _CONNECT_ERRORS as error:
             raise NotSentError(f'cannot connect: {error!r}') from error
         self.opened += 1
         return connection
--- a/packages/edge/src/yuccadale_edge/instance.py
+++ b/packages/edge/src/yuccadale_edge/instance.py
@@ -2,6 +2,7 @@
 
 from yuccadale_edge._internal.app import Adapter, Instance
 from yuccadale_edge._internal.model import (
+    KEY_COUNT,
     Bounds,
     CallerLimits,
     Configuration,
@@ -53,6 +54,7 @@
 
 __all__ = (
     'CONFIGURATION_TABLE',
+    'KEY_COUNT',
     'SERVER_TABLE',
     'Adapter',
     'Address',
--- a/tests/builders/configuration_world.py
+++ b/tests/builders/configuration_world.py
@@ -6,9 +6,10 @@
 
 import asyncio
 import random
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from types import MappingProxyType, SimpleNamespace
+from typing import Any
 
 from tests.builders.leadership_world import StoredRows
 from yuccadale_core.codes import ResultCode
@@ -176,15 +177,20 @@
         self._name = name
 
     async def request(
-        self, address: Address, topic: str, body: bytes, timeout_s: float
-    ) -> bytes:
+        self,
+        address: Address,
+        topic: str,
+        body: bytes,
+        timeout_s: float,
+        decode: Callable[[bytes], Any],
+    ) -> Any:
         """Sends a request to a peer."""
         peer = await self._reach_peer(address)
         async with asyncio.timeout(timeout_s):
             answer = await peer.cluster.handle_request(topic, body)
         if peer is not await self._reach_peer(address):
             raise LinkLostError('the peer was restarted')
-        return answer
+        return decode(answer)
 
     async def notify(self, address: Address, topic: str, body: bytes) -> bool:
         """Sends a message that gets no response."""
--- a/tests/builders/leadership_world.py
+++ b/tests/builders/leadership_world.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
@@ -137,8 +138,13 @@
         self._name = name
 
     async def request(
-        self, address: Address, topic: str, body: bytes, timeout_s: float
-    ) -> bytes:
+        self,
+        address: Address,
+        topic: str,
+        body: bytes,
+        timeout_s: float,
+        decode: Callable[[bytes], Any],
+    ) -> Any:
         """Sends a request to a peer."""
         world = self._world
         peer = world.peer_at(address)
@@ -153,7 +159,7 @@
         await asyncio.sleep(world.random.choice(_DELAYS_S))
         if world.is_partitioned(self._name, peer.name):
             raise LinkLostError('network partition before the response')
-        return answer
+        return decode(answer)
 
 
 class SimulatedInstance:
--- a/tests/edge/test_links.py
+++ b/tests/edge/test_links.py
@@ -4,11 +4,14 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import msgspec
 import pytest
 
 from tests.builders.platform_system import free_port
 from tests.soak.proxy import LoopbackProxy, running_proxy
 from yuccadale_edge._internal.membership import links
+from yuccadale_edge._internal.observability.metrics import Metrics
+from yuccadale_edge._internal.transport.client_pool import Address
 
 _SLOW_S = 0.5
 _LARGE_BYTES = 8_000_000
@@ -19,14 +22,34 @@
 async def _handle_request(topic: str, body: bytes) -> bytes:
     if topic == 'slow':
         await asyncio.sleep(_SLOW_S)
+    if topic == 'fails':
+        raise ZeroDivisionError
+    if topic == 'unreadable':
+        raise msgspec.DecodeError
     return bytes(_LARGE_BYTES) if topic == 'large' else body
 
 
+def _handle_message(topic: str, body: bytes) -> None:
+    if topic == 'fails':
+        raise ZeroDivisionError
+
+
+async def _request(
+    dialled: links.PeerLinks,
+    address: Address,
+    topic: str,
+    body: bytes,
+    timeout_s: float,
+) -> bytes:
+    """Sends a request whose response is not decoded."""
+    return await dialled.request(address, topic, body, timeout_s, bytes)
+
+
 @asynccontextmanager
 async def _peer() -> AsyncIterator[tuple[links.PeerLinks, LoopbackProxy]]:
     """Starts a peer behind a proxy; yields links to it and the proxy."""
     address = ('127.0.0.1', free_port())
-    server = links.PeerServer(_handle_request, lambda _topic, _body: None)
+    server = links.PeerServer(_handle_request, _handle_message, Metrics())
     dialled = links.PeerLinks()
     async with (
         links.peer_listener(address, server),
@@ -48,12 +71,16 @@
     """
     monkeypatch.setattr(links, '_ECHO_TIMEOUT_S', 0.2, raising=True)
     async with _peer() as (dialled, proxy):
-        assert await dialled.request(proxy.address, 'quick', b'1', 1.0) == b'1'
+        assert (
+            await _request(dialled, proxy.address, 'quick', b'1', 1.0) == b'1'
+        )
         proxy.stall_connections()
         with pytest.raises(links.LinkLostError):
-            await dialled.request(proxy.address, 'quick', b'2', 0.1)
+            await _request(dialled, proxy.address, 'quick', b'2', 0.1)
         await asyncio.sleep(0.4)
-        assert await dialled.request(proxy.address, 'quick', b'3', 1.0) == b'3'
+        assert (
+            await _request(dialled, proxy.address, 'quick', b'3', 1.0) == b'3'
+        )
 
 
 async def test_a_link_that_is_busy_with_a_large_answer_is_kept(
@@ -66,17 +93,17 @@
     """
     monkeypatch.setattr(links, '_ECHO_TIMEOUT_S', 0.1, raising=True)
     async with _peer() as (dialled, proxy):
-        await dialled.request(proxy.address, 'quick', b'1', 1.0)
+        await _request(dialled, proxy.address, 'quick', b'1', 1.0)
         # The proxy delays each chunk, so that the large response takes long.
         proxy.delay_s = 0.02
         answered = asyncio.create_task(
-            dialled.request(proxy.address, 'large', b'', 20.0)
+            _request(dialled, proxy.address, 'large', b'', 20.0)
         )
         lost = 0
         # Other responses are queued behind the large one.
         while not answered.done():
             try:
-                await dialled.request(proxy.address, 'quick', b'2', 0.05)
+                await _request(dialled, proxy.address, 'quick', b'2', 0.05)
             except links.LinkLostError:
                 lost += 1
             await asyncio.sleep(0.11)
@@ -95,10 +122,10 @@
     monkeypatch.setattr(links, '_ECHO_TIMEOUT_S', 0.2, raising=True)
     monkeypatch.setattr(links, '_LATE_RESPONSE_S', 0.05, raising=True)
     async with _peer() as (dialled, proxy):
-        await dialled.request(proxy.address, 'quick', b'1', 1.0)
+        await _request(dialled, proxy.address, 'quick', b'1', 1.0)
         proxy.delay_s = 0.02
         body = bytes(_LARGE_BYTES)
-        answer = await dialled.request(proxy.address, 'quick', body, 20.0)
+        answer = await _request(dialled, proxy.address, 'quick', body, 20.0)
         assert len(answer) == _LARGE_BYTES
 
 
@@ -111,11 +138,11 @@
     """
     monkeypatch.setattr(links, '_ECHO_TIMEOUT_S', 0.2, raising=True)
     async with _peer() as (dialled, proxy):
-        await dialled.request(proxy.address, 'quick', b'1', 1.0)
+        await _request(dialled, proxy.address, 'quick', b'1', 1.0)
         proxy.stall_connections()
         began_s = asyncio.get_running_loop().time()
         with pytest.raises(links.LinkLostError):
-            await dialled.request(proxy.address, 'quick', b'2', 20.0)
+            await _request(dialled, proxy.address, 'quick', b'2', 20.0)
         assert asyncio.get_running_loop().time() - began_s < _LOST_WITHIN_S
 
 
@@ -142,9 +169,67 @@
     monkeypatch.setattr(links, '_ECHO_TIMEOUT_S', 0.2, raising=True)
     async with _peer() as (dialled, proxy):
         slow = asyncio.create_task(
-            dialled.request(proxy.address, 'slow', b'late', 2.0)
+            _request(dialled, proxy.address, 'slow', b'late', 2.0)
         )
         await asyncio.sleep(0.05)
         with pytest.raises(links.LinkLostError):
-            await dialled.request(proxy.address, 'slow', b'hasty', 0.1)
+            await _request(dialled, proxy.address, 'slow', b'hasty', 0.1)
         assert await slow == b'late'
+
+
+async def test_an_error_while_handling_a_request_ends_only_that() -> None:
+    """Guards against a process or link that one message ends."""
+    async with _peer() as (dialled, proxy):
+        slow = asyncio.create_task(
+            _request(dialled, proxy.address, 'slow', b'1', 2.0)
+        )
+        await asyncio.sleep(0.05)
+        with pytest.raises(links.RequestFailedError):
+            await _request(dialled, proxy.address, 'fails', b'', 2.0)
+        assert await dialled.notify(proxy.address, 'fails', b'')
+        assert await _request(dialled, proxy.address, 'quick', b'2', 1) == b'2'
+        assert await slow == b'1'
+        assert proxy.accepted == 1
+
+
+async def test_an_unreadable_request_ends_its_link() -> None:
+    """Guards against a peer that is heard further after it sent nonsense."""
+    async with _peer() as (dialled, proxy):
+        with pytest.raises(links.LinkLostError):
+            await _request(dialled, proxy.address, 'unreadable', b'', 2.0)
+        assert await _request(dialled, proxy.address, 'quick', b'2', 1) == b'2'
+        assert proxy.accepted == 2
+
+
+async def test_an_unreadable_response_is_a_lost_link() -> None:
+    """Guards against a response that ends the task which asked for it."""
+
+    def decode(_response: bytes) -> bytes:
+        raise msgspec.DecodeError('not a response')
+
+    async with _peer() as (dialled, proxy):
+        for _ in range(2):
+            with pytest.raises(links.UnreadableMessageError):
+                await dialled.request(proxy.address, 'quick', b'', 1, decode)
+        assert await _request(dialled, proxy.address, 'quick', b'2', 1) == b'2'
+
+
+@pytest.mark.parametrize(
+    'frame',
+    [
+        b'\xc1',
+        b'\x91' * 5000,
+        msgspec.msgpack.encode({'kind': 0}),
+        msgspec.msgpack.encode((0, 'one', 'topic', b'')),
+        msgspec.msgpack.encode((99, 1, 'topic', b'')),
+    ],
+)
+async def test_nonsense_on_a_link_ends_only_that_link(frame: bytes) -> None:
+    """Guards against a peer of another kind that stops the listener."""
+    async with _peer() as (dialled, proxy):
+        reader, writer = await asyncio.open_connection(*proxy.address)
+        writer.write(len(frame).to_bytes(4, 'big') + frame)
+        writer.write_eof()
+        assert not await reader.read()
+        writer.close()
+        assert await _request(dialled, proxy.address, 'quick', b'2', 1) == b'2'
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -48,6 +48,13 @@
     process: asyncio.subprocess.Process | None = None
     paused: bool = False
     terminating: bool = False
+    ending: bool = False
+
+    @property
+    def ended_by_itself(self) -> bool:
+        """Whether the process ended without a signal to end."""
+        ended = self.process is not None and self.process.returncode is not None
+        return ended and not self.ending
 
     def write_settings(self) -> Path:
         """Writes the settings file; returns its path."""
@@ -81,6 +88,7 @@
         log.close()
         self.paused = False
         self.terminating = False
+        self.ending = False
 
     async def restart_if_ended(self) -> None:
         """Restarts the process if it ended or was asked to terminate."""
@@ -106,6 +114,7 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
             self.paused = number == signal.SIGSTOP
+            self.ending |= number in {signal.SIGKILL, signal.SIGTERM}
 
     async def kill(self) -> None:
         """Kills the process, also a paused one."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -95,6 +95,7 @@
             asyncio.create_task(
                 self._inject(self._connection_faults(), 'connections')
             ),
+            asyncio.create_task(self._inject(self._input_faults(), 'input')),
         ]
         await asyncio.sleep(duration_s)
         for task in (*tasks, *faults):
@@ -128,6 +129,9 @@
             self._disconnect_store,
         ]
 
+    def _input_faults(self) -> list[Fault]:
+        return [self._damage_row, self._send_nonsense]
+
     async def _inject(self, faults: list[Fault], name: str) -> None:
         # Separate from the load, so that a seed repeats the same faults.
         random_source = random.Random(f'{self.report.seed} {name}')
@@ -212,6 +216,27 @@
         await asyncio.sleep(0.5)
         server.drop_answers = False
 
+    async def _damage_row(self, random_source: random.Random) -> None:
+        """Makes the record of keys unreadable until the leader writes it."""
+        damaged = random_source.choice((b'', b'[', b'\xff\xff'))
+        self._store.state.put('yuccadale', 'keys/ledger', damaged)
+        await asyncio.sleep(random_source.choice(_CONNECTION_FAULT_S))
+
+    async def _send_nonsense(self, random_source: random.Random) -> None:
+        """Sends bytes that are no message to a peer's and a caller's port."""
+        instance = random_source.choice(self._instances)
+        chunk = random_source.randbytes(random_source.choice((4, 100, 5000)))
+        for name in ('peers', 'callers'):
+            try:
+                _, writer = await asyncio.open_connection(
+                    '127.0.0.1', instance.ports[name]
+                )
+            except OSError:
+                continue
+            writer.write(len(chunk).to_bytes(4, 'big') + chunk)
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+
     async def _drain_server(self, random_source: random.Random) -> None:
         server = random_source.choice(self._servers)
         for state in ('draining', 'ready'):
@@ -231,6 +256,8 @@
             self._store.state.put('servers', server.server_id, server.entry())
         await self._store.state.notify_feeds()
         for instance in self._instances:
+            if instance.ended_by_itself:
+                self.report.problems.append(f'{instance.name} ended by itself')
             instance.signal(signal.SIGCONT)
             await instance.restart_if_ended()
 
