Move keys only for differences in load that chance does not explain

Cause: a server passed keys on whenever its share of some 30 to 100 observed requests was 1.25 times the mean, which chance alone does all the time; a new leader without observations saw servers with many idle keys as overloaded; the first server to register got all keys, and most moved on when the others came; estimated speeds were lost with the leader.

Change: differences have to exceed what is likely by chance, more so the more keys move; work is averaged over four times; the part with the fewest keys moves; adjacent busy keys are estimated together (James and Stein); idle servers are filled separately; first keys wait until servers have registered; speeds are in the record. A service with many servers may move more ranges at a time.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -393,7 +393,7 @@
         for work in report.work:
             manager = self._manager_by_service.get(work.service)
             if manager is not None:
-                manager.load.add(work.weight_by_key)
+                manager.planner.add_work(work.weight_by_key, work.requests)
         for total in report.times:
             self._record_service_time(total)
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
@@ -219,10 +219,12 @@
     Attributes:
         service: name of the service.
         weight_by_key: work in seconds, by key.
+        requests: number of requests, None if unknown.
     """
 
     service: str
     weight_by_key: dict[int, float]
+    requests: int | None = None
 
 
 class UnconfirmedGrants(msgspec.Struct, array_like=True):
--- a/packages/edge/src/yuccadale_edge/_internal/membership/reports.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/reports.py
@@ -1,5 +1,6 @@
 """Observations of an instance for its next report to the leader."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from yuccadale_edge._internal.clock import elapsed_s
@@ -26,21 +27,24 @@
         self._system_view = system_view
         self._dispatcher = dispatcher
         self._work_by_service: dict[str, dict[int, float]] = {}
+        self._requests_by_service: Counter[str] = Counter()
 
     def record_key_work(self, service: str, key: int, work_s: float) -> None:
         """Records work that a caller requested, in seconds."""
         weights = self._work_by_service.setdefault(service, {})
         weights[key] = weights.get(key, 0) + work_s
+        self._requests_by_service[service] += 1
 
     def report(self) -> Report:
         """Returns the observations since the last report."""
         now_s = elapsed_s()
         work = [
-            KeyWork(service, weights)
+            KeyWork(service, weights, self._requests_by_service[service])
             for service, weights in self._work_by_service.items()
             if weights
         ]
         self._work_by_service = {}
+        self._requests_by_service.clear()
         until_by_server = self._system_view.unreachable_until_by_server
         unreachable = [
             server_id
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -12,16 +12,15 @@
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.model import KEY_COUNT, Server, ServerState
 from yuccadale_edge._internal.observability.metrics import Metrics
-from yuccadale_edge._internal.ownership.balance import (
-    Balancer,
-    KeyLoad,
-    Move,
-    Span,
-)
+from yuccadale_edge._internal.ownership.balance import Move, Span
 from yuccadale_edge._internal.ownership.call_runner import (
     CallRunner,
     ServerCalls,
 )
+from yuccadale_edge._internal.ownership.planning import (
+    MovePlanner,
+    max_parallel_moves,
+)
 from yuccadale_edge._internal.ownership.records import (
     KEYS_PREFIX,
     KeysRecord,
@@ -36,10 +35,7 @@
     SegmentTable,
     UnconfirmedGrant,
 )
-from yuccadale_edge._internal.ownership.speeds import (
-    ServerSpeeds,
-    fair_loads,
-)
+from yuccadale_edge._internal.ownership.speeds import ServerSpeeds
 from yuccadale_edge._internal.store import (
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -53,12 +49,8 @@
 RENEW_S = 1.4
 TICK_INTERVAL_S = 0.05
 PLAN_INTERVAL_S = 0.4
-# A server keeps its keys while its load is below this factor of the mean, since
-# loads vary at random.
-_TOLERANCE = 1.25
-_MIN_MOVE_SHARE = 0.12
-_MAX_MOVES_PER_PLAN = 6
-_MAX_RANGES_MOVING = 12
+# No more ranges are moved while those of this many plans are moving.
+_MOVING_PER_PLAN = 2
 # A range is not moved again within this time, so that the effect of the last
 # move is measured first.
 _MOVE_COOLDOWN_S = 1.0
@@ -94,7 +86,7 @@
         lease_s: float,
     ) -> None:
         self.service = service
-        self.load = KeyLoad()
+        self.planner = MovePlanner()
         self.speeds = ServerSpeeds()
         self.table = SegmentTable(epoch, lease_s, RENEW_S)
         self._epoch = epoch
@@ -142,6 +134,7 @@
                     held.host,
                     held.port,
                 )
+        self.speeds.assume(record.speed_by_server)
         self._previous_epoch = record.epoch
         self._assumed_until_s = latest_end_s
         self.table.load(segments_of(record, latest_end_s))
@@ -218,6 +211,7 @@
             self.table,
             self._runner.address_by_holder,
             all_calls_answered=self.table.all_calls_answered(elapsed_s()),
+            speed_by_server=self._known_speeds(),
         )
         return KEYS_PREFIX + self.service, encode_record(record)
 
@@ -342,29 +336,28 @@
         for holder, server in usable.items():
             self._runner.address_by_holder[holder] = server.address
         self.table.merge_adjacent()
-        self.load.decay(now_s)
         self._remove_old_moves(now_s)
         spans = [
             self._span(segment, usable, now_s)
             for segment in self.table.segments
         ]
-        profile = self.load.profile()
-        fair = fair_loads(capacity, profile.weight(0, KEY_COUNT - 1))
-        balancer = Balancer(spans, fair, profile)
-        moves = balancer.place_unowned()
         moving = sum(
             1 for segment in self.table.segments if segment.target is not None
         )
-        if moving < _MAX_RANGES_MOVING:
-            moves.extend(balancer.place_hot_keys(capacity))
-            moves.extend(
-                balancer.offload_busiest(
-                    _MAX_MOVES_PER_PLAN, _TOLERANCE, _MIN_MOVE_SHARE
-                )
-            )
+        max_moving = max_parallel_moves(len(usable)) * _MOVING_PER_PLAN
+        moves = self.planner.plan(
+            spans, capacity, now_s, rebalance=moving < max_moving
+        )
         for move in moves:
             self._apply_move(move, now_s)
 
+    def _known_speeds(self) -> dict[str, float]:
+        """Returns the estimated speeds of the servers, for the record."""
+        return {
+            server.server_id: round(self.speeds.speed(server.server_id), 2)
+            for server in self._usable().values()
+        }
+
     def _capacity(self, server: Server) -> float:
         speed = self.speeds.speed(server.server_id)
         if self._system_view.servers.cold(server):
@@ -414,7 +407,12 @@
     async def _record(self) -> None:
         plan_version = self.table.reserve_fences()
         content = encode_record(
-            record_of(self._epoch, self.table, self._runner.address_by_holder)
+            record_of(
+                self._epoch,
+                self.table,
+                self._runner.address_by_holder,
+                speed_by_server=self._known_speeds(),
+            )
         )
         try:
             written = await self._write({KEYS_PREFIX + self.service: content})
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/records.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/records.py
@@ -1,6 +1,8 @@
 """The stored record of a service's keys, from which a new leader starts."""
 
 from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Annotated
 
 import msgspec
 
@@ -19,6 +21,7 @@
 KEYS_PREFIX = 'keys/'
 
 AddressByHolder = Mapping[Holder, Address]
+_NO_SPEEDS: Mapping[str, float] = MappingProxyType({})
 
 
 class HolderRecord(msgspec.Struct, array_like=True):
@@ -57,11 +60,13 @@
     Attributes:
         all_calls_answered: whether the leader stopped with every call
             answered, so that none of its grants can be applied late.
+        speed_by_server: estimated speeds, relative to the mean.
     """
 
     epoch: int
     segments: list[SegmentRecord]
     all_calls_answered: bool = False
+    speed_by_server: dict[str, Annotated[float, msgspec.Meta(gt=0)]] = {}
 
 
 class InvalidRecordError(Exception):
@@ -111,6 +116,7 @@
     address_by_holder: AddressByHolder,
     *,
     all_calls_answered: bool = False,
+    speed_by_server: Mapping[str, float] = _NO_SPEEDS,
 ) -> KeysRecord:
     """Returns the record that must be stored before the next grants."""
     return KeysRecord(
@@ -125,6 +131,7 @@
             for segment in table.segments
         ],
         all_calls_answered,
+        dict(speed_by_server),
     )
 
 
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/speeds.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/speeds.py
@@ -16,6 +16,8 @@
 _MIN_SHARE = 0.2
 # Number of assumed answers with the mean time, which steadies early estimates.
 _PRIOR_ANSWERS = 8.0
+# The same for the speed that an earlier leader estimated.
+_ASSUMED_ANSWERS = 30.0
 
 
 def fair_loads(
@@ -50,6 +52,7 @@
     """Estimated speed of each server relative to the mean of its service."""
 
     def __init__(self) -> None:
+        self._assumed_by_server: Mapping[str, float] = {}
         self._total_by_route: dict[str, list[float]] = {}
         self._expected_and_actual_s_by_server: dict[str, list[float]] = {}
 
@@ -70,13 +73,19 @@
         times[0] += expected_s
         times[1] += total_s
 
+    def assume(self, speed_by_server: Mapping[str, float]) -> None:
+        """Sets the speeds to assume until answers show others."""
+        self._assumed_by_server = speed_by_server
+
     def speed(self, server_id: str) -> float:
         """Returns 1 for a server of mean speed, 2 for one twice as fast."""
+        assumed = self._assumed_by_server.get(server_id)
+        speed = 1.0 if assumed is None else assumed
         times = self._expected_and_actual_s_by_server.get(server_id)
-        if times is None or not self._total_by_route:
-            return 1.0
-        prior_s = _PRIOR_ANSWERS * self._mean_s()
-        speed = (times[0] + prior_s) / (times[1] + prior_s)
+        if times is not None and self._total_by_route:
+            answers = _PRIOR_ANSWERS if assumed is None else _ASSUMED_ANSWERS
+            prior_s = answers * self._mean_s()
+            speed = (times[0] + prior_s) / (times[1] + prior_s / speed)
         return min(max(speed, _MIN_SPEED), _MAX_SPEED)
 
     def _mean_s(self) -> float:
--- a/packages/edge/src/yuccadale_edge/ownership.py
+++ b/packages/edge/src/yuccadale_edge/ownership.py
@@ -8,6 +8,7 @@
     Move,
     Span,
 )
+from yuccadale_edge._internal.ownership.planning import MovePlanner
 from yuccadale_edge._internal.ownership.records import (
     KeysRecord,
     record_of,
@@ -38,6 +39,7 @@
     'Lease',
     'LoadProfile',
     'Move',
+    'MovePlanner',
     'OwnershipCall',
     'Segment',
     'SegmentTable',
--- a/tests/edge/test_balance.py
+++ b/tests/edge/test_balance.py
@@ -34,6 +34,11 @@
     return spans, moves, final.relative_loads()
 
 
+def _observe(load: KeyLoad, weight_by_key: dict[int, float]) -> None:
+    """Adds work that consists of many small requests."""
+    load.add(weight_by_key, requests=1_000_000)
+
+
 def _apply_move(spans: list[Span], move: Move) -> list[Span]:
     result = [Span(move.first, move.last, move.target)]
     for span in spans:
@@ -69,8 +74,8 @@
     spans, _, _ = _balance(KeyLoad(), [Span(0, LAST, None)])
     load = KeyLoad()
     draw = random.Random(1)
-    load.add({30000 + offset: 0.2 for offset in range(200)})
-    load.add({draw.randrange(KEY_COUNT): 0.02 for _ in range(3000)})
+    _observe(load, {30000 + offset: 0.2 for offset in range(200)})
+    _observe(load, {draw.randrange(KEY_COUNT): 0.02 for _ in range(3000)})
     spans, moves, loads = _balance(load, spans)
     assert _covers_all_keys(spans)
     assert max(loads.values()) < MAX_RELATIVE_LOAD
@@ -82,7 +87,7 @@
     """Guards against repeated moves of a key that no server can handle."""
     spans, _, _ = _balance(KeyLoad(), [Span(0, LAST, None)])
     load = KeyLoad()
-    load.add({101: 40.0} | {key: 0.01 for key in range(0, KEY_COUNT, 50)})
+    _observe(load, {101: 40.0} | {key: 0.01 for key in range(0, KEY_COUNT, 50)})
     spans, _, _ = _balance(load, spans)
     owner = next(
         span.holder for span in spans if span.first <= 101 <= span.last
@@ -104,7 +109,9 @@
     capacity[fastest] = 3.0
     spans, _, _ = _balance(KeyLoad(), [Span(0, LAST, None)], capacity)
     load = KeyLoad()
-    load.add({6910: 12.0} | {key: 0.01 for key in range(0, KEY_COUNT, 50)})
+    _observe(
+        load, {6910: 12.0} | {key: 0.01 for key in range(0, KEY_COUNT, 50)}
+    )
     balancer = Balancer(spans, capacity, load.profile())
     moves = balancer.place_hot_keys(capacity)
     assert [(hot.first, hot.last, hot.target) for hot in moves] == [
@@ -123,7 +130,7 @@
     capacity[HOLDERS[7]] = 3.0
     spans, _, _ = _balance(KeyLoad(), [Span(0, LAST, None)], capacity)
     load = KeyLoad()
-    load.add({6910: 12.0, 50000: 11.0})
+    _observe(load, {6910: 12.0, 50000: 11.0})
     balancer = Balancer(spans, capacity, load.profile())
     moves = balancer.place_hot_keys(capacity)
     assert [(hot.first, hot.target) for hot in moves] == [(6910, HOLDERS[7])]
@@ -133,7 +140,7 @@
     """Guards against a loss that overloads one other server."""
     spans, _, _ = _balance(KeyLoad(), [Span(0, LAST, None)])
     load = KeyLoad()
-    load.add({key: 0.01 for key in range(0, KEY_COUNT, 16)})
+    _observe(load, {key: 0.01 for key in range(0, KEY_COUNT, 16)})
     lost = HOLDERS[5]
     remaining = {holder: 3.0 for holder in HOLDERS if holder != lost}
     balancer = Balancer(spans, remaining, load.profile())
@@ -159,6 +166,6 @@
     """Guards against moves without benefit."""
     spans, _, _ = _balance(KeyLoad(), [Span(0, LAST, None)])
     load = KeyLoad()
-    load.add({key: 0.01 for key in range(0, KEY_COUNT, 8)})
+    _observe(load, {key: 0.01 for key in range(0, KEY_COUNT, 8)})
     _, moves, _ = _balance(load, spans)
     assert not moves
--- a/tests/edge/test_speeds.py
+++ b/tests/edge/test_speeds.py
@@ -11,7 +11,17 @@
 
 import pytest
 
-from yuccadale_edge.ownership import Holder, fair_loads
+from yuccadale_edge._internal.ownership.records import (
+    decode_record,
+    encode_record,
+)
+from yuccadale_edge.ownership import (
+    Holder,
+    SegmentTable,
+    ServerSpeeds,
+    fair_loads,
+    record_of,
+)
 
 SLOTS = 2
 SPEEDS = (0.5, 1, 1, 1.5)
@@ -75,3 +85,22 @@
     """Guards against a server whose speed is never measured again."""
     fair = fair_loads(_capacities(), 0.1)
     assert min(fair.values()) > 0
+
+
+def test_a_recorded_speed_is_assumed_until_answers_show_another() -> None:
+    """Guards against a new leader that gives slow servers as much as others."""
+    speeds = ServerSpeeds()
+    speeds.assume({'slow': 0.5})
+    assert speeds.speed('slow') == pytest.approx(0.5)
+    assert speeds.speed('unknown') == pytest.approx(1.0)
+    for _ in range(300):
+        speeds.add_answers('slow', 'route', 1, WORK_S)
+        speeds.add_answers('other', 'route', 1, WORK_S)
+    assert speeds.speed('slow') == pytest.approx(1.0, abs=0.2)
+
+
+def test_recorded_speeds_are_read_again() -> None:
+    """Guards against speeds that are lost with the leader."""
+    table = SegmentTable(1, 5.0, 1.0)
+    record = record_of(1, table, {}, speed_by_server={'slow': 0.5})
+    assert decode_record(encode_record(record)).speed_by_server == {'slow': 0.5}
