Let a leader that stops while the store is away go on until it is back

Cause: at a planned stop a leader resigned at once, also when no instance reached the store.

Change: such a leader keeps renewing leases by promises until the store answers or its grace period ends, and then names its successor. The nomination does not end with the tasks of the leadership any more, which lost it in 1 of 6 plays of a test. A resignation that was not stored leaves the role where it is.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 
 import structlog
 
@@ -252,7 +253,9 @@
         end_s = started_s + self._settings.bounds.grace_s - _SHUTDOWN_MARGIN_S
         _log.info('stopping', connections=len(self._callers.connections))
         self._callers.closing = True
-        await self._leave()
+        leaving = asyncio.create_task(
+            supervise('leaving', partial(self._leave, end_s), self._metrics)
+        )
         await asyncio.sleep(
             max(0, started_s + _LOAD_BALANCER_GRACE_S - elapsed_s())
         )
@@ -263,13 +266,15 @@
             if (
                 not self._callers.connections
                 and not self._peers.active_requests
+                and leaving.done()
             ):
                 break
             await asyncio.sleep(_DRAIN_POLL_S)
+        leaving.cancel()
 
-    async def _leave(self) -> None:
+    async def _leave(self, end_s: float) -> None:
         try:
-            await self._cluster.leave()
+            await self._cluster.leave(end_s)
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
             _log.warning('could not resign', reason=str(error))
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.broadcaster import Broadcaster
 from yuccadale_edge._internal.membership.electorate import Electorate
 from yuccadale_edge._internal.membership.leader import Leader
@@ -40,6 +41,7 @@
 _log = structlog.get_logger()
 
 _MAX_START_DELAY_S = 0.2
+_LEAVE_RETRY_S = 0.1
 
 
 class Cluster:
@@ -125,8 +127,14 @@
                 await self._member.find_leader_by_seeds()
             await self._member.wait(wait_s)
 
-    async def leave(self) -> None:
-        """Starts to drain this instance, and resigns if it leads.
+    async def leave(self, until_s: float) -> None:
+        """Starts to drain this instance, and hands its role over if it leads.
+
+        Nobody else can lead while no instance reaches the store, so a leader
+        goes on renewing leases then.
+
+        Args:
+            until_s: when the role is given up in any case.
 
         Raises:
             StoreUnavailableError, StoreOutcomeUnknownError: the resignation
@@ -136,6 +144,10 @@
         self._draining = True
         self._member.draining = True
         self._leader.draining = True
+        while self._leadership.leading() and elapsed_s() < until_s:
+            if self._leadership.may_plan():
+                await self._leader.try_to_hand_over()
+            await asyncio.sleep(_LEAVE_RETRY_S)
         if self._leadership.leading():
             await self._leader.hand_over()
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -126,6 +126,13 @@
         """Applies changed settings; addresses need a restart."""
         self._settings = settings
 
+    async def try_to_hand_over(self) -> None:
+        """Hands the role over; keeps it if the store is unavailable."""
+        try:
+            await self.hand_over()
+        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+            _log.warning('could not resign', reason=str(error))
+
     async def hand_over(self) -> None:
         """Resigns, and asks the most capable instance to lead at once.
 
@@ -137,33 +144,34 @@
         """
         epoch = self._leadership.epoch
         await self.resign()
-        for peer in sorted(self._reporting_peers(), key=most_capable_first):
-            if await self._links.notify(
-                peer.address, NOMINATION_TOPIC, _encode(epoch)
-            ):
-                _log.info(
-                    'leadership handed over', epoch=epoch, successor=peer.name
-                )
-                return
+        # The task that calls this ends with the leadership.
+        self._broadcaster.start_task(
+            self._nominate(epoch, self._reporting_peers())
+        )
 
     async def resign(self) -> None:
         """Finishes the grants and releases, and resigns as leader.
 
         Raises:
-            StoreUnavailableError, StoreOutcomeUnknownError: the resignation
-                may not be stored; the next leader waits for the lease to
-                expire.
+            StoreUnavailableError: nothing was stored; this instance still
+                leads.
+            StoreOutcomeUnknownError: the resignation may not be stored; the
+                next leader waits for the lease to expire.
         """
+        managers = list(self._manager_by_service.values())
         records = await asyncio.gather(
-            *(
-                manager.finish_calls()
-                for manager in self._manager_by_service.values()
-            )
+            *(manager.finish_calls() for manager in managers)
         )
         try:
             await self._leadership.renew(dict(records), resign=True)
-        finally:
+        except StoreUnavailableError:
+            for manager in managers:
+                manager.resume_calls()
+            raise
+        except StoreOutcomeUnknownError:
             self._leadership.deposed = True
+            raise
+        self._leadership.deposed = True
 
     def handle_report(self, body: bytes) -> bytes:
         """Handles a member's report.
@@ -243,6 +251,16 @@
     ) -> asyncio.Task[None]:
         return group.create_task(supervise(name, run, self._metrics))
 
+    async def _nominate(self, epoch: int, peers: list[Instance]) -> None:
+        for peer in sorted(peers, key=most_capable_first):
+            if await self._links.notify(
+                peer.address, NOMINATION_TOPIC, _encode(epoch)
+            ):
+                _log.info(
+                    'leadership handed over', epoch=epoch, successor=peer.name
+                )
+                return
+
     async def _send_unconfirmed_grants(
         self, epoch: int, manager_by_service: dict[str, OwnershipManager]
     ) -> None:
@@ -273,17 +291,14 @@
     async def _hand_over_when_due(self) -> None:
         """Hands the role to an instance on a more capable machine."""
         succession = Succession(self._settings.machine.capacity, elapsed_s)
-        due = False
-        while not due:
+        while self._leadership.leading():
             await asyncio.sleep(_ROSTER_INTERVAL_S)
-            if not self.draining and self._leadership.may_plan():
-                due = succession.is_due(
-                    self._reporting_peers(), keys_moving=self._keys_moving()
-                )
-        try:
-            await self.hand_over()
-        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
-            _log.warning('could not resign', reason=str(error))
+            if self.draining or not self._leadership.may_plan():
+                continue
+            if succession.is_due(
+                self._reporting_peers(), keys_moving=self._keys_moving()
+            ):
+                await self.try_to_hand_over()
 
     def _reporting_peers(self) -> list[Instance]:
         """Returns the peers that have just reported to this leader."""
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -201,6 +201,10 @@
             left=len(unconfirmed_grants),
         )
 
+    def resume_calls(self) -> None:
+        """Sends calls again after ``finish_calls``."""
+        self._ending = False
+
     async def finish_calls(self) -> tuple[str, bytes]:
         """Stops sending calls; returns key and content of the row to store."""
         self._ending = True
--- a/tests/edge/test_succession.py
+++ b/tests/edge/test_succession.py
@@ -8,6 +8,7 @@
 from tests.builders.configuration_world import ConfigurationWorld
 from tests.builders.leadership_world import use_virtual_clock
 from tests.builders.virtual_time import in_virtual_time
+from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.broadcaster import Broadcaster
 from yuccadale_edge._internal.membership.electorate import choose_electors
 from yuccadale_edge._internal.membership.leadership import TAKEOVER_S
@@ -104,7 +105,7 @@
     world.start(*NAMES)
     await asyncio.sleep(4.0)
     stopping = world.leader()
-    await world.instance_by_name[stopping].cluster.leave()
+    await world.instance_by_name[stopping].cluster.leave(elapsed_s() + 1)
     await asyncio.sleep(0.1)
     successor = world.leader()
     assert successor in LARGE_NAMES - {stopping}
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -15,6 +15,7 @@
 KEYS = (0, 20000, 40000, 65535)
 # Required time until a configuration is in force at all instances.
 CONVERGENCE_TIMEOUT_S = 2.0
+PROMISE_DELAY_S = 10.2
 
 
 def _execution_count(system: PlatformSystem, request_id: str) -> int:
@@ -306,6 +307,29 @@
         await asyncio.wait_for(system.task_by_name[name], 5)
 
 
+async def test_a_leader_that_stops_while_the_store_is_away_goes_on() -> None:
+    """Guards against keys without an owner until the store is back.
+
+    A leader that was stopped while no instance reached the store gave its role
+    up at once. Nobody could take it over, and all leases expired 4.5 s later.
+    """
+    async with platform_system() as system:
+        leader, member = [await system.add_instance() for _ in range(2)]
+        for name in (leader, member):
+            await system.wait_until_served(name, *KEYS)
+        # A restarted elector promises nothing for 10 s.
+        await asyncio.sleep(PROMISE_DELAY_S)
+        system.store.faults.down = True
+        await asyncio.sleep(0.5)
+        system.instance_by_name[leader].stop()
+        for _ in range(55):
+            assert await system.is_served(member, KEYS[2])
+            await asyncio.sleep(0.1)
+        system.store.faults.down = False
+        await system.wait_until_served(member, *KEYS)
+        _assert_at_most_one_holder(system)
+
+
 async def test_members_read_the_store_when_the_leader_cannot() -> None:
     """Guards against a configuration that waits for a leader without store.
 
