Give keys to a server without any, also without load

Cause: since a server gets keys only for differences that chance does not explain; a new server of a service with little load got none, and test_a_leader_without_the_store_is_replaced failed.

Change: a server that has no keys is filled to 0.6 of its share whatever the load.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
@@ -254,6 +254,9 @@
         self._load_by_holder: dict[Holder, float] = dict.fromkeys(
             fair_load_by_holder, 0
         )
+        self._without_keys = set(fair_load_by_holder).difference(
+            span.holder for span in spans
+        )
         usable = self._load_by_holder.keys()
         for span in spans:
             if span.holder is not None and span.holder in usable:
@@ -343,8 +346,10 @@
         over = self._relative_load(busiest) > self.mean_load * tolerance
         if over and self._is_significant(busiest, excess, 1):
             return min(excess, missing)
-        idle = self._relative_load(taker) < self.mean_load * _IDLE_SHARE
-        if idle and self._is_significant(taker, missing, KEY_COUNT):
+        new = taker in self._without_keys
+        idle_share = _FILLED_SHARE if new else _IDLE_SHARE
+        idle = self._relative_load(taker) < self.mean_load * idle_share
+        if idle and (new or self._is_significant(taker, missing, KEY_COUNT)):
             spare = self._load_by_holder[busiest]
             spare -= self._fair_load(busiest) * _DONOR_SHARE
             return min(spare, missing * _FILLED_SHARE)
@@ -391,7 +396,9 @@
         if self._weight(part) < min_weight / 2 or _key_count(part) > max_keys:
             return None
         excess = max(self._excess(busiest), -self._excess(taker))
-        if not self._is_significant(busiest, excess, _key_count(part)):
+        if taker not in self._without_keys and not self._is_significant(
+            busiest, excess, _key_count(part)
+        ):
             return None
         return self._move_part(span, part, taker)
 
--- a/tests/edge/test_balance.py
+++ b/tests/edge/test_balance.py
@@ -169,3 +169,17 @@
     _observe(load, {key: 0.01 for key in range(0, KEY_COUNT, 8)})
     _, moves, _ = _balance(load, spans)
     assert not moves
+
+
+def test_a_server_without_keys_gets_some_without_load() -> None:
+    """Guards against a new server that gets no requests of a calm service."""
+    spans, _, _ = _balance(KeyLoad(), [Span(0, LAST, None)])
+    joined = Holder('joined', 1)
+    capacity = CAPACITY | {joined: 3.0}
+    spans, _, _ = _balance(KeyLoad(), spans, capacity)
+    owned = [span for span in spans if span.holder == joined]
+    keys = sum(span.last - span.first + 1 for span in owned)
+    assert KEY_COUNT / len(capacity) / 3 < keys < KEY_COUNT / len(capacity) * 2
+    # The others are not set moving again.
+    _, moves, _ = _balance(KeyLoad(), spans, capacity)
+    assert not moves
