Read the limits that servers name; log, count and show them

An answer's limit is now read and checked in the adapter; RateLimits logs when one is learned, changes and ends, shows it as a gauge, and counts the requests sent while it is in force and the values that are no number. Nothing is limited yet.

--- a/packages/edge/src/yuccadale_edge/_internal/observability/metrics.py
+++ b/packages/edge/src/yuccadale_edge/_internal/observability/metrics.py
@@ -26,6 +26,10 @@
         """Sets a gauge."""
         self._gauge_by_series[name, _sorted(labels)] = value
 
+    def remove_gauge(self, name: str, **labels: str) -> None:
+        """Removes a gauge whose subject no longer exists."""
+        self._gauge_by_series.pop((name, _sorted(labels)), None)
+
     def observe_ms(self, name: str, took_ms: float, **labels: str) -> None:
         """Adds a latency in milliseconds to a histogram."""
         series = (name, _sorted(labels))
--- a/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
@@ -22,6 +22,10 @@
 )
 
 
+class InvalidLimitError(ValueError):
+    """A server named a limit that is no number of requests a second."""
+
+
 class RequestCodec(Protocol):
     """Decodes and encodes requests and answers."""
 
@@ -45,6 +49,16 @@
     def is_misdirected(self, answer: Answer) -> bool:
         """Whether the server does not own the key or is another one."""
 
+    def named_limit(self, answer: Answer) -> float | None:
+        """Returns the requests a second that the server takes from all.
+
+        Returns:
+            None if the answer names no limit.
+
+        Raises:
+            InvalidLimitError: the limit is no usable number.
+        """
+
     def reply(self, answer: Answer) -> Reply:
         """Converts a server's answer to a reply to the caller."""
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -15,7 +15,11 @@
 from yuccadale_edge._internal.model import Place, Server
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.segments import Holder
-from yuccadale_edge._internal.routing.codec import RequestCodec
+from yuccadale_edge._internal.routing.codec import (
+    InvalidLimitError,
+    RequestCodec,
+)
+from yuccadale_edge._internal.routing.rate_limits import RateLimits
 from yuccadale_edge._internal.routing.requests import (
     Refused,
     Result,
@@ -30,6 +34,7 @@
 )
 from yuccadale_edge._internal.system_view import SystemView
 from yuccadale_edge._internal.transport.client_connection import (
+    Answer,
     AnswerLostError,
     NotSentError,
 )
@@ -75,6 +80,7 @@
         self._place = place
         self._retry_budget_for = retry_budget_for
         self._queue_by_holder: dict[Holder, ServerQueue] = {}
+        self.rate_limits = RateLimits(metrics, elapsed_s)
         self._probes: set[asyncio.Task[None]] = set()
 
     async def serve(self, request: RoutedRequest) -> Result:
@@ -97,6 +103,7 @@
             Holder(server.server_id, server.incarnation)
             for server in self._system_view.servers.server_by_id.values()
         }
+        self.rate_limits.keep_only(known)
         for holder in list(self._queue_by_holder):
             queue = self._queue_by_holder[holder]
             if holder not in known and not queue.running:
@@ -227,6 +234,7 @@
                 encoded = self._codec.encode_request(
                     request, server, left_s * _MS_PER_S
                 )
+                self.rate_limits.count_sent(server)
                 async with asyncio.timeout(max(0, left_s)):
                     answer = await connection.exchange(
                         encoded, self._codec.answer_matcher(request.request_id)
@@ -258,6 +266,7 @@
                 attempts=1,
             )
         service_s = elapsed_s() - sent_s
+        self._observe_limit(server, answer, sent_s)
         if self._codec.not_executed(answer):
             return self._not_executed(server, queue, request, answer)
         self._record_service_time(server, queue, request, service_s)
@@ -271,14 +280,28 @@
             service_s * _MS_PER_S,
         )
 
+    def _observe_limit(
+        self, server: Server, answer: Answer, sent_s: float
+    ) -> None:
+        limits = self.rate_limits
+        if self._codec.is_misdirected(answer):
+            # Another server may have answered at this address.
+            return
+        try:
+            per_s = self._codec.named_limit(answer)
+        except InvalidLimitError as error:
+            limits.count_invalid(server, str(error))
+            return
+        limits.observe(server, per_s, sent_s)
+
     def _not_executed(
         self,
         server: Server,
         queue: ServerQueue,
         request: RoutedRequest,
-        answer: object,
+        answer: Answer,
     ) -> Refused:
-        wrong = self._codec.is_misdirected(answer)  # type: ignore[arg-type]
+        wrong = self._codec.is_misdirected(answer)
         code = ResultCode.server_shedding
         if wrong:
             code = ResultCode.server_refused_token
--- a/packages/edge/src/yuccadale_edge/instance.py
+++ b/packages/edge/src/yuccadale_edge/instance.py
@@ -21,6 +21,7 @@
     WrongServerError,
 )
 from yuccadale_edge._internal.ownership.segments import CallKind, OwnershipCall
+from yuccadale_edge._internal.routing.codec import InvalidLimitError
 from yuccadale_edge._internal.routing.requests import (
     CallerRequest,
     RoutedRequest,
@@ -72,6 +73,7 @@
     'Headers',
     'HistoryLostError',
     'Instance',
+    'InvalidLimitError',
     'InvalidRowError',
     'Machine',
     'NotSentError',
--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -33,6 +33,8 @@
         drop_answers: run requests, but close their connections unanswered.
         send_extra_answers: send a second answer shortly after each answer.
         shed_next: number of requests to refuse although there is capacity.
+        limit_text: the limit that its answers name, None to name none.
+        arrivals_s: when requests arrived, on a monotonic clock.
         executions: number of executions by request id.
         accepted_grants: first key, last key and fence of each grant.
         call_history: grants and releases in order of arrival.
@@ -48,6 +50,8 @@
     send_extra_answers: bool = False
     full: bool = False
     shed_next: int = 0
+    limit_text: str | None = None
+    arrivals_s: list[float] = field(default_factory=list)
     health_path: str = '/healthz'
     address: str = ''
     born: int = field(default_factory=lambda: int(time.time() * 1000))
@@ -65,6 +69,12 @@
             for grant in self.grants
         )
 
+    def limit_headers(self) -> dict[str, str]:
+        """Returns the headers that name its limit."""
+        if self.limit_text is None:
+            return {}
+        return {'Server-Limit': self.limit_text}
+
     def entry(self, state: str = 'ready') -> dict:
         """Returns its entry in the store."""
         return {
@@ -164,6 +174,7 @@
 def _request(server: PlatformServer):
     async def handle(request: web.Request) -> web.Response:
         request_id = request.headers.get('X-Attempt-Id', '')
+        server.arrivals_s.append(time.monotonic())
         if not request_id:
             return web.Response(status=400, headers={'X-Not-Executed': '1'})
         refusal = _refuse(server, request)
@@ -184,7 +195,8 @@
             headers={
                 'X-Attempt-Id': request_id,
                 'X-Server-Signature': f'{server.server_id}.{request_id}',
-            },
+            }
+            | server.limit_headers(),
         )
         if server.send_extra_answers and request.transport is not None:
             asyncio.get_running_loop().call_later(
@@ -200,7 +212,10 @@
 ) -> web.Response | None:
     expected = request.headers.get('X-Expect-Instance', server.server_id)
     key = int(request.headers.get('X-Shard-Key', '0'))
-    not_executed = {'X-Not-Executed': '1', 'X-Instance-Id': server.server_id}
+    not_executed = {
+        'X-Not-Executed': '1',
+        'X-Instance-Id': server.server_id,
+    } | server.limit_headers()
     if expected != server.server_id:
         return web.Response(status=421, headers=not_executed)
     if server.keyed and not server.holds(key):
