Keep the limit that a server names, for the sum of all instances

Cause: no instance took notice of the limit. A queue knew a server's slots only, so a server could not ask for less than its slots carry: a promise that was new on the wire and had no place in admission control.

One instance, the sender of the server, now paces its requests by a token bucket with hardly any depth; others forward to it, at most twice, also for services without keys. An instance that sends in its place uses 0.4 of the limit, so that two of them stay below what is tolerated. Changes are told to all instances in 0.1 s over the links between them, gathered, and repeated for those that join. What does not fit in time is refused at once (429, code 3011) with return times in order of refusal; each priority gets at least 0.3 of its share of arrivals. A limit ends with the first answer to a later request that does not name it, then the rate doubles each 0.25 s.

--- a/packages/core/src/yuccadale_core/_internal/codes.py
+++ b/packages/core/src/yuccadale_core/_internal/codes.py
@@ -46,6 +46,7 @@
     region_budget_spent = 3008
     caller_gone = 3009
     instance_draining = 3010
+    server_limited = 3011
 
     server_refused_token = 4001
     server_unreachable = 4002
@@ -221,6 +222,12 @@
             'The instance is shutting down.',
             'Send again; the balancer picks another instance.',
         ),
+        ResultCode.server_limited: CodeEntry(
+            429,
+            _NOT_RUN,
+            'The server limits the requests a second that it takes.',
+            _SEND_AGAIN,
+        ),
         ResultCode.server_refused_token: CodeEntry(
             503,
             _NOT_RUN,
--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -33,10 +33,11 @@
 from yuccadale_edge._internal.ownership.call_runner import ServerCalls
 from yuccadale_edge._internal.routing.codec import RequestCodec
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
-from yuccadale_edge._internal.routing.request_router import (
+from yuccadale_edge._internal.routing.forwarding import (
     FORWARD_TOPIC,
-    RequestRouter,
+    Forwarder,
 )
+from yuccadale_edge._internal.routing.request_router import RequestRouter
 from yuccadale_edge._internal.routing.retry_budget import RetryBudget
 from yuccadale_edge._internal.store import (
     Store,
@@ -127,12 +128,21 @@
             settings.bounds.max_source_age_s,
         )
         self._retry_budget_by_service: dict[str, RetryBudget] = {}
+        forwarder = Forwarder(
+            self._system_view,
+            self._links,
+            self._metrics,
+            settings.place,
+            settings.instance,
+            self._hears_leader,
+        )
         self._dispatcher = Dispatcher(
             self._system_view,
             self._pool,
             adapter.codec,
             self._metrics,
             settings.place,
+            forwarder,
             self._retry_budget,
         )
         store = adapter.store(self._pool)
@@ -171,11 +181,10 @@
         self._router = RequestRouter(
             self._system_view,
             self._dispatcher,
-            self._links,
+            forwarder,
             adapter.codec,
             self._metrics,
             settings.place,
-            settings.instance,
             self._retry_budget,
             self._cluster.record_key_work,
         )
@@ -218,6 +227,7 @@
             stack.callback(self._links.close)
             tasks = [
                 ('membership', self._cluster.run),
+                ('limits of servers', self._cluster.exchange_limits),
                 ('housekeeping', self._housekeeping),
                 *((f'reader of {one.table}', one.run) for one in self._readers),
             ]
@@ -294,7 +304,7 @@
                 # The settings file may change without a signal.
                 self._reload()
             self._pool.close_expired()
-            self._dispatcher.drop_unused_queues()
+            self._dispatcher.maintain_queues()
             if self._system_view.servers.remove_after_grace():
                 self._system_view.wake()
             configuration = self._system_view.configuration
@@ -325,6 +335,9 @@
     async def _store_answers(self) -> bool:
         return await self._leadership.store_answers()
 
+    def _hears_leader(self) -> bool:
+        return self._cluster.hears_leader()
+
     def _known_epoch(self) -> int:
         return self._leadership.epoch
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/broadcaster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/broadcaster.py
@@ -49,22 +49,34 @@
             if self._place.distance(one.data_centre) <= 1
         ]
 
-    def broadcast(self, body: bytes) -> None:
-        """Sends an update of the leader to all other instances.
+    def broadcast(
+        self,
+        body: bytes,
+        topic: str = LEADER_UPDATE_TOPIC,
+        relay_topic: str = RELAY_TOPIC,
+    ) -> None:
+        """Sends a message to all other instances.
 
         To save traffic between regions, one instance of each other region
-        receives the update and relays it to the rest of its region.
+        receives the message and relays it to the rest of its region.
+
+        Args:
+            body: the message.
+            topic: its topic.
+            relay_topic: its topic for an instance that relays it.
         """
         members_by_region: dict[str, list[Instance]] = {}
         region_of = self._place.region_by_data_centre
         for instance in self.peers():
             region = region_of.get(instance.data_centre, '')
             if region == self._place.region:
-                self.start_task(self._send(instance, LEADER_UPDATE_TOPIC, body))
+                self.start_task(self._send(instance, topic, body))
             else:
                 members_by_region.setdefault(region, []).append(instance)
         for members in members_by_region.values():
-            self.start_task(self._send_to_region(members, body))
+            self.start_task(
+                self._send_to_region(members, body, topic, relay_topic)
+            )
 
     def broadcast_in_region(self, topic: str, body: bytes) -> None:
         """Sends a message to the other instances of this region."""
@@ -83,10 +95,14 @@
         return min(members, key=most_capable_first)
 
     async def _send_to_region(
-        self, members: list[Instance], body: bytes
+        self,
+        members: list[Instance],
+        body: bytes,
+        topic: str,
+        relay_topic: str,
     ) -> None:
         relay = self.choose_relay(members)
-        if await self._links.notify(relay.address, RELAY_TOPIC, body):
+        if await self._links.notify(relay.address, relay_topic, body):
             return
         _log.info(
             'relay not reached, sending to each instance of its region',
@@ -95,7 +111,7 @@
         )
         for instance in members:
             if instance != relay:
-                await self._send(instance, LEADER_UPDATE_TOPIC, body)
+                await self._send(instance, topic, body)
 
     async def _send(self, instance: Instance, topic: str, body: bytes) -> None:
         await self._links.notify(instance.address, topic, body)
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -10,10 +10,13 @@
 from yuccadale_edge._internal.membership.electorate import Electorate
 from yuccadale_edge._internal.membership.leader import Leader
 from yuccadale_edge._internal.membership.leadership import Leadership
+from yuccadale_edge._internal.membership.limit_exchange import LimitExchange
 from yuccadale_edge._internal.membership.links import PeerLinks
 from yuccadale_edge._internal.membership.member import REPORT_INTERVAL_S, Member
 from yuccadale_edge._internal.membership.messages import (
     LEADER_UPDATE_TOPIC,
+    LIMITS_RELAY_TOPIC,
+    LIMITS_TOPIC,
     NOMINATION_TOPIC,
     PROMISE_TOPIC,
     RELAY_TOPIC,
@@ -81,6 +84,10 @@
             metrics,
         )
         self.read_wait_s = self._member.read_wait_s
+        self._limit_exchange = LimitExchange(
+            dispatcher.rate_limits, system_view, broadcaster
+        )
+        self.exchange_limits = self._limit_exchange.run
 
     def reconfigure(self, settings: Settings) -> None:
         """Applies changed settings; addresses need a restart."""
@@ -108,6 +115,10 @@
         elif sent_rows:
             self._leader.broadcast_rows(source)
 
+    def hears_leader(self) -> bool:
+        """Whether this instance leads, or has an update of the leader."""
+        return self._leadership.leading() or self._member.hears_leader()
+
     async def run(self) -> None:
         """Follows or leads until cancelled."""
         # Instances that start at the same time do not all become candidates.
@@ -173,6 +184,8 @@
             ROWS_TOPIC: self._member.handle_rows,
             UNCONFIRMED_GRANTS_TOPIC: self._leader.handle_unconfirmed_grants,
             NOMINATION_TOPIC: self._member.handle_nomination,
+            LIMITS_TOPIC: self._limit_exchange.handle,
+            LIMITS_RELAY_TOPIC: self._limit_exchange.handle_relay,
         }.get(topic)
         if handler is None:
             _log.warning('message of a peer has an unknown topic', topic=topic)
--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -133,6 +133,13 @@
         """Applies changed settings; addresses need a restart."""
         self._settings = settings
 
+    def hears_leader(self) -> bool:
+        """Whether the last update of the leader is recent.
+
+        False before the leader removes this instance from the roster.
+        """
+        return elapsed_s() - self._last_update_s < _LEADER_TIMEOUT_S
+
     def read_wait_s(self, table: str) -> float | None:
         """Returns for how long a read of a source table waits for changes.
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
@@ -19,6 +19,8 @@
 PROMISE_TOPIC = 'promise'
 VOTE_TOPIC = 'agree'
 NOMINATION_TOPIC = 'nominate'
+LIMITS_TOPIC = 'limits'
+LIMITS_RELAY_TOPIC = 'limits relay'
 
 # Compression gains little for smaller rows.
 _COMPRESS_ABOVE_BYTES = 1500
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -7,7 +7,10 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
+from math import inf
 
+import msgspec
 import structlog
 
 from yuccadale_core.codes import Outcome, ResultCode
@@ -19,6 +22,7 @@
     InvalidLimitError,
     RequestCodec,
 )
+from yuccadale_edge._internal.routing.forwarding import Forwarder
 from yuccadale_edge._internal.routing.rate_limits import RateLimits
 from yuccadale_edge._internal.routing.requests import (
     Refused,
@@ -54,6 +58,8 @@
 _EWMA_WEIGHT = 0.05
 # Extra cost of a server in another data centre or region, in requests.
 _DISTANCE_COST = (0, 0.15, 1.5)
+# How long a server is not chosen after its sender refused a request.
+_MAX_LIMIT_USED_S = 0.25
 
 RetryBudgetLookup = Callable[[str], RetryBudget]
 TimeSample = tuple[str, str, float]
@@ -69,6 +75,7 @@
         codec: RequestCodec,
         metrics: Metrics,
         place: Place,
+        forwarder: Forwarder,
         retry_budget_for: RetryBudgetLookup,
     ) -> None:
         self.service_times = ServiceTimes()
@@ -78,9 +85,11 @@
         self._codec = codec
         self._metrics = metrics
         self._place = place
+        self._forwarder = forwarder
         self._retry_budget_for = retry_budget_for
-        self._queue_by_holder: dict[Holder, ServerQueue] = {}
         self.rate_limits = RateLimits(metrics, elapsed_s)
+        self._queue_by_holder: dict[Holder, ServerQueue] = {}
+        self._limit_used_until_s: dict[Holder, float] = {}
         self._probes: set[asyncio.Task[None]] = set()
 
     async def serve(self, request: RoutedRequest) -> Result:
@@ -97,27 +106,30 @@
             )
         return await self._serve_at(server, request, deadline_s)
 
-    def drop_unused_queues(self) -> None:
-        """Closes the idle queues of servers that are no longer registered."""
+    def maintain_queues(self) -> None:
+        """Closes the idle queues of servers that are no longer registered.
+
+        The others may send again after their limit changed.
+        """
         known = {
-            Holder(server.server_id, server.incarnation)
+            _holder(server)
             for server in self._system_view.servers.server_by_id.values()
         }
         self.rate_limits.keep_only(known)
+        for holder in self._limit_used_until_s.keys() - known:
+            self._limit_used_until_s.pop(holder)
         for holder in list(self._queue_by_holder):
             queue = self._queue_by_holder[holder]
             if holder not in known and not queue.running:
                 queue.close()
                 self._queue_by_holder.pop(holder)
+            else:
+                queue.admit_next()
 
     async def _serve_at_any(
         self, request: RoutedRequest, deadline_s: float
     ) -> Result:
-        best: Result = Refused(
-            ResultCode.owner_unreachable,
-            'no server of the service is usable',
-            _UNREACHABLE_S,
-        )
+        best: Result = self._no_server(request.service)
         tried: set[str] = set()
         attempts = 0
         while True:
@@ -139,6 +151,26 @@
             if attempts and not self._spend_retry(request, attempts):
                 return best
 
+    def _no_server(self, service: str) -> Refused:
+        """Returns the refusal for a service without a server to choose."""
+        now_s = elapsed_s()
+        waits_s = [
+            self._limit_used_until_s.get(_holder(server), 0) - now_s
+            for server in self._system_view.servers.of(service)
+            if self._system_view.usable(server)
+        ]
+        if waits_s:
+            return Refused(
+                ResultCode.server_limited,
+                'the limits of all usable servers are used up',
+                max(0, *waits_s, _MAX_LIMIT_USED_S),
+            )
+        return Refused(
+            ResultCode.owner_unreachable,
+            'no server of the service is usable',
+            _UNREACHABLE_S,
+        )
+
     def _should_retry_error(
         self, served: Served, request: RoutedRequest, deadline_s: float
     ) -> bool:
@@ -164,9 +196,7 @@
         best: Server | None = None
         best_cost = float('inf')
         for server in self._system_view.servers.of(request.service):
-            if server.server_id in tried or not self._system_view.usable(
-                server
-            ):
+            if server.server_id in tried or not self._may_choose(server):
                 continue
             queue = self._queue(server)
             mean_s = self.service_times.mean_s(request.route)
@@ -176,7 +206,7 @@
                 expected_service_s=mean_s,
                 until_target_s=self._until_target_s(request),
             )
-            wait_s = queue.expected_wait_s(rank)
+            wait_s = queue.expected_wait_s(rank, request.priority)
             cost = wait_s / mean_s + queue.slowdown * (
                 1.0 + queue.running / queue.limit / 2
             )
@@ -186,8 +216,40 @@
                 best, best_cost = server, cost
         return best
 
+    def _may_choose(self, server: Server) -> bool:
+        until_s = self._limit_used_until_s.get(_holder(server), 0)
+        return self._system_view.usable(server) and until_s <= elapsed_s()
+
     async def _serve_at(
         self, server: Server, request: RoutedRequest, deadline_s: float
+    ) -> Result:
+        """Sends a request to a server, through the sender of a limited one."""
+        if self.rate_limits.per_s(_holder(server)) is not None:
+            keeper = self._forwarder.limit_keeper(server, request)
+            if keeper is not None:
+                forwarded = msgspec.structs.replace(
+                    request,
+                    server_id=server.server_id,
+                    incarnation=server.incarnation,
+                    remaining_ms=(deadline_s - elapsed_s()) * _MS_PER_S,
+                )
+                result = await self._forwarder.forward(keeper, forwarded)
+                if result is not None:
+                    self._record_limit_use(server, result)
+                    return result
+        return await self._queue_and_send(server, request, deadline_s)
+
+    def _record_limit_use(self, server: Server, result: Result) -> None:
+        """Chooses other servers while the limit of this one is used up."""
+        if isinstance(result, Served):
+            return
+        if result.code == ResultCode.server_limited:
+            self._limit_used_until_s[_holder(server)] = elapsed_s() + min(
+                result.retry_after_s or 0, _MAX_LIMIT_USED_S
+            )
+
+    async def _queue_and_send(
+        self, server: Server, request: RoutedRequest, deadline_s: float
     ) -> Result:
         queue = self._queue(server)
         queued_s = elapsed_s()
@@ -335,13 +397,25 @@
         )
 
     def _queue(self, server: Server) -> ServerQueue:
-        holder = Holder(server.server_id, server.incarnation)
+        holder = _holder(server)
         queue = self._queue_by_holder.get(holder)
         if queue is None:
-            queue = ServerQueue(server.slots + _EXTRA_IN_FLIGHT, elapsed_s)
+            queue = ServerQueue(
+                server.slots + _EXTRA_IN_FLIGHT,
+                elapsed_s,
+                partial(self._sending_rate, server),
+            )
             self._queue_by_holder[holder] = queue
         return queue
 
+    def _sending_rate(self, server: Server) -> float:
+        holder = _holder(server)
+        if not self.rate_limits.restricts(holder):
+            return inf
+        return self.rate_limits.sending_rate(
+            holder, is_sender=self._forwarder.is_sender(server)
+        )
+
     def _mark_unreachable(self, server: Server, reason: str) -> None:
         until = self._system_view.unreachable_until_by_server
         now_s = elapsed_s()
@@ -371,6 +445,10 @@
             self._mark_unreachable(server, str(error))
 
 
+def _holder(server: Server) -> Holder:
+    return Holder(server.server_id, server.incarnation)
+
+
 def _more_informative(earlier: Result, later: Result) -> Result:
     """Returns the result to report after two attempts.
 
@@ -396,4 +474,5 @@
         ResultCode.server_shedding,
         ResultCode.server_refused_token,
         ResultCode.server_unreachable,
+        ResultCode.server_limited,
     }
--- /dev/null
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/pacing.py
@@ -0,0 +1,136 @@
+"""Spaces the requests to a server by the limit that it named.
+
+A token bucket with hardly any depth: no burst follows a pause, a rise or the
+end of a limit. Under a limit, urgent requests go first, but each priority gets
+a minimum share, and the returns of refused callers are spread over time.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from math import exp, inf
+
+# Requests that may follow each other at once. More than one, so that a timer
+# that fires late loses no part of the limit.
+_DEPTH = 1.5
+# The same as a time, for limits with intervals near the lateness of timers.
+_DEPTH_S = 0.02
+# Tokens are sums of small parts; a timer must not be set for the difference.
+_ROUNDING = 1e-6
+# Part of its share of the arrivals that each priority gets at least.
+_MIN_PART = 0.3
+# Arrivals lose weight with this time constant.
+_ARRIVALS_MEMORY_S = 2.0
+# A priority that was passed over may catch up by so many requests.
+_MAX_OWED = 2.0
+# Returns of refused callers are spread over this time, or these intervals.
+_RETURN_HORIZON_S = 5.0
+_RETURN_HORIZON_INTERVALS = 4
+
+Rate = Callable[[], float]
+
+
+def unlimited() -> float:
+    """The rate of a server without a limit."""
+    return inf
+
+
+class RequestPacer:
+    """Decides when the next request to a server may be sent."""
+
+    def __init__(self, per_s: Rate, now: Callable[[], float]) -> None:
+        """Creates the pacer of one server.
+
+        Args:
+            per_s: returns the present rate in requests a second, ``inf``
+                without a limit.
+            now: returns the time in seconds.
+        """
+        self._per_s = per_s
+        self._now = now
+        self._tokens: float = 1
+        self._refilled_s = now()
+        self._return_s: float = 0
+
+    @property
+    def limited(self) -> bool:
+        """Whether there is a limit now."""
+        return self._per_s() < inf
+
+    def delay_s(self, ahead: int = 0) -> float:
+        """Returns when a request may be sent after ``ahead`` others."""
+        per_s = self._per_s()
+        if per_s == inf:
+            return 0
+        self._refill(per_s)
+        missing = ahead + 1 - self._tokens
+        return missing / per_s if missing > _ROUNDING else 0
+
+    def take(self) -> None:
+        """Counts a request that is sent now."""
+        per_s = self._per_s()
+        if per_s == inf:
+            # A limit that begins now starts without saved tokens.
+            self._tokens = 0
+            self._refilled_s = self._now()
+            return
+        self._refill(per_s)
+        self._tokens -= 1
+
+    def book_return_s(self) -> float:
+        """Returns when a caller that is refused now may return, in seconds.
+
+        Each refused caller gets a time of its own, in order of refusal. Beyond
+        the horizon they are booked from its start again.
+        """
+        per_s = self._per_s()
+        now_s = self._now()
+        interval_s = 1 / per_s
+        earliest_s = now_s + self.delay_s() + interval_s
+        horizon_s = max(
+            _RETURN_HORIZON_S, interval_s * _RETURN_HORIZON_INTERVALS
+        )
+        self._return_s = max(self._return_s + interval_s, earliest_s)
+        if self._return_s > now_s + horizon_s:
+            self._return_s = earliest_s
+        return self._return_s - now_s
+
+    def _refill(self, per_s: float) -> None:
+        now_s = self._now()
+        self._tokens = min(
+            self._tokens + (now_s - self._refilled_s) * per_s,
+            max(_DEPTH, per_s * _DEPTH_S),
+        )
+        self._refilled_s = now_s
+
+
+class PriorityShares:
+    """Minimum shares, so that urgent requests do not starve the others."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._arrived_s = now()
+        self._arrivals_by_priority: Counter[int] = Counter()
+        self._owed_by_priority: dict[int, float] = {}
+
+    def add_arrival(self, priority: int) -> None:
+        """Counts a request that asks for admission."""
+        now_s = self._now()
+        weight = exp((self._arrived_s - now_s) / _ARRIVALS_MEMORY_S)
+        self._arrived_s = now_s
+        arrivals = self._arrivals_by_priority
+        for known in arrivals:
+            arrivals[known] *= weight  # type: ignore[assignment]
+        arrivals[priority] += 1
+
+    def add_admission(self, priority: int) -> None:
+        """Counts a request that is sent."""
+        owed = self._owed_by_priority
+        total = self._arrivals_by_priority.total()
+        for known, arrivals in self._arrivals_by_priority.items():
+            share = arrivals / total if total else 0
+            owed[known] = min(owed.get(known, 0) + share * _MIN_PART, _MAX_OWED)
+        owed[priority] = max(0, owed.get(priority, 0) - 1)
+
+    def is_owed(self, priority: int) -> bool:
+        """Whether a request of this priority goes before all others."""
+        return self._owed_by_priority.get(priority, 0) >= 1
--- a/packages/edge/src/yuccadale_edge/_internal/routing/rate_limits.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/rate_limits.py
@@ -1,8 +1,17 @@
-"""Limits that servers name for the requests a second from all instances."""
+"""Limits that servers name for the requests a second from all instances.
 
-from collections.abc import Callable
+One instance sends to a limited server, so that the limit holds for the sum of
+all requests and is used whoever asks. For a moment instances may disagree on
+the sender; an instance that sends in its place uses a part of the limit that,
+together with the whole, stays below what a server tolerates. All instances
+know all limits, so that any of them can become the sender.
+"""
+
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from math import inf
 
+import msgspec
 import structlog
 
 from yuccadale_edge._internal.model import Server
@@ -11,6 +20,37 @@
 
 _log = structlog.get_logger()
 
+# Part of a limit that an instance uses which is not the sender of a server.
+SUBSTITUTE_SHARE = 0.4
+# A server that takes fewer requests still gets these: its answers show when
+# the limit ends.
+_MIN_PER_S = 0.25
+# After a limit ended, the rate doubles in this time until it is above
+# ``_UNLIMITED_PER_S``.
+_DOUBLING_S = 0.25
+_UNLIMITED_PER_S = 1000.0
+# An ended limit is remembered for this time, to recognise late messages.
+_ENDED_RETENTION_S = 10.0
+# What a peer reports does not replace what an answer showed in this time.
+_DIRECT_PRECEDENCE_S = 2.0
+# Keys move for a limit that holds for this long, and do not move back for as
+# long as ended limits are remembered.
+_PLANNING_DELAY_S = 1.0
+
+
+class LimitNotice(msgspec.Struct, array_like=True, frozen=True):
+    """What an instance tells the others about the limit of a server.
+
+    Attributes:
+        per_s: requests a second; None if the limit ended.
+        age_s: time since an answer of the server showed it.
+    """
+
+    server_id: str
+    incarnation: int
+    per_s: float | None
+    age_s: float
+
 
 @dataclass(slots=True)
 class _Limit:
@@ -19,12 +59,16 @@
     Attributes:
         per_s: requests a second from all instances.
         since_s: when the limit was first known.
-        named_s: when an answer last named it.
+        shown_s: when an answer last showed it, or its end.
+        direct: whether this instance received that answer.
+        ended: whether the server no longer names it.
     """
 
     per_s: float
     since_s: float
-    named_s: float
+    shown_s: float
+    direct: bool
+    ended: bool = False
 
 
 class RateLimits:
@@ -35,11 +79,40 @@
         self._now = now
         self._limit_by_holder: dict[Holder, _Limit] = {}
         self._invalid_logged: set[Holder] = set()
+        self._changed: set[Holder] = set()
 
     def per_s(self, holder: Holder) -> float | None:
-        """Returns the limit of a server, None if it named none."""
+        """Returns the limit of a server, None if it names none."""
         limit = self._limit_by_holder.get(holder)
-        return None if limit is None else limit.per_s
+        return None if limit is None or limit.ended else limit.per_s
+
+    def restricts(self, holder: Holder) -> bool:
+        """Whether a limit holds, or has ended lately."""
+        return holder in self._limit_by_holder
+
+    def sending_rate(self, holder: Holder, *, is_sender: bool) -> float:
+        """Returns how many requests a second this instance may send.
+
+        Args:
+            holder: the server.
+            is_sender: whether all instances send through this one.
+        """
+        limit = self._limit_by_holder.get(holder)
+        if limit is None:
+            return inf
+        per_s = max(limit.per_s, _MIN_PER_S)
+        if limit.ended:
+            doublings = (self._now() - limit.shown_s) / _DOUBLING_S
+            per_s *= 2 ** min(doublings, _ENDED_RETENTION_S / _DOUBLING_S)
+            return inf if per_s > _UNLIMITED_PER_S else per_s
+        return per_s if is_sender else max(per_s * SUBSTITUTE_SHARE, _MIN_PER_S)
+
+    def planning_rate(self, holder: Holder) -> float:
+        """Returns the requests a second for which keys are assigned."""
+        limit = self._limit_by_holder.get(holder)
+        if limit is None or self._now() - limit.since_s < _PLANNING_DELAY_S:
+            return inf
+        return limit.per_s
 
     def observe(
         self, server: Server, per_s: float | None, sent_s: float
@@ -53,21 +126,51 @@
         """
         holder = Holder(server.server_id, server.incarnation)
         limit = self._limit_by_holder.get(holder)
-        now_s = self._now()
         if per_s is not None:
-            if limit is None or limit.per_s != per_s:
-                self._record(holder, limit, per_s)
-            else:
-                limit.named_s = now_s
-        elif limit is not None and sent_s > limit.named_s:
+            self._show(holder, per_s, self._now(), direct=True)
+        elif limit is not None and not limit.ended and sent_s > limit.shown_s:
             # Answers may overtake each other: only a request that was sent
             # after the limit was named shows that it ended.
-            self._end(holder, limit)
+            self._end(holder, limit, self._now(), direct=True)
+
+    def apply(self, notices: Iterable[LimitNotice]) -> None:
+        """Applies what another instance tells."""
+        now_s = self._now()
+        for notice in notices:
+            holder = Holder(notice.server_id, notice.incarnation)
+            limit = self._limit_by_holder.get(holder)
+            shown_s = now_s - notice.age_s
+            if limit is None or _is_newer(limit, shown_s, now_s):
+                self._apply_newer(holder, notice.per_s, shown_s)
+
+    def take_notices(self, *, repeat: bool) -> list[LimitNotice]:
+        """Returns the changes since the last call to tell the others.
+
+        Args:
+            repeat: add all limits that answers to this instance showed last.
+        """
+        holders = set(self._changed)
+        self._changed.clear()
+        if repeat:
+            holders.update(
+                holder
+                for holder, limit in self._limit_by_holder.items()
+                if limit.direct
+            )
+        now_s = self._now()
+        return [
+            LimitNotice(
+                *holder,
+                None if limit.ended else limit.per_s,
+                now_s - limit.shown_s,
+            )
+            for holder, limit in self._limit_by_holder.items()
+            if holder in holders
+        ]
 
     def count_sent(self, server: Server) -> None:
         """Counts a request that is sent while the server names a limit."""
-        holder = Holder(server.server_id, server.incarnation)
-        if holder in self._limit_by_holder:
+        if self.per_s(Holder(server.server_id, server.incarnation)) is not None:
             self._metrics.count('limited_sends', server=server.server_id)
 
     def count_invalid(self, server: Server, reason: str) -> None:
@@ -83,23 +186,47 @@
             )
 
     def keep_only(self, holders: set[Holder]) -> None:
-        """Forgets servers that are not registered any more."""
+        """Forgets servers that are gone, and limits that ended long ago."""
         self._invalid_logged &= holders
-        for holder in self._limit_by_holder.keys() - holders:
-            self._end(holder, self._limit_by_holder[holder])
+        oldest_s = self._now() - _ENDED_RETENTION_S
+        for holder, limit in list(self._limit_by_holder.items()):
+            gone = holder not in holders
+            if gone and not limit.ended:
+                self._end(holder, limit, limit.shown_s, direct=False)
+            if gone or (limit.ended and limit.shown_s < oldest_s):
+                self._limit_by_holder.pop(holder)
+        self._changed &= self._limit_by_holder.keys()
 
-    def _record(
-        self, holder: Holder, known: _Limit | None, per_s: float
+    def _apply_newer(
+        self, holder: Holder, per_s: float | None, shown_s: float
     ) -> None:
-        now_s = self._now()
-        since_s = now_s if known is None else known.since_s
-        self._limit_by_holder[holder] = _Limit(per_s, since_s, now_s)
+        limit = self._limit_by_holder.get(holder)
+        if per_s is not None:
+            self._show(holder, per_s, shown_s, direct=False)
+        elif limit is not None and not limit.ended:
+            self._end(holder, limit, shown_s, direct=False)
+
+    def _show(
+        self, holder: Holder, per_s: float, shown_s: float, *, direct: bool
+    ) -> None:
+        known = self._limit_by_holder.get(holder)
+        if known is not None and known.ended:
+            known = None
+        since_s = shown_s if known is None else known.since_s
+        self._limit_by_holder[holder] = _Limit(per_s, since_s, shown_s, direct)
+        if known is not None and known.per_s == per_s:
+            return
+        if direct:
+            self._changed.add(holder)
         self._metrics.gauge(
             'server_limit_per_s', per_s, server=holder.server_id
         )
         if known is None:
             _log.info(
-                'server limit learned', server=holder.server_id, per_s=per_s
+                'server limit learned',
+                server=holder.server_id,
+                per_s=per_s,
+                from_answer=direct,
             )
         else:
             _log.info(
@@ -107,11 +234,18 @@
                 server=holder.server_id,
                 per_s=per_s,
                 previous_per_s=known.per_s,
-                age_s=round(now_s - since_s, 3),
+                age_s=round(self._now() - since_s, 3),
+                from_answer=direct,
             )
 
-    def _end(self, holder: Holder, limit: _Limit) -> None:
-        self._limit_by_holder.pop(holder)
+    def _end(
+        self, holder: Holder, limit: _Limit, shown_s: float, *, direct: bool
+    ) -> None:
+        limit.ended = True
+        limit.shown_s = shown_s
+        limit.direct = direct
+        if direct:
+            self._changed.add(holder)
         self._metrics.remove_gauge(
             'server_limit_per_s', server=holder.server_id
         )
@@ -120,4 +254,11 @@
             server=holder.server_id,
             per_s=limit.per_s,
             age_s=round(self._now() - limit.since_s, 3),
+            from_answer=direct,
         )
+
+
+def _is_newer(limit: _Limit, shown_s: float, now_s: float) -> bool:
+    if limit.direct and now_s - limit.shown_s < _DIRECT_PRECEDENCE_S:
+        return False
+    return shown_s > limit.shown_s
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -4,17 +4,10 @@
 import random
 from collections.abc import Callable
 
-import msgspec
 import structlog
 
 from yuccadale_core.codes import Outcome, ResultCode
 from yuccadale_edge._internal.clock import elapsed_s
-from yuccadale_edge._internal.membership.links import (
-    LinkLostError,
-    PeerLinks,
-    PeerUnreachableError,
-    RequestFailedError,
-)
 from yuccadale_edge._internal.model import (
     Configuration,
     Place,
@@ -27,6 +20,11 @@
     Dispatcher,
     RetryBudgetLookup,
 )
+from yuccadale_edge._internal.routing.forwarding import (
+    Forwarder,
+    decode_request,
+    encode_message,
+)
 from yuccadale_edge._internal.routing.requests import (
     CallerRequest,
     Refused,
@@ -34,11 +32,9 @@
     RoutedRequest,
     Served,
 )
-from yuccadale_edge._internal.routing.senders import choose_sender
 from yuccadale_edge._internal.supervision import contained
 from yuccadale_edge._internal.system_view import (
     CONFIGURATION_TABLE,
-    Instance,
     SystemView,
 )
 from yuccadale_edge._internal.transport.server_connection import (
@@ -49,11 +45,6 @@
 _log = structlog.get_logger()
 
 _MS_PER_S = 1000.0
-# Added to the deadline of a forwarded request, so that an answer sent just
-# before the deadline still arrives.
-_LINK_GRACE_S = 0.2
-# How long no requests are forwarded to an instance that was unreachable.
-_SUSPECT_S = 1.0
 # A request whose deadline is shorter than this share of the longest one seen on
 # the route counts as a retry by the caller.
 _CALLER_RETRY_SHARE = 0.95
@@ -71,12 +62,6 @@
 # the next one.
 _SHED_RETRY_DELAY_S = 0.03
 
-FORWARD_TOPIC = 'forward'
-
-encode_message = msgspec.msgpack.Encoder().encode
-_decode_request = msgspec.msgpack.Decoder(RoutedRequest).decode
-_decode_result = msgspec.msgpack.Decoder(Result).decode
-
 
 class WeightedRoundRobin:
     """Smooth weighted round-robin over the services of each route."""
@@ -143,26 +128,23 @@
         self,
         system_view: SystemView,
         dispatcher: Dispatcher,
-        links: PeerLinks,
+        forwarder: Forwarder,
         codec: RequestCodec,
         metrics: Metrics,
         place: Place,
-        instance: str,
         retry_budget_for: RetryBudgetLookup,
         record_key_work: Callable[[str, int, float], None],
     ) -> None:
         self._system_view = system_view
         self._dispatcher = dispatcher
-        self._links = links
+        self._forwarder = forwarder
         self._codec = codec
         self._metrics = metrics
         self._place = place
-        self._instance = instance
         self._retry_budget_for = retry_budget_for
         self._record_key_work = record_key_work
         self._round_robin = WeightedRoundRobin()
         self._longest_s_by_route: dict[str, float] = {}
-        self._suspect_until_by_name: dict[str, float] = {}
 
     async def handle(self, message: CallerMessage) -> Reply:
         """Answers one caller request."""
@@ -178,7 +160,7 @@
     async def handle_forwarded(self, body: bytes) -> bytes:
         """Serves a request that another instance forwarded."""
         return encode_message(
-            await self._dispatcher.serve(_decode_request(body))
+            await self._dispatcher.serve(decode_request(body))
         )
 
     async def _answer(self, request: CallerRequest) -> Reply:
@@ -370,33 +352,14 @@
         return server_id != refused_by or waited_s > _TYPICAL_MOVE_S
 
     async def _send(self, routed: RoutedRequest) -> Result:
-        hash_key, data_centre = self._sender_key(routed)
+        routed.forwards = 0
         while True:
-            sender = choose_sender(
-                hash_key,
-                data_centre,
-                self._system_view.instance_by_name.values(),
-                self._place,
-                self._is_suspected,
-            )
-            if sender is None or sender.name == self._instance:
+            sender = self._forwarder.reachable_sender(*self._sender_key(routed))
+            if sender is None:
                 return await self._dispatcher.serve(routed)
-            try:
-                return await self._links.request(
-                    sender.address,
-                    FORWARD_TOPIC,
-                    encode_message(routed),
-                    routed.remaining_ms / _MS_PER_S + _LINK_GRACE_S,
-                    _decode_result,
-                )
-            except PeerUnreachableError as error:
-                self._mark_suspected(sender, str(error))
-            except LinkLostError as error:
-                if not isinstance(error, RequestFailedError):
-                    self._mark_suspected(sender, str(error))
-                return Refused(
-                    ResultCode.link_lost, f'{sender.name}: {error}', attempts=1
-                )
+            result = await self._forwarder.forward(sender, routed)
+            if result is not None:
+                return result
 
     def _sender_key(self, routed: RoutedRequest) -> tuple[str, str]:
         if routed.server_id is not None:
@@ -457,22 +420,6 @@
         self._longest_s_by_route[route.name] = longest_s
         return given_s < longest_s * _CALLER_RETRY_SHARE
 
-    def _is_suspected(self, instance: Instance) -> bool:
-        if instance.name == self._instance:
-            return False
-        until = self._suspect_until_by_name.get(instance.name, 0)
-        return elapsed_s() < until
-
-    def _mark_suspected(self, instance: Instance, reason: str) -> None:
-        self._suspect_until_by_name[instance.name] = elapsed_s() + _SUSPECT_S
-        self._metrics.count('peer_suspected')
-        _log.warning(
-            'instance suspected',
-            peer=instance.name,
-            reason=reason,
-            for_s=_SUSPECT_S,
-        )
-
     def _refuse(
         self,
         request: CallerRequest,
--- a/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
@@ -21,6 +21,7 @@
         server_id: the owner of the key, None when the sender may choose.
         incarnation: the incarnation of the owner.
         caller_retry: whether the caller sends the request again.
+        forwards: how many times instances forwarded it.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     server_id: str | None = None
     incarnation: int = 0
     caller_retry: bool = False
+    forwards: int = 0
 
 
 class Refused(msgspec.Struct, array_like=True, tag=True):
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
@@ -5,6 +5,8 @@
 latency; urgent priorities and retries by callers shift it earlier. Requests
 that can no longer meet their target are sent last: otherwise, after all callers
 reconnect at once, every request would be answered after its target.
+
+A server may also limit the requests a second; see ``pacing``.
 """
 
 import asyncio
@@ -14,6 +16,12 @@
 from math import inf
 
 from yuccadale_core.codes import ResultCode
+from yuccadale_edge._internal.routing.pacing import (
+    PriorityShares,
+    Rate,
+    RequestPacer,
+    unlimited,
+)
 
 # Weight of a new service time in the moving average.
 _EWMA_WEIGHT = 0.1
@@ -69,12 +77,14 @@
 
     Attributes:
         rank: see ``ServerQueue.rank``, then the order of arrival.
+        priority: 0 is the most urgent.
         target_start_s: latest start that meets the target latency.
         latest_start_s: latest start that meets the deadline.
         admission: done when the request may be sent or is refused.
     """
 
     rank: tuple[float, int]
+    priority: int
     target_start_s: float
     expected_service_s: float
     latest_start_s: float
@@ -89,7 +99,19 @@
         slowdown: ratio of this server's service times to the average.
     """
 
-    def __init__(self, limit: int, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        limit: int,
+        now: Callable[[], float],
+        per_s: Rate = unlimited,
+    ) -> None:
+        """Creates the queue of one server.
+
+        Args:
+            limit: requests that may run at the same time.
+            now: returns the time in seconds.
+            per_s: returns how many requests a second may be sent.
+        """
         self.limit = max(1, limit)
         self.running = 0
         self.slowdown = 1.0
@@ -98,6 +120,9 @@
         self._waiting: list[_QueuedRequest] = []
         self._running_s: dict[int, float] = {}
         self._sequence = 0
+        self._pacer = RequestPacer(per_s, now)
+        self._shares = PriorityShares(now)
+        self._timer: asyncio.TimerHandle | None = None
 
     @property
     def waiting(self) -> int:
@@ -123,18 +148,30 @@
         start_in_s = until_target_s - expected_service_s * self.slowdown
         return self._now() + start_in_s + step_s
 
-    def expected_wait_s(self, rank: float = inf) -> float:
-        """Returns the expected wait of a request with a rank, in seconds."""
-        if self.running < self.limit and not self._waiting:
-            return 0
-        now_s = self._now()
-        ahead = sum(
-            one.expected_service_s
-            for one in self._waiting
-            if one.rank[0] <= rank and one.target_start_s >= now_s
-        )
-        ahead += sum(self._running_s.values()) * _REMAINING_SHARE
-        return ahead / self.limit
+    def expected_wait_s(
+        self, rank: float = inf, priority: int | None = None
+    ) -> float:
+        """Returns the expected wait of a request, in seconds.
+
+        Args:
+            rank: see ``rank``.
+            priority: of the request, if known.
+        """
+        return max(self._slot_wait_s(rank), self._pacing_wait_s(rank, priority))
+
+    def admit_next(self) -> None:
+        """Admits queued requests if the limit of the server allows it now."""
+        while self._waiting and self.running < self.limit:
+            delay_s = self._pacer.delay_s()
+            if delay_s > 0:
+                self._wake_after(delay_s)
+                return
+            queued = self._next_request()
+            self._waiting.remove(queued)
+            if queued.admission.done():
+                continue
+            self._start(queued.priority)
+            queued.admission.set_result(None)
 
     @asynccontextmanager
     async def admit(
@@ -159,6 +196,7 @@
             AdmissionError: the answer would come too late, or the queue was
                 closed.
         """
+        self._shares.add_arrival(priority)
         rank = self.rank(
             priority=priority,
             caller_retry=caller_retry,
@@ -166,24 +204,40 @@
             until_target_s=until_target_s,
         )
         expected_service_s *= self.slowdown
-        expected_wait_s = self.expected_wait_s(rank)
+        expected_wait_s = self._slot_wait_s(rank)
+        pacing_wait_s = self._pacing_wait_s(rank, priority)
+        latest_wait_s = min(until_target_s, remaining_s - expected_service_s)
+        if pacing_wait_s > max(latest_wait_s, expected_wait_s):
+            raise AdmissionError(
+                ResultCode.server_limited, self._pacer.book_return_s()
+            )
         if expected_wait_s + expected_service_s > remaining_s:
             raise AdmissionError(ResultCode.deadline_too_short, expected_wait_s)
         if expected_wait_s > until_target_s:
             raise AdmissionError(ResultCode.queue_full, expected_wait_s)
         self._sequence += 1
         number = self._sequence
-        if self.running >= self.limit or self._waiting:
-            latest_start_s = self._now() + remaining_s - expected_service_s
+        if (
+            self.running >= self.limit
+            or self._waiting
+            or self._pacer.delay_s() > 0
+        ):
+            latest_wait_s = remaining_s - expected_service_s
+            if self._pacer.limited:
+                # Under a limit, requests that are still in time always come
+                # first, so a late one would only be held.
+                latest_wait_s = min(latest_wait_s, until_target_s)
+            latest_start_s = self._now() + latest_wait_s
             target_start_s = self._now() + until_target_s - expected_service_s
             await self._wait(
                 (rank, number),
+                priority,
                 target_start_s,
                 expected_service_s,
                 latest_start_s,
             )
         else:
-            self.running += 1
+            self._start(priority)
         self._running_s[number] = expected_service_s
         try:
             yield
@@ -199,29 +253,79 @@
                     AdmissionError(ResultCode.slot_moving, 0)
                 )
         self._waiting.clear()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _slot_wait_s(self, rank: float) -> float:
+        if self.running < self.limit and not self._waiting:
+            return 0
+        now_s = self._now()
+        ahead = sum(
+            one.expected_service_s
+            for one in self._waiting
+            if one.rank[0] <= rank and one.target_start_s >= now_s
+        )
+        ahead += sum(self._running_s.values()) * _REMAINING_SHARE
+        return ahead / self.limit
+
+    def _pacing_wait_s(self, rank: float, priority: int | None) -> float:
+        if not self._pacer.limited:
+            return 0
+        if priority is not None and self._shares.is_owed(priority):
+            ahead = sum(one.priority == priority for one in self._waiting)
+        else:
+            now_s = self._now()
+            ahead = sum(
+                one.rank[0] <= rank and one.target_start_s >= now_s
+                for one in self._waiting
+            )
+        return self._pacer.delay_s(ahead)
+
+    def _start(self, priority: int) -> None:
+        self.running += 1
+        self._pacer.take()
+        self._shares.add_admission(priority)
+
+    def _wake_after(self, delay_s: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_later(
+            delay_s, self.admit_next
+        )
 
     def _finish(self, number: int) -> None:
         self.running -= 1
         self._running_s.pop(number)
-        self._admit_next()
+        self.admit_next()
 
     async def _wait(
         self,
         rank: tuple[float, int],
+        priority: int,
         target_start_s: float,
         expected_service_s: float,
         latest_start_s: float,
     ) -> None:
         admission = asyncio.get_running_loop().create_future()
         queued = _QueuedRequest(
-            rank, target_start_s, expected_service_s, latest_start_s, admission
+            rank,
+            priority,
+            target_start_s,
+            expected_service_s,
+            latest_start_s,
+            admission,
         )
         self._waiting.append(queued)
+        self.admit_next()
         try:
             async with asyncio.timeout(max(0, latest_start_s - self._now())):
                 await admission
         except TimeoutError as error:
             self._cancel_wait(queued)
+            if self._pacer.limited:
+                raise AdmissionError(
+                    ResultCode.server_limited, self._pacer.book_return_s()
+                ) from error
             raise AdmissionError(
                 ResultCode.deadline_too_short, self.expected_wait_s()
             ) from error
@@ -238,24 +342,18 @@
         ):
             # Admitted in the same loop iteration: admit the next one instead.
             self.running -= 1
-            self._admit_next()
+            self.admit_next()
             return
         if queued in self._waiting:
             self._waiting.remove(queued)
 
-    def _admit_next(self) -> None:
-        while self._waiting and self.running < self.limit:
-            queued = self._next_request()
-            self._waiting.remove(queued)
-            if queued.admission.done():
-                continue
-            self.running += 1
-            queued.admission.set_result(None)
-
     def _next_request(self) -> _QueuedRequest:
         now_s = self._now()
 
-        def order(one: _QueuedRequest) -> tuple[bool, tuple[float, int]]:
-            return one.target_start_s < now_s, one.rank
+        limited = self._pacer.limited
+
+        def order(one: _QueuedRequest) -> tuple[bool, bool, tuple[float, int]]:
+            owed = limited and self._shares.is_owed(one.priority)
+            return not owed, one.target_start_s < now_s, one.rank
 
         return min(self._waiting, key=order)
