Move keys away from servers that limit their requests

Callers of a limited server with keys were refused for as long as the limit held, although other servers of the service had room.

Cause: the planner knew a server's slots and speed only; the docs promised moves that were not made. Its capacity is now at most the limit times the mean work of a request. Hot single keys are placed on servers without a limit.

The stand-in of the dispatcher in configuration_world lacked the limits, which test_configuration_age.py needs since.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -82,6 +82,7 @@
             reporter,
             calls,
             metrics,
+            dispatcher.rate_limits.planning_rate,
         )
         self.read_wait_s = self._member.read_wait_s
         self._limit_exchange = LimitExchange(
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -36,7 +36,10 @@
 from yuccadale_edge._internal.model import Settings
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.call_runner import ServerCalls
-from yuccadale_edge._internal.ownership.manager import OwnershipManager
+from yuccadale_edge._internal.ownership.manager import (
+    OwnershipManager,
+    PlanningRate,
+)
 from yuccadale_edge._internal.ownership.records import (
     KEYS_PREFIX,
     InvalidRecordError,
@@ -99,6 +102,7 @@
         reporter: Reporter,
         calls: ServerCalls,
         metrics: Metrics,
+        planning_rate: PlanningRate,
     ) -> None:
         self.draining = False
         self._settings = settings
@@ -110,6 +114,7 @@
         self._reporter = reporter
         self._calls = calls
         self._metrics = metrics
+        self._planning_rate = planning_rate
         self._manager_by_service: dict[str, OwnershipManager] = {}
         # Reports to this leader, and those that are assumed after a takeover.
         self._last_report_s_by_member: dict[str, float] = {}
@@ -355,6 +360,7 @@
             self._publish_owners,
             self._metrics,
             self._settings.bounds.lease_s,
+            self._planning_rate,
         )
         row = leadership.row_by_key.get(KEYS_PREFIX + service)
         if row is None:
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
@@ -129,12 +129,15 @@
         if self._scale > _MAX_SCALE:
             self._start_scale_anew()
 
+    def request_work_s(self) -> float:
+        """Returns the mean work of a request, in seconds."""
+        if not self._scaled_requests:
+            return _TYPICAL_WORK_S
+        return sum(self._scaled_by_key.values()) / self._scaled_requests
+
     def profile(self) -> 'LoadProfile':
         """Returns the present load in a form for sums over ranges."""
-        work = sum(self._scaled_by_key.values())
-        work_s = _TYPICAL_WORK_S
-        if self._scaled_requests:
-            work_s = work / self._scaled_requests
+        work_s = self.request_work_s()
         # Variance of the estimate for each unit of load, with random arrivals.
         variance = work_s * _DECAY_RATE / self._half_life_s / 2
         return LoadProfile(
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
+from math import inf
 
 import structlog
 
@@ -65,6 +66,7 @@
 # Delay before a failed write of the plan is retried.
 _RECORD_RETRY_S = 0.4
 
+PlanningRate = Callable[[Holder], float]
 Write = Callable[[dict[str, bytes]], Awaitable[bool]]
 
 
@@ -84,6 +86,7 @@
         publish: Callable[[str, list[OwnedRange]], None],
         metrics: Metrics,
         lease_s: float,
+        planning_rate: PlanningRate,
     ) -> None:
         self.service = service
         self.planner = MovePlanner()
@@ -97,6 +100,7 @@
         self._write = write
         self._publish = publish
         self._metrics = metrics
+        self._planning_rate = planning_rate
         self._runner = CallRunner(
             self.table,
             calls,
@@ -350,7 +354,11 @@
         )
         max_moving = max_parallel_moves(len(usable)) * _MOVING_PER_PLAN
         moves = self.planner.plan(
-            spans, capacity, now_s, rebalance=moving < max_moving
+            spans,
+            capacity,
+            now_s,
+            rebalance=moving < max_moving,
+            limit_by_holder=self._limits(usable),
         )
         for move in moves:
             self._apply_move(move, now_s)
@@ -368,6 +376,17 @@
             speed *= _COLD_SPEED
         return server.slots * speed
 
+    def _limits(self, holders: Iterable[Holder]) -> dict[Holder, float]:
+        """Returns the limits of servers for which moves are planned."""
+        limit_by_holder = {
+            holder: self._planning_rate(holder) for holder in holders
+        }
+        return {
+            holder: per_s
+            for holder, per_s in limit_by_holder.items()
+            if per_s < inf
+        }
+
     def _span(
         self, segment: Segment, usable: dict[Holder, Server], now_s: float
     ) -> Span:
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/planning.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/planning.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from functools import cache
 from math import inf
+from types import MappingProxyType
 
 from yuccadale_edge._internal.model import KEY_COUNT
 from yuccadale_edge._internal.ownership.balance import (
@@ -29,6 +30,11 @@
 # assigned when none joined for this long, or after the second time.
 _SETTLED_S = 0.8
 _MAX_SETTLING_S = 4.0
+# A server that limits its requests counts with at least this part of its
+# capacity, so that it keeps some keys and shows when the limit ends.
+_MIN_LIMITED_CAPACITY = 0.05
+# Servers without a limit.
+_NO_LIMITS: Mapping[Holder, float] = MappingProxyType({})
 
 
 @dataclass(slots=True, eq=False)
@@ -84,6 +90,7 @@
         now_s: float,
         *,
         rebalance: bool,
+        limit_by_holder: Mapping[Holder, float] = _NO_LIMITS,
     ) -> list[Move]:
         """Returns the moves to start now.
 
@@ -93,17 +100,20 @@
                 per second.
             now_s: the present time.
             rebalance: whether ranges with a usable owner may move.
+            limit_by_holder: requests a second that servers limit themselves
+                to.
         """
         unassigned = all(span.holder is None for span in spans)
         if unassigned and not self._servers_settled(capacity_by_holder, now_s):
             return []
         for average in self._horizons:
             average.load.decay(now_s)
+        limited = self._limited_capacities(capacity_by_holder, limit_by_holder)
 
         @cache
         def balancer_of(horizon: _Horizon) -> Balancer:
             profile = horizon.load.profile()
-            fair = fair_loads(capacity_by_holder, profile.total)
+            fair = fair_loads(limited, profile.total)
             return Balancer(spans, fair, profile)
 
         if any(span.holder not in capacity_by_holder for span in spans):
@@ -112,21 +122,50 @@
                 return moves
         if not rebalance:
             return []
-        return self._rebalance(capacity_by_holder, now_s, balancer_of)
+        unlimited = {
+            holder: capacity
+            for holder, capacity in capacity_by_holder.items()
+            if holder not in limit_by_holder
+        }
+        return self._rebalance(
+            unlimited, len(capacity_by_holder), now_s, balancer_of
+        )
 
-    def _rebalance(
+    def _limited_capacities(
         self,
         capacity_by_holder: Mapping[Holder, float],
+        limit_by_holder: Mapping[Holder, float],
+    ) -> Mapping[Holder, float]:
+        """Reduces the capacities of servers that limit their requests."""
+        if not limit_by_holder:
+            return capacity_by_holder
+        work_s = self._horizons[-1].load.request_work_s()
+        return {
+            holder: min(
+                capacity,
+                max(
+                    limit_by_holder.get(holder, inf) * work_s,
+                    capacity * _MIN_LIMITED_CAPACITY,
+                ),
+            )
+            for holder, capacity in capacity_by_holder.items()
+        }
+
+    def _rebalance(
+        self,
+        unlimited_capacity_by_holder: Mapping[Holder, float],
+        servers: int,
         now_s: float,
         balancer_of: Callable[[_Horizon], Balancer],
     ) -> list[Move]:
         recent = balancer_of(self._horizons[1])
-        moves = recent.place_hot_keys(capacity_by_holder)
+        moves: list[Move] = []
+        if unlimited_capacity_by_holder:
+            moves = recent.place_hot_keys(unlimited_capacity_by_holder)
         relative_loads = recent.relative_loads()
         busy = [
             holder for holder in relative_loads if relative_loads[holder] > 1
         ]
-        servers = len(capacity_by_holder)
         for horizon in self._horizons:
             if moves or now_s - horizon.planned_s < horizon.interval_s:
                 continue
--- a/tests/builders/configuration_world.py
+++ b/tests/builders/configuration_world.py
@@ -40,6 +40,7 @@
     WeightedService,
 )
 from yuccadale_edge._internal.observability.metrics import Metrics
+from yuccadale_edge._internal.routing.rate_limits import RateLimits
 from yuccadale_edge._internal.routing.request_router import find_route
 from yuccadale_edge._internal.routing.requests import Refused
 from yuccadale_edge._internal.store import (
@@ -255,7 +256,10 @@
             contact,
             links,  # type: ignore[arg-type]
             broadcaster,
-            SimpleNamespace(service_time_samples=[]),  # type: ignore[arg-type]
+            SimpleNamespace(  # type: ignore[arg-type]
+                service_time_samples=[],
+                rate_limits=RateLimits(metrics, elapsed_s),
+            ),
             None,  # type: ignore[arg-type]
             metrics,
         )
--- a/tests/builders/demand_replay.py
+++ b/tests/builders/demand_replay.py
@@ -61,6 +61,7 @@
         self.measures = ReplayMeasures()
         self.capacity_by_holder = capacity_by_holder
         self.planner = MovePlanner()
+        self.limit_by_holder: dict[Holder, float] = {}
         self._random = random.Random(seed)
         self._demand = demand
         self._work_s = work_s
@@ -74,7 +75,11 @@
             self._observe(demand)
             now_s += PLAN_INTERVAL_S
             for move in self.planner.plan(
-                self._spans, self.capacity_by_holder, now_s, rebalance=True
+                self._spans,
+                self.capacity_by_holder,
+                now_s,
+                rebalance=True,
+                limit_by_holder=self.limit_by_holder,
             ):
                 self._apply(move)
 
--- a/tests/edge/test_moves_under_load.py
+++ b/tests/edge/test_moves_under_load.py
@@ -138,6 +138,44 @@
     assert load > per_s / servers / 4
 
 
+@pytest.mark.parametrize('share', [0.5, 0])
+@pytest.mark.parametrize('size', ['klatka', 'escoadouro'])
+def test_a_limited_server_passes_keys_on(size: str, share: float) -> None:
+    """Guards against callers that are refused while other servers have room.
+
+    A server limits its requests to a share of those it gets.
+    """
+    replay = _replay(size, 5)
+    replay.run(8.0, 20.0)
+    servers, per_s, _ = SIZES[size]
+    demand = skewed_demand(5, per_s)
+    limited = max(
+        replay.capacity_by_holder,
+        key=lambda holder: replay.load_of(holder, demand),
+    )
+    load = replay.load_of(limited, demand)
+    before = replay.measures.moved_share
+    replay.limit_by_holder[limited] = load * share
+    replay.run(20.0, 26.0)
+    remaining = replay.load_of(limited, demand)
+    assert remaining < max(load * share, load * 0.3)
+    assert replay.measures.moved_share - before < 2 / servers
+
+
+@pytest.mark.parametrize('size', ['klatka', 'escoadouro'])
+def test_a_limit_above_the_load_moves_hardly_any_keys(size: str) -> None:
+    """Guards against moves that serve no request more."""
+    replay = _replay(size, 6)
+    replay.run(8.0, 20.0)
+    servers, per_s, _ = SIZES[size]
+    for holder in replay.capacity_by_holder:
+        replay.limit_by_holder[holder] = per_s / servers * 3
+    before = replay.measures.moved_share
+    replay.run(20.0, 40.0)
+    moved = replay.measures.moved_share - before
+    assert moved < MAX_MOVED_WHEN_CALM
+
+
 @pytest.mark.parametrize('size', ['klatka', 'escoadouro'])
 def test_slow_servers_pass_load_on(size: str) -> None:
     """Guards against differences in speed that the averages hide."""
