--- a/packages/edge/src/yuccadale_edge/_internal/routing/rate_limits.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/rate_limits.py
@@ -51,6 +51,12 @@
     per_s: float | None
     age_s: float
 
+    def __post_init__(self) -> None:
+        """Rejects values that no instance sends."""
+        per_s = 0 if self.per_s is None else self.per_s
+        if not (0 <= per_s < inf and 0 <= self.age_s < inf):
+            raise ValueError('a limit or its age is out of range')
+
 
 @dataclass(slots=True)
 class _Limit:
--- a/tests/platform/test_decoders_fuzz.py
+++ b/tests/platform/test_decoders_fuzz.py
@@ -21,6 +21,7 @@
     electorate,
     leader,
     leadership,
+    limit_exchange,
     links,
     member,
 )
@@ -28,7 +29,7 @@
     InvalidRecordError,
     decode_record,
 )
-from yuccadale_edge._internal.routing import request_router
+from yuccadale_edge._internal.routing import forwarding
 from yuccadale_edge._internal.store import StoredRow
 from yuccadale_edge.instance import (
     CallerMessage,
@@ -166,10 +167,16 @@
     ),
     Decoder(
         'forwarded result',
-        request_router._decode_result,
+        forwarding._decode_result,
         links.DECODE_ERRORS,
         _pack(('Served', 200, [], b'', 's', 1, 0.5, 0.5)),
     ),
+    Decoder(
+        'limits of servers',
+        limit_exchange._decode,
+        links.DECODE_ERRORS,
+        _pack([('s', 1, 6.5, 0.1), ('t', 1, None, 0.1)]),
+    ),
 )
 
 
@@ -221,6 +228,18 @@
     _decodes_or_refuses(decoder, nesting * _DEEP)
 
 
+@pytest.mark.parametrize(
+    ('per_s', 'age_s'),
+    [(float('nan'), 0), (-1, 0), (float('inf'), 0), (1, -1), (1, float('nan'))],
+)
+def test_an_impossible_limit_of_a_peer_is_refused(
+    per_s: float, age_s: float
+) -> None:
+    """Guards against a number that stops the requests to a server."""
+    with pytest.raises(msgspec.ValidationError):
+        limit_exchange._decode(_pack([('s', 1, per_s, age_s)]))
+
+
 _json_values = st.recursive(
     st.none()
     | st.booleans()
