Bound the requests of all instances that replace a limited server's sender

Cause: the part of a substitute was the same for all substitutes, so their sum grew with the instances. Instances now share one order of senders for a server (rendezvous hashing over the roster): 1, 0.25, 0.1 and 0.05 of the limit by position, one position later without the leader, and nothing after these. An instance forwards to the first of them that it reaches. The order is kept for each roster instead of hashing all instances each 0.1 s.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -413,7 +413,7 @@
         if not self.rate_limits.restricts(holder):
             return inf
         return self.rate_limits.sending_rate(
-            holder, is_sender=self._forwarder.is_sender(server)
+            holder, self._forwarder.limit_share(server)
         )
 
     def _mark_unreachable(self, server: Server, reason: str) -> None:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
@@ -20,7 +20,10 @@
     Result,
     RoutedRequest,
 )
-from yuccadale_edge._internal.routing.senders import choose_sender
+from yuccadale_edge._internal.routing.senders import (
+    choose_sender,
+    first_senders,
+)
 from yuccadale_edge._internal.system_view import Instance, SystemView
 
 _log = structlog.get_logger()
@@ -31,10 +34,13 @@
 _LINK_GRACE_S = 0.2
 # How long no requests are forwarded to an instance that was unreachable.
 _SUSPECT_S = 1.0
-# The choice of a sender takes one hash for each instance.
-_SENDERS_VALID_S = 0.1
 # Instances that disagree on the sender do not pass a request on for ever.
 _MAX_FORWARDS = 2
+# Part of a server's limit that an instance may use, by its position among the
+# senders of the server. Those after the sender replace it while it cannot be
+# reached; it may still send, so all parts together stay below what a server
+# tolerates. Instances after these send nothing to a limited server.
+LIMIT_SHARES = (1.0, 0.25, 0.1, 0.05)
 
 FORWARD_TOPIC = 'forward'
 
@@ -72,8 +78,8 @@
         self._instance = instance
         self._hears_leader = hears_leader
         self._suspect_until_by_name: dict[str, float] = {}
-        self._sender_by_server: dict[str, Instance | None] = {}
-        self._senders_until_s: float = 0
+        self._senders_by_server: dict[str, list[Instance]] = {}
+        self._roster_of_senders: object = None
 
     def reachable_sender(
         self, hash_key: str, data_centre: str
@@ -90,31 +96,40 @@
             return None
         return sender
 
-    def is_sender(self, server: Server) -> bool:
-        """Whether the other instances send to a server through this one.
+    def limit_share(self, server: Server) -> float:
+        """Returns the part of a server's limit that this instance may use.
 
-        An instance without the leader cannot know that.
+        An instance without the leader cannot know whether others replace it,
+        so it uses the part of the next position.
         """
-        sender = self._sender_of(server)
-        return self._hears_leader() and (
-            sender is None or sender.name == self._instance
-        )
+        names = [one.name for one in self._senders_of(server)]
+        if not names:
+            # Instances that start together have no roster yet.
+            return LIMIT_SHARES[-1]
+        if self._instance not in names:
+            return 0
+        position = names.index(self._instance)
+        if not self._hears_leader():
+            position += 1
+        return LIMIT_SHARES[position] if position < len(LIMIT_SHARES) else 0
 
     def limit_keeper(
         self, server: Server, request: RoutedRequest
     ) -> Instance | None:
-        """Returns the sender that keeps a server's limit.
+        """Returns the sender through which a limited server is reached.
 
         Returns:
-            None if it is this instance, cannot be reached, or the request was
-            forwarded too often.
+            None if it is this instance, none can be reached, or the request
+            was forwarded too often.
         """
-        sender = self._sender_of(server)
-        if sender is None or sender.name == self._instance:
+        if request.forwards >= _MAX_FORWARDS:
             return None
-        if request.forwards >= _MAX_FORWARDS or self._is_suspected(sender):
-            return None
-        return sender
+        for sender in self._senders_of(server):
+            if sender.name == self._instance:
+                return None
+            if not self._is_suspected(sender):
+                return sender
+        return None
 
     async def forward(
         self, sender: Instance, request: RoutedRequest
@@ -144,23 +159,25 @@
                 ResultCode.link_lost, f'{sender.name}: {error}', attempts=1
             )
 
-    def _sender_of(self, server: Server) -> Instance | None:
-        now_s = elapsed_s()
-        if now_s >= self._senders_until_s:
-            self._senders_until_s = now_s + _SENDERS_VALID_S
-            self._sender_by_server.clear()
-        if server.server_id not in self._sender_by_server:
-            self._sender_by_server[server.server_id] = self._choose(server)
-        return self._sender_by_server[server.server_id]
-
-    def _choose(self, server: Server) -> Instance | None:
-        return choose_sender(
-            server.server_id,
-            server.data_centre,
-            self._system_view.instance_by_name.values(),
-            self._place,
-            _never_suspected,
-        )
+    def _senders_of(self, server: Server) -> list[Instance]:
+        """Returns the senders of a server in order, kept for each roster."""
+        instances = self._system_view.instance_by_name
+        roster = (self._system_view.membership_version, len(instances))
+        if roster != self._roster_of_senders:
+            self._roster_of_senders = roster
+            self._senders_by_server.clear()
+        key = f'{server.server_id}@{server.data_centre}'
+        senders = self._senders_by_server.get(key)
+        if senders is None:
+            senders = first_senders(
+                server.server_id,
+                server.data_centre,
+                instances.values(),
+                self._place,
+                len(LIMIT_SHARES),
+            )
+            self._senders_by_server[key] = senders
+        return senders
 
     def _is_suspected(self, instance: Instance) -> bool:
         if instance.name == self._instance:
@@ -177,7 +194,3 @@
             reason=reason,
             for_s=_SUSPECT_S,
         )
-
-
-def _never_suspected(_instance: Instance) -> bool:
-    return False
--- a/packages/edge/src/yuccadale_edge/_internal/routing/pacing.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/pacing.py
@@ -25,6 +25,9 @@
 # Returns of refused callers are spread over this time, or these intervals.
 _RETURN_HORIZON_S = 5.0
 _RETURN_HORIZON_INTERVALS = 4
+# Return of a caller whose instance may send nothing. Instances agree on a
+# reachable sender again within about this time.
+_OTHER_SENDER_S = 1.0
 
 Rate = Callable[[], float]
 
@@ -57,10 +60,15 @@
         return self._per_s() < inf
 
     def delay_s(self, ahead: int = 0) -> float:
-        """Returns when a request may be sent after ``ahead`` others."""
+        """Returns when a request may be sent after ``ahead`` others.
+
+        ``inf`` if this instance may send none.
+        """
         per_s = self._per_s()
         if per_s == inf:
             return 0
+        if per_s == 0:
+            return inf
         self._refill(per_s)
         missing = ahead + 1 - self._tokens
         return missing / per_s if missing > _ROUNDING else 0
@@ -83,6 +91,8 @@
         the horizon they are booked from its start again.
         """
         per_s = self._per_s()
+        if per_s == 0:
+            return _OTHER_SENDER_S
         now_s = self._now()
         interval_s = 1 / per_s
         earliest_s = now_s + self.delay_s() + interval_s
--- a/packages/edge/src/yuccadale_edge/_internal/routing/rate_limits.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/rate_limits.py
@@ -2,9 +2,8 @@
 
 One instance sends to a limited server, so that the limit holds for the sum of
 all requests and is used whoever asks. For a moment instances may disagree on
-the sender; an instance that sends in its place uses a part of the limit that,
-together with the whole, stays below what a server tolerates. All instances
-know all limits, so that any of them can become the sender.
+the sender; see ``LIMIT_SHARES``. All instances know all limits, so that any of
+them can become the sender.
 """
 
 from collections.abc import Callable, Iterable
@@ -20,8 +19,6 @@
 
 _log = structlog.get_logger()
 
-# Part of a limit that an instance uses which is not the sender of a server.
-SUBSTITUTE_SHARE = 0.4
 # A server that takes fewer requests still gets these: its answers show when
 # the limit ends.
 _MIN_PER_S = 0.25
@@ -96,12 +93,12 @@
         """Whether a limit holds, or has ended lately."""
         return holder in self._limit_by_holder
 
-    def sending_rate(self, holder: Holder, *, is_sender: bool) -> float:
+    def sending_rate(self, holder: Holder, share: float) -> float:
         """Returns how many requests a second this instance may send.
 
         Args:
             holder: the server.
-            is_sender: whether all instances send through this one.
+            share: the part of a limit that this instance may use.
         """
         limit = self._limit_by_holder.get(holder)
         if limit is None:
@@ -111,7 +108,7 @@
             doublings = (self._now() - limit.shown_s) / _DOUBLING_S
             per_s *= 2 ** min(doublings, _ENDED_RETENTION_S / _DOUBLING_S)
             return inf if per_s > _UNLIMITED_PER_S else per_s
-        return per_s if is_sender else max(per_s * SUBSTITUTE_SHARE, _MIN_PER_S)
+        return per_s * share
 
     def planning_rate(self, holder: Holder) -> float:
         """Returns the requests a second for which keys are assigned."""
--- a/packages/edge/src/yuccadale_edge/_internal/routing/senders.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/senders.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from hashlib import blake2b
+from heapq import nlargest
 
 from yuccadale_edge._internal.model import Place
 from yuccadale_edge._internal.system_view import Instance
@@ -22,9 +23,37 @@
     of its own servers only. Instances in the given data centre come first, to
     avoid another hop between data centres, then those in its region.
     """
+    usable = [one for one in instances if not suspected(one)]
+    preference = _preference(hash_key, data_centre, place)
+    return max(usable, key=preference, default=None)
+
+
+def first_senders(
+    hash_key: str,
+    data_centre: str,
+    instances: Iterable[Instance],
+    place: Place,
+    count: int,
+) -> list[Instance]:
+    """Returns the sender of a server and those that would replace it, in order.
+
+    Args:
+        hash_key: see ``choose_sender``, like the other arguments.
+        data_centre: of the server.
+        instances: all candidates.
+        place: names the regions.
+        count: the number of instances to return, if there are as many.
+    """
+    preference = _preference(hash_key, data_centre, place)
+    return nlargest(count, instances, key=preference)
+
+
+def _preference(
+    hash_key: str, data_centre: str, place: Place
+) -> Callable[[Instance], tuple[bool, bool, bytes]]:
     region = place.region_by_data_centre.get(data_centre)
 
-    def rank(instance: Instance) -> tuple[bool, bool, bytes]:
+    def preference(instance: Instance) -> tuple[bool, bool, bytes]:
         instance_region = place.region_by_data_centre.get(instance.data_centre)
         return (
             instance.data_centre == data_centre,
@@ -32,8 +61,7 @@
             _weight(hash_key, instance.name),
         )
 
-    usable = [one for one in instances if not suspected(one)]
-    return max(usable, key=rank, default=None)
+    return preference
 
 
 def _weight(hash_key: str, instance: str) -> bytes:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
@@ -32,6 +32,8 @@
 _PRIORITY_STEP_S = 0.1
 # Advance of a request that its caller retries: half a priority level.
 _CALLER_RETRY_STEP_S = 0.05
+# Longest timer for the next admission.
+_MAX_TIMER_S = 60.0
 # Average share of its service time that a running request still needs.
 _REMAINING_SHARE = 0.5
 
@@ -290,7 +292,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(
-            delay_s, self.admit_next
+            min(delay_s, _MAX_TIMER_S), self.admit_next
         )
 
     def _finish(self, number: int) -> None:
--- /dev/null
+++ b/tests/builders/limit_world.py
@@ -0,0 +1,570 @@
+"""Simulated instances that send to a server with a limit, in virtual time.
+
+Requests are routed, queued, paced and told of by the code of the product;
+links, connections and the leader that sends the roster are simulated.
+"""
+
+import asyncio
+import random
+from bisect import bisect_left
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager, suppress
+from dataclasses import dataclass, field, replace
+from math import inf
+from types import MappingProxyType
+from typing import Any
+
+from yuccadale_edge._internal.clock import elapsed_s
+from yuccadale_edge._internal.membership.broadcaster import Broadcaster
+from yuccadale_edge._internal.membership.limit_exchange import LimitExchange
+from yuccadale_edge._internal.membership.links import (
+    LinkLostError,
+    PeerUnreachableError,
+)
+from yuccadale_edge._internal.membership.messages import (
+    LIMITS_RELAY_TOPIC,
+    LIMITS_TOPIC,
+)
+from yuccadale_edge._internal.model import (
+    Bounds,
+    Place,
+    Server,
+    ServerState,
+    Settings,
+)
+from yuccadale_edge._internal.observability.metrics import Metrics
+from yuccadale_edge._internal.routing.dispatch import Dispatcher
+from yuccadale_edge._internal.routing.forwarding import (
+    Forwarder,
+    decode_request,
+    encode_message,
+)
+from yuccadale_edge._internal.routing.request_router import RequestRouter
+from yuccadale_edge._internal.routing.requests import (
+    Result,
+    RoutedRequest,
+    Served,
+)
+from yuccadale_edge._internal.routing.retry_budget import RetryBudget
+from yuccadale_edge._internal.system_view import Instance, SystemView
+from yuccadale_edge._internal.transport.client_connection import (
+    Answer,
+    AnswerLostError,
+    AnswerMatcher,
+    NotSentError,
+)
+from yuccadale_edge._internal.transport.client_pool import Address
+from yuccadale_platform._internal.requests import PlatformCodec
+
+REGION_BY_DATA_CENTRE = MappingProxyType(
+    {'a': 'north', 'b': 'north', 'c': 'south'}
+)
+SERVICE = 'ledger'
+# The rule of the users: requests in any window of this length.
+WINDOW_S = 4.0
+TOLERANCE = 1.5
+EXTRA_REQUESTS = 5
+# The users allow 3 s until a limit has to be kept.
+SETTLING_S = 1.5
+TARGET_S = 0.3
+DEADLINE_S = 1.5
+_LINK_DELAYS_S = (0.001, 0.004, 0.03)
+_LOST_NOTICES = 0.2
+_LATE_NOTICE_S = 1.5
+# As in production: the time until the leader removes a lost instance.
+_REMOVAL_S = 1.5
+_LEADER_TIMEOUT_S = 1.0
+_MAINTENANCE_S = 0.2
+_SLOTS = 4
+_PAUSES_S = (0.1, 0.5, 2.0, 5.0)
+_LIMITS_PER_S = (0, 2, 6.5, 17.5, 40)
+
+
+@dataclass
+class LimitedServer:
+    """A server that names a limit in its answers.
+
+    Attributes:
+        limit_text: what it names, None for nothing.
+        arrivals_s: when requests arrived.
+    """
+
+    server: Server
+    limit_text: str | None = None
+    service_s: float = 0.05
+    arrivals_s: list[float] = field(default_factory=list)
+    named: list[tuple[float, float]] = field(default_factory=list)
+
+    def name_limit(self, per_s: float) -> None:
+        """Names a limit from now on; ``inf`` ends it."""
+        self.limit_text = None if per_s == inf else str(per_s)
+        self.named.append((elapsed_s(), per_s))
+
+    async def answer(self, request_id: bytes) -> Answer:
+        """Runs a request."""
+        self.arrivals_s.append(elapsed_s())
+        await asyncio.sleep(self.service_s)
+        headers = [(b'x-attempt-id', request_id)]
+        if self.limit_text is not None:
+            headers.append((b'server-limit', self.limit_text.encode()))
+        return Answer(200, headers)
+
+    def excess(self, until_s: float) -> list[str]:
+        """Returns the windows in which it got more than its limit allows."""
+        found = []
+        for begin_s, end_s, per_s in self._spans(until_s):
+            allowed = per_s * WINDOW_S * TOLERANCE + EXTRA_REQUESTS
+            times_s = self.arrivals_s
+            first = bisect_left(times_s, begin_s + SETTLING_S)
+            for index in range(first, bisect_left(times_s, end_s)):
+                last_s = min(times_s[index] + WINDOW_S, end_s)
+                count = bisect_left(times_s, last_s) - index
+                if count > allowed:
+                    found.append(
+                        f'{count} requests from {times_s[index]:.2f} s, '
+                        f'limit {per_s} allows {allowed:.0f}'
+                    )
+                    break
+        return found
+
+    def _spans(self, until_s: float) -> Iterator[tuple[float, float, float]]:
+        """Yields begin, end and limit of the times with one limit."""
+        ends_s = [begin_s for begin_s, _ in self.named[1:]]
+        for (begin_s, per_s), end_s in zip(
+            self.named, (*ends_s, until_s), strict=True
+        ):
+            if per_s < inf:
+                yield begin_s, end_s, per_s
+
+
+class SimulatedConnection:
+    """A connection of one instance to the server."""
+
+    def __init__(self, server: LimitedServer) -> None:
+        self._server = server
+
+    async def exchange(self, request: bytes, matches: AnswerMatcher) -> Answer:
+        """Sends a request; fails if the server has started again meanwhile."""
+        expected = f'x-expect-instance: {self._server.server.server_id}\r\n'
+        assert expected.encode() in request
+        before = self._server.server.incarnation
+        request_id = request.split(b'X-Attempt-Id: ')[1].split(b'\r\n')[0]
+        answer = await self._server.answer(request_id)
+        if self._server.server.incarnation != before:
+            raise AnswerLostError('closed')
+        assert matches(answer)
+        return answer
+
+
+class SimulatedPool:
+    """The connections of one instance."""
+
+    def __init__(self, node: 'SimulatedInstance') -> None:
+        self._node = node
+
+    @asynccontextmanager
+    async def acquire(
+        self, _address: Address, _timeout_s: float, *, force_new: bool = False
+    ) -> AsyncIterator[SimulatedConnection]:
+        """Provides a connection, new or not."""
+        if not self._node.running and force_new is False:
+            raise NotSentError('the instance has ended')
+        yield SimulatedConnection(self._node.world.server)
+
+    def close_idle(self, address: Address) -> None:
+        """Closes nothing: connections hold no state here."""
+
+
+class SimulatedLinks:
+    """The links of one instance to the others."""
+
+    def __init__(self, node: 'SimulatedInstance') -> None:
+        self._node = node
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def request(
+        self,
+        address: Address,
+        topic: str,
+        body: bytes,
+        timeout_s: float,
+        decode: Callable[[bytes], Any],
+    ) -> Any:
+        """Forwards a request."""
+        assert topic
+        world = self._node.world
+        await asyncio.sleep(world.random.choice(_LINK_DELAYS_S))
+        peer = world.node_by_address[address]
+        if not world.connected(self._node, peer):
+            raise PeerUnreachableError('refused')
+        serving = asyncio.create_task(peer.serve_forwarded(body))
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await serving
+        except TimeoutError as error:
+            raise LinkLostError('no response') from error
+        if not world.connected(self._node, peer):
+            raise LinkLostError('the link was lost')
+        return decode(response)
+
+    async def notify(self, address: Address, topic: str, body: bytes) -> bool:
+        """Sends a message that may be lost or late while there are faults."""
+        world = self._node.world
+        peer = world.node_by_address[address]
+        if not world.connected(self._node, peer):
+            return False
+        delay_s = world.random.choice(_LINK_DELAYS_S)
+        if world.loses_messages:
+            if world.random.random() < _LOST_NOTICES:
+                return True
+            delay_s += world.random.random() * _LATE_NOTICE_S
+        task = asyncio.create_task(_deliver_later(peer, topic, body, delay_s))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+        return True
+
+
+async def _deliver_later(
+    peer: 'SimulatedInstance', topic: str, body: bytes, delay_s: float
+) -> None:
+    await asyncio.sleep(delay_s)
+    if peer.running:
+        handle = {
+            LIMITS_TOPIC: peer.exchange.handle,
+            LIMITS_RELAY_TOPIC: peer.exchange.handle_relay,
+        }[topic]
+        handle(body)
+
+
+class SimulatedInstance:
+    """One instance: its view and the parts that send requests.
+
+    Attributes:
+        running: whether the process lives.
+        cut: other instances that it cannot reach.
+        heard_s: when it last heard the leader.
+    """
+
+    def __init__(self, world: 'LimitWorld', entry: Instance) -> None:
+        self.world = world
+        self.entry = entry
+        self.running = True
+        self.cut: set[str] = set()
+        self.heard_s = elapsed_s()
+        place = Place(
+            entry.data_centre,
+            REGION_BY_DATA_CENTRE[entry.data_centre],
+            REGION_BY_DATA_CENTRE,
+        )
+        self.view = SystemView(_decodes_nothing, _decodes_nothing, 2.0)
+        self.metrics = Metrics()
+        links: Any = SimulatedLinks(self)
+        pool: Any = SimulatedPool(self)
+        settings = Settings(
+            entry.name,
+            place,
+            entry.address,
+            entry.address,
+            entry.address,
+            entry.address,
+            (),
+            entry.address,
+        )
+        forwarder = Forwarder(
+            self.view,
+            links,
+            self.metrics,
+            place,
+            entry.name,
+            self._hears_leader,
+        )
+        budget = RetryBudget(Bounds(), elapsed_s)
+        self.dispatcher = Dispatcher(
+            self.view,
+            pool,
+            PlatformCodec(),
+            self.metrics,
+            place,
+            forwarder,
+            lambda _service: budget,
+        )
+        self.router = RequestRouter(
+            self.view,
+            self.dispatcher,
+            forwarder,
+            PlatformCodec(),
+            self.metrics,
+            place,
+            lambda _service: budget,
+            _record_nothing,
+        )
+        self.exchange = LimitExchange(
+            self.dispatcher.rate_limits,
+            self.view,
+            Broadcaster(settings, self.view, links),
+        )
+        self._tasks = [
+            asyncio.create_task(self.exchange.run()),
+            asyncio.create_task(self._maintain()),
+        ]
+
+    def learn_server(self) -> None:
+        """Applies the present entry of the server."""
+        server = self.world.server.server
+        self.view.servers.server_by_id[server.server_id] = server
+
+    def learn_roster(self, entries: list[Instance], version: int) -> None:
+        """Applies an update of the leader."""
+        self.heard_s = elapsed_s()
+        if version > self.view.membership_version[1]:
+            self.view.membership_version = (1, version)
+            self.view.instance_by_name = {one.name: one for one in entries}
+
+    def stop(self) -> None:
+        """Ends the process."""
+        self.running = False
+        for task in self._tasks:
+            task.cancel()
+
+    async def send(self, request_id: str, *, keyed: bool, priority: int) -> Any:
+        """Sends a caller's request; returns its result."""
+        server = self.world.server.server
+        routed = RoutedRequest(
+            request_id=request_id,
+            route='keyed' if keyed else 'open',
+            service=SERVICE,
+            method=b'POST',
+            target=b'/x',
+            headers=[(b'X-Attempt-Id', request_id.encode())],
+            body=b'',
+            priority=priority,
+            repeatable=False,
+            remaining_ms=DEADLINE_S * 1000,
+            until_target_ms=TARGET_S * 1000,
+            max_attempts=2,
+            key=7 if keyed else None,
+            server_id=server.server_id if keyed else None,
+            incarnation=server.incarnation if keyed else 0,
+        )
+        return await self.router._send(routed)
+
+    async def serve_forwarded(self, body: bytes) -> bytes:
+        """Serves a request that another instance forwarded."""
+        return encode_message(await self.dispatcher.serve(decode_request(body)))
+
+    def _hears_leader(self) -> bool:
+        return elapsed_s() - self.heard_s < _LEADER_TIMEOUT_S
+
+    async def _maintain(self) -> None:
+        while True:
+            await asyncio.sleep(_MAINTENANCE_S)
+            self.dispatcher.maintain_queues()
+
+
+@dataclass
+class Outcomes:
+    """What became of the callers' requests, with the times of the ends."""
+
+    served_s: list[float] = field(default_factory=list)
+    refused: list[tuple[float, Any]] = field(default_factory=list)
+
+
+class LimitWorld:
+    """Instances, one server, and a leader that tells the roster."""
+
+    def __init__(self, seed: int, instances: int = 6) -> None:
+        self.random = random.Random(seed)
+        self.loses_messages = False
+        self.outcomes = Outcomes()
+        self.server = LimitedServer(
+            Server(
+                's',
+                SERVICE,
+                ('server', 1),
+                'a',
+                _SLOTS,
+                ServerState.ready,
+                1,
+                0,
+            )
+        )
+        self.lost_s_by_name: dict[str, float] = {}
+        self._roster_version = 0
+        self._roster: list[Instance] = []
+        self._requests = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        entries = [
+            Instance(f'i{number}', ('i', number), 'abc'[number % 3])
+            for number in range(instances)
+        ]
+        self.nodes = [SimulatedInstance(self, entry) for entry in entries]
+        self._start(self._lead())
+
+    @property
+    def node_by_address(self) -> dict[Address, SimulatedInstance]:
+        """The instances, also those that ended."""
+        return {node.entry.address: node for node in self.nodes}
+
+    def connected(
+        self, sender: SimulatedInstance, peer: SimulatedInstance
+    ) -> bool:
+        """Whether messages pass between two instances."""
+        names = {sender.entry.name, peer.entry.name}
+        return (
+            sender.running
+            and peer.running
+            and not names & sender.cut
+            and not names & peer.cut
+        )
+
+    async def load(self, per_s: float, for_s: float) -> None:
+        """Sends requests at random times through random instances."""
+        end_s = elapsed_s() + for_s
+        while elapsed_s() < end_s:
+            await asyncio.sleep(self.random.expovariate(per_s))
+            running = [node for node in self.nodes if node.running]
+            self._start(self._request(self.random.choice(running)))
+
+    async def faults(self, for_s: float) -> None:
+        """Injects random changes and faults, which overlap."""
+        end_s = elapsed_s() + for_s
+        actions = (
+            self._change_limit,
+            self._restart_server,
+            self._restart_instance,
+            self._isolate_instance,
+            self._cut_from_leader,
+            self._lose_messages,
+        )
+        while elapsed_s() < end_s:
+            await asyncio.sleep(self.random.choice(_PAUSES_S))
+            self._start(self.random.choice(actions)())
+
+    def close(self) -> None:
+        """Ends all tasks."""
+        for node in self.nodes:
+            node.stop()
+        for task in self._tasks:
+            task.cancel()
+
+    def _start(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _request(self, node: SimulatedInstance) -> None:
+        self._requests += 1
+        keyed = self.random.choice((False, True))
+        result: Result = await node.send(
+            f'r{self._requests}',
+            keyed=keyed,
+            priority=self.random.randrange(3),
+        )
+        if isinstance(result, Served):
+            self.outcomes.served_s.append(elapsed_s())
+        else:
+            self.outcomes.refused.append((elapsed_s(), result))
+
+    async def _lead(self) -> None:
+        """Tells the instances the roster; removes those it does not hear."""
+        while True:
+            heard = [node for node in self.nodes if self._heard(node)]
+            self._note_lost(heard)
+            entries = self._entries()
+            if entries != self._roster:
+                self._roster = entries
+                self._roster_version += 1
+            for member in heard:
+                member.learn_roster(entries, self._roster_version)
+                member.learn_server()
+            await asyncio.sleep(0.25)
+
+    def _note_lost(self, heard: list[SimulatedInstance]) -> None:
+        now_s = elapsed_s()
+        for node in self.nodes:
+            if node in heard:
+                self.lost_s_by_name.pop(node.entry.name, None)
+            else:
+                self.lost_s_by_name.setdefault(node.entry.name, now_s)
+
+    def _entries(self) -> list[Instance]:
+        now_s = elapsed_s()
+        return [
+            node.entry
+            for node in self.nodes
+            if now_s - self.lost_s_by_name.get(node.entry.name, now_s)
+            < _REMOVAL_S
+        ]
+
+    def _heard(self, node: SimulatedInstance) -> bool:
+        return node.running and 'leader' not in node.cut
+
+    async def _change_limit(self) -> None:
+        self.server.name_limit(self.random.choice((*_LIMITS_PER_S, inf)))
+
+    async def _restart_server(self) -> None:
+        known = self.server.server
+        self.server.server = replace(known, incarnation=known.incarnation + 1)
+        # The new process names no limit until it is in need again.
+        self.server.name_limit(inf)
+
+    async def _restart_instance(self) -> None:
+        node = self.random.choice(self.nodes)
+        if not node.running:
+            return
+        node.stop()
+        await asyncio.sleep(self.random.choice(_PAUSES_S))
+        index = self.nodes.index(node)
+        self.nodes[index] = SimulatedInstance(self, node.entry)
+        self.nodes[index].learn_server()
+
+    async def _isolate_instance(self) -> None:
+        """Cuts an instance from the leader and from some or all others."""
+        node = self.random.choice(self.nodes)
+        names = [peer.entry.name for peer in self.nodes]
+        count = self.random.randint(1, len(names))
+        with _cut(node, {'leader', *self.random.sample(names, count)}):
+            await asyncio.sleep(self.random.choice(_PAUSES_S))
+
+    async def _cut_from_leader(self) -> None:
+        with _cut(self.random.choice(self.nodes), {'leader'}):
+            await asyncio.sleep(self.random.choice(_PAUSES_S))
+
+    async def _lose_messages(self) -> None:
+        self.loses_messages = True
+        await asyncio.sleep(self.random.choice(_PAUSES_S))
+        self.loses_messages = False
+
+
+@contextmanager
+def _cut(node: SimulatedInstance, names: set[str]) -> Iterator[None]:
+    added = names - node.cut
+    node.cut |= added
+    try:
+        yield
+    finally:
+        node.cut -= added
+
+
+@asynccontextmanager
+async def limit_world(
+    seed: int, instances: int = 6
+) -> AsyncIterator[LimitWorld]:
+    """Runs a world; its tasks end with the block."""
+    world = LimitWorld(seed, instances)
+    # The first roster arrives.
+    await asyncio.sleep(0.3)
+    try:
+        yield world
+    finally:
+        world.close()
+        with suppress(asyncio.CancelledError):
+            await asyncio.sleep(0)
+
+
+def _decodes_nothing(*_: Any) -> Any:
+    raise NotImplementedError
+
+
+def _record_nothing(*_: Any) -> None:
+    """Accepts the work of a key."""
