Take a refusal without an id only from a connection without an earlier one

Callers were told that a request had not run while its server was running it (REFUSED), or it was sent to a second server (TWICE): a server repeated an earlier refusal on a kept connection, and refusals carry no request id.

Cause: nothing tells the copy of such an answer from the answer to the next request. A connection is closed after an answer that names no request, so that a copy has no request to be taken for.

A new connection is paid for each refusal.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
@@ -43,6 +43,13 @@
     def answer_matcher(self, request_id: str) -> AnswerMatcher:
         """Returns a predicate: does an answer belong to the request?"""
 
+    def names_request(self, answer: Answer) -> bool:
+        """Whether the answer names its request.
+
+        A faulty server may send an answer again. Without a name, its copy looks
+        like the answer to the next request on the connection.
+        """
+
     def not_executed(self, answer: Answer) -> bool:
         """Whether the server states that it did not run the request."""
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -301,6 +301,8 @@
                     answer = await connection.exchange(
                         encoded, self._codec.answer_matcher(request.request_id)
                     )
+                if not self._codec.names_request(answer):
+                    connection.close()
         except NotSentError as error:
             self._mark_unreachable(server, str(error))
             return Refused(
--- /dev/null
+++ b/tests/platform/test_faulty_servers.py
@@ -0,0 +1,140 @@
+"""Servers that repeat an answer."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from tests.builders.platform_servers import PlatformServer
+from tests.builders.platform_system import PlatformSystem, platform_system
+from tests.builders.raw_server import RawServer, Script, run_raw_server
+from yuccadale_edge.instance import CallKind, ClientPool, OwnershipCall
+from yuccadale_edge.ownership import Holder
+from yuccadale_platform.adapter import PlatformServerCalls, parse_address
+
+_SERVER_ID = 'raw'
+_LATER_S = 0.05
+
+
+def _request_id(head: bytes) -> bytes:
+    for line in head.split(b'\r\n'):
+        name, _, text = line.partition(b': ')
+        if name.lower() == b'x-attempt-id':
+            return text
+    return b''
+
+
+def _answer(head: bytes) -> bytes:
+    return (
+        b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\n'
+        b'X-Server-Signature: sig\r\nContent-Length: 2\r\n\r\nok'
+    ) % _request_id(head)
+
+
+def _refuses_again(status: int) -> Callable[[RawServer], Script]:
+    """Returns a maker of scripts that repeat their first refusal.
+
+    The first request is refused. The next one on the same connection gets the
+    same bytes again, and its own answer a moment later.
+    """
+    refusal = (
+        b'HTTP/1.1 %d Refused\r\nX-Not-Executed: 1\r\n'
+        b'Content-Length: 0\r\n\r\n' % status
+    )
+
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await raw.read_request(reader)
+            if len(raw.heads) == 1:
+                writer.write(refusal)
+                await raw.read_request(reader)
+                writer.write(refusal)
+            await _answer_all(raw, reader, writer)
+
+        return script
+
+    return make_script
+
+
+async def _answer_all(
+    raw: RawServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answers the request that was read and all that follow."""
+    while True:
+        await asyncio.sleep(_LATER_S)
+        writer.write(_answer(raw.heads[-1]))
+        await raw.read_request(reader)
+
+
+@asynccontextmanager
+async def _system_with(raw: RawServer) -> AsyncIterator[tuple]:
+    """Runs one instance whose only server is the raw one."""
+    async with platform_system(keyed=0, unkeyed=0) as system:
+        server = PlatformServer(_SERVER_ID, 'stage', 'a', keyed=False)
+        server.address = raw.address
+        system.store.state.put('servers', _SERVER_ID, server.entry())
+        yield system, await system.add_instance()
+
+
+async def _status(system: PlatformSystem, name: str, request_id: str) -> int:
+    status, _, _ = await system.send_request(
+        name, '/once/x', request_id=request_id
+    )
+    return status
+
+
+@pytest.mark.parametrize('status', [503, 429, 421, 408])
+async def test_a_repeated_refusal_is_not_the_next_answer(status: int) -> None:
+    """Guards against a refusal of a request that the server is running.
+
+    A refusal may lack the request's id, so that its copy on a kept connection
+    looked like the refusal of the next request.
+    """
+    async with run_raw_server(_refuses_again(status)) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, 'first') in {429, 503}
+            assert await _status(system, name, 'second') == 200
+            assert await _status(system, name, 'third') == 200
+
+
+async def test_a_release_is_sent_on_a_connection_of_its_own() -> None:
+    """Guards against a copy of an earlier answer that counts as a release.
+
+    Answers to grants and releases carry no id. A key whose release was not
+    answered yet would be granted to the next server.
+    """
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+    released = asyncio.Event()
+
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            while True:
+                await raw.read_request(reader)
+                if b'/v1/release' in raw.heads[-1]:
+                    await asyncio.sleep(_LATER_S)
+                    released.set()
+                writer.write(answer)
+                if b'/v1/grant' in raw.heads[-1]:
+                    await raw.read_request(reader)
+                    writer.write(answer)
+
+        return script
+
+    async with run_raw_server(make_script) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        calls = PlatformServerCalls(pool, tuple)
+        address = parse_address(raw.address)
+        holder = Holder(_SERVER_ID, 1)
+        for fence in (1, 2):
+            grant = OwnershipCall(CallKind.grant, holder, 0, 9, fence)
+            await calls.grant(address, grant, 1)
+            released.clear()
+            release = OwnershipCall(CallKind.release, holder, 0, 9, fence)
+            await calls.release(address, release)
+            assert released.is_set()
+        pool.close_idle(address)
