Take no interim answer for the answer when its connection ends

Cause: an answer without a length ends with its connection, and that was also assumed of interim answers, which have no body. An end within a head, after an interim answer or not, is a lost answer now.

test_an_answer_that_ends_in_its_head_is_lost: 103 and 100 reached the caller before. Ends within the head of a final answer were lost before, too.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -168,7 +168,9 @@
         """Determines how the body is delimited."""
         status = self._parser.get_status_code()
         self._body_until_close = (
-            not self._framed and status not in _NO_BODY_STATUSES
+            not self._framed
+            and status >= _FIRST_FINAL_STATUS
+            and status not in _NO_BODY_STATUSES
         )
 
     def on_body(self, chunk: bytes) -> None:
--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -1,4 +1,4 @@
-"""Servers that repeat an answer."""
+"""Servers that repeat an answer, or break off within one."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
@@ -69,6 +69,23 @@
         await raw.read_request(reader)
 
 
+def _breaks_off(begun: bytes) -> Callable[[RawServer], Script]:
+    """Returns a maker of scripts that close within their answer."""
+
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await raw.read_request(reader)
+            writer.write(begun.replace(b'%b', _request_id(raw.heads[-1])))
+            writer.write_eof()
+            await reader.read()
+
+        return script
+
+    return make_script
+
+
 @asynccontextmanager
 async def _system_with(raw: RawServer) -> AsyncIterator[tuple]:
     """Runs one instance whose only server is the raw one."""
@@ -100,6 +117,25 @@
             assert await _status(system, name, 'third') == 200
 
 
+@pytest.mark.parametrize(
+    'begun',
+    [
+        b'HTTP/1.1 103 Early Hints\r\nX-Attempt-Id: %b\r\n\r\n',
+        b'HTTP/1.1 100 Continue\r\nX-Attempt-Id: %b\r\n\r\n',
+        b'HTTP/1.1 103 Early Hints\r\nX-Attempt-Id: %b\r\n\r\n'
+        b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\n',
+        b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Sign',
+    ],
+)
+async def test_an_answer_that_ends_in_its_head_is_lost(begun: bytes) -> None:
+    """Guards against an interim answer, or a part, that counts as whole."""
+
+    async with run_raw_server(_breaks_off(begun)) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, 'cut') == 502
+            assert len(raw.heads) == 1
+
+
 async def test_a_release_is_sent_on_a_connection_of_its_own() -> None:
     """Guards against a copy of an earlier answer that counts as a release.
 
