Answer every request that a stopping instance has taken

Requests that came late in the grace period of a planned stop ran at their servers, and their connections were closed without an answer (LOST), also ones that may not be repeated.

Cause: the end of the process bounded nothing but the connections. Those taken before the stop get an answer with an unknown outcome at the end. The listener closes before a grace period below 2.5 s ends; the process stayed for 2.5 s.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -39,6 +39,7 @@
 )
 from yuccadale_edge._internal.routing.request_router import RequestRouter
 from yuccadale_edge._internal.routing.retry_budget import RetryBudget
+from yuccadale_edge._internal.routing.stop_guard import StopGuard
 from yuccadale_edge._internal.store import (
     Store,
     StoreOutcomeUnknownError,
@@ -69,7 +70,8 @@
 # The load balancer removes an instance after two failed readiness checks, one
 # per second; until then the instance accepts new connections.
 _LOAD_BALANCER_GRACE_S = 2.5
-# Part of the grace period that is reserved for closing.
+# Part of the grace period that is reserved for closing. The last answers are
+# written at its begin; connections are aborted when half of it is over.
 _SHUTDOWN_MARGIN_S = 0.4
 _DRAIN_POLL_S = 0.02
 _OK = 200
@@ -178,6 +180,7 @@
             adapter.calls(self._pool, self._system_view.health_paths),
             self._metrics,
         )
+        self._stop_guard = StopGuard(elapsed_s)
         self._router = RequestRouter(
             self._system_view,
             self._dispatcher,
@@ -187,6 +190,7 @@
             settings.place,
             self._retry_budget,
             self._cluster.record_key_work,
+            self._stop_guard,
         )
         self._readers = [
             SourceReader(
@@ -261,16 +265,16 @@
     async def _drain(self, callers: asyncio.Server) -> None:
         started_s = elapsed_s()
         end_s = started_s + self._settings.bounds.grace_s - _SHUTDOWN_MARGIN_S
+        self._stop_guard.begin(end_s)
         _log.info('stopping', connections=len(self._callers.connections))
         self._callers.closing = True
         leaving = asyncio.create_task(
             supervise('leaving', partial(self._leave, end_s), self._metrics)
         )
-        await asyncio.sleep(
-            max(0, started_s + _LOAD_BALANCER_GRACE_S - elapsed_s())
-        )
+        listen_until_s = min(started_s + _LOAD_BALANCER_GRACE_S, end_s)
+        await asyncio.sleep(max(0, listen_until_s - elapsed_s()))
         callers.close()
-        while elapsed_s() < end_s:
+        while elapsed_s() < end_s + _SHUTDOWN_MARGIN_S / 2:
             for connection in list(self._callers.connections):
                 connection.close_when_idle()
             if (
--- a/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
@@ -141,7 +141,7 @@
         """
         request.forwards += 1
         try:
-            return await self._links.request(
+            result = await self._links.request(
                 sender.address,
                 FORWARD_TOPIC,
                 encode_message(request),
@@ -158,6 +158,11 @@
             return Refused(
                 ResultCode.link_lost, f'{sender.name}: {error}', attempts=1
             )
+        if _is_stopping(result):
+            request.forwards -= 1
+            self._mark_suspected(sender, 'it is stopping')
+            return None
+        return result
 
     def _senders_of(self, server: Server) -> list[Instance]:
         """Returns the senders of a server in order, kept for each roster."""
@@ -194,3 +199,11 @@
             reason=reason,
             for_s=_SUSPECT_S,
         )
+
+
+def _is_stopping(result: Result) -> bool:
+    """Whether the sender refused a request since its process ends."""
+    return (
+        isinstance(result, Refused)
+        and result.code == ResultCode.instance_draining
+    )
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -32,6 +32,8 @@
     RoutedRequest,
     Served,
 )
+from yuccadale_edge._internal.routing.server_queue import ServiceTimes
+from yuccadale_edge._internal.routing.stop_guard import StopGuard
 from yuccadale_edge._internal.supervision import contained
 from yuccadale_edge._internal.system_view import (
     CONFIGURATION_TABLE,
@@ -134,6 +136,7 @@
         place: Place,
         retry_budget_for: RetryBudgetLookup,
         record_key_work: Callable[[str, int, float], None],
+        stop_guard: StopGuard,
     ) -> None:
         self._system_view = system_view
         self._dispatcher = dispatcher
@@ -143,6 +146,8 @@
         self._place = place
         self._retry_budget_for = retry_budget_for
         self._record_key_work = record_key_work
+        self._stop_guard = stop_guard
+        self._answer_times = ServiceTimes()
         self._round_robin = WeightedRoundRobin()
         self._longest_s_by_route: dict[str, float] = {}
 
@@ -159,9 +164,16 @@
 
     async def handle_forwarded(self, body: bytes) -> bytes:
         """Serves a request that another instance forwarded."""
-        return encode_message(
-            await self._dispatcher.serve(decode_request(body))
+        routed = decode_request(body)
+        now_s = elapsed_s()
+        deadline_s = self._stop_guard.bounded_deadline_s(
+            now_s + routed.remaining_ms / _MS_PER_S,
+            self._dispatcher.service_times.mean_s(routed.route),
         )
+        if isinstance(deadline_s, Refused):
+            return encode_message(deadline_s)
+        routed.remaining_ms = (deadline_s - now_s) * _MS_PER_S
+        return encode_message(await self._dispatcher.serve(routed))
 
     async def _answer(self, request: CallerRequest) -> Reply:
         message = request.message
@@ -171,7 +183,9 @@
         configuration, route = found
         service = self._round_robin.pick(route)
         try:
-            result = await self._route(request, route, configuration, service)
+            result = await self._route_until_end(
+                request, route, configuration, service
+            )
         except asyncio.CancelledError:
             self._metrics.count('caller_gone', route=route.name)
             _log.info(
@@ -184,6 +198,7 @@
         if isinstance(result, Refused):
             return self._refuse(request, route, result, service)
         took_ms = _since_ms(message.arrived_s)
+        self._answer_times.record(route.name, took_ms / _MS_PER_S)
         self._metrics.observe_ms('answer', took_ms, route=route.name)
         self._metrics.observe_ms('line_wait', result.waited_ms)
         self._metrics.observe_ms('server_work', result.service_ms)
@@ -204,6 +219,21 @@
             )
         return self._codec.reply(result.answer)
 
+    async def _route_until_end(
+        self,
+        request: CallerRequest,
+        route: Route,
+        configuration: Configuration,
+        service: str,
+    ) -> Result:
+        try:
+            async with self._stop_guard.until_end():
+                return await self._route(request, route, configuration, service)
+        except TimeoutError:
+            return Refused(
+                ResultCode.answer_lost, 'the instance ended', attempts=1
+            )
+
     async def _route(
         self,
         request: CallerRequest,
@@ -215,6 +245,12 @@
         deadline_s = arrived_s + route.timeout_s
         if request.deadline_s is not None:
             deadline_s = min(deadline_s, request.deadline_s)
+        bounded_s = self._stop_guard.bounded_deadline_s(
+            deadline_s, self._answer_times.mean_s(route.name)
+        )
+        if isinstance(bounded_s, Refused):
+            return bounded_s
+        deadline_s = bounded_s
         service = configuration.service_by_name.get(service_name)
         if service is None:
             return Refused(
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -46,6 +46,7 @@
     Served,
 )
 from yuccadale_edge._internal.routing.retry_budget import RetryBudget
+from yuccadale_edge._internal.routing.stop_guard import StopGuard
 from yuccadale_edge._internal.system_view import Instance, SystemView
 from yuccadale_edge._internal.transport.client_connection import (
     Answer,
@@ -297,6 +298,7 @@
             place,
             lambda _service: budget,
             _record_nothing,
+            StopGuard(elapsed_s),
         )
         self.exchange = LimitExchange(
             self.dispatcher.rate_limits,
