Let servers of the soak name limits

One server at a time names one or two limits for 6 s each, beside the other faults. The rule is checked for all arrivals, also those from instances that the users' rule excuses. The record of limits and arrivals is shared with the simulation.

--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-from bisect import bisect_left
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager, suppress
 from dataclasses import dataclass, field, replace
@@ -14,6 +13,7 @@
 from types import MappingProxyType
 from typing import Any
 
+from tests.builders.limit_record import LimitRecord
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.broadcaster import Broadcaster
 from yuccadale_edge._internal.membership.limit_exchange import LimitExchange
@@ -61,10 +61,6 @@
     {'a': 'north', 'b': 'north', 'c': 'south'}
 )
 SERVICE = 'ledger'
-# The rule of the users: requests in any window of this length.
-WINDOW_S = 4.0
-TOLERANCE = 1.5
-EXTRA_REQUESTS = 5
 # The users allow 3 s until a limit has to be kept.
 SETTLING_S = 1.5
 TARGET_S = 0.3
@@ -87,56 +83,28 @@
 
     Attributes:
         limit_text: what it names, None for nothing.
-        arrivals_s: when requests arrived.
+        record: limits and arrivals.
     """
 
     server: Server
     limit_text: str | None = None
     service_s: float = 0.05
-    arrivals_s: list[float] = field(default_factory=list)
-    named: list[tuple[float, float]] = field(default_factory=list)
+    record: LimitRecord = field(default_factory=lambda: LimitRecord(SETTLING_S))
 
     def name_limit(self, per_s: float) -> None:
         """Names a limit from now on; ``inf`` ends it."""
         self.limit_text = None if per_s == inf else str(per_s)
-        self.named.append((elapsed_s(), per_s))
+        self.record.named.append((elapsed_s(), per_s))
 
     async def answer(self, request_id: bytes) -> Answer:
         """Runs a request."""
-        self.arrivals_s.append(elapsed_s())
+        self.record.arrivals_s.append(elapsed_s())
         await asyncio.sleep(self.service_s)
         headers = [(b'x-attempt-id', request_id)]
         if self.limit_text is not None:
             headers.append((b'server-limit', self.limit_text.encode()))
         return Answer(200, headers)
 
-    def excess(self, until_s: float) -> list[str]:
-        """Returns the windows in which it got more than its limit allows."""
-        found = []
-        for begin_s, end_s, per_s in self._spans(until_s):
-            allowed = per_s * WINDOW_S * TOLERANCE + EXTRA_REQUESTS
-            times_s = self.arrivals_s
-            first = bisect_left(times_s, begin_s + SETTLING_S)
-            for index in range(first, bisect_left(times_s, end_s)):
-                last_s = min(times_s[index] + WINDOW_S, end_s)
-                count = bisect_left(times_s, last_s) - index
-                if count > allowed:
-                    found.append(
-                        f'{count} requests from {times_s[index]:.2f} s, '
-                        f'limit {per_s} allows {allowed:.0f}'
-                    )
-                    break
-        return found
-
-    def _spans(self, until_s: float) -> Iterator[tuple[float, float, float]]:
-        """Yields begin, end and limit of the times with one limit."""
-        ends_s = [begin_s for begin_s, _ in self.named[1:]]
-        for (begin_s, per_s), end_s in zip(
-            self.named, (*ends_s, until_s), strict=True
-        ):
-            if per_s < inf:
-                yield begin_s, end_s, per_s
-
 
 class SimulatedConnection:
     """A connection of one instance to the server."""
--- a/tests/platform/test_limits_of_all_instances.py
+++ b/tests/platform/test_limits_of_all_instances.py
@@ -42,7 +42,7 @@
         await asyncio.gather(
             world.load(DEMAND_PER_S, DURATION_S), world.faults(DURATION_S)
         )
-        return world.server.excess(elapsed_s())
+        return world.server.record.excess(elapsed_s())
 
 
 def _find_excess(seeds: Iterable[int]) -> list[str]:
@@ -120,7 +120,7 @@
         await _settle(world, LIMIT_PER_S)
         begin_s = elapsed_s()
         await world.load(DEMAND_PER_S, 10)
-        arrivals_s = world.server.arrivals_s
+        arrivals_s = world.server.record.arrivals_s
         for tenths in range(90):
             first_s = begin_s + tenths / 10
             count = sum(first_s <= one < first_s + 1 for one in arrivals_s)
@@ -135,9 +135,9 @@
         await world.load(DEMAND_PER_S, 1)
         for per_s in (LIMIT_PER_S, 6.5):
             world.server.name_limit(per_s)
-            named = world.server.arrivals_s[-1]
+            named = world.server.record.arrivals_s[-1]
             await world.load(DEMAND_PER_S, KNOWN_WITHIN_S)
-            assert world.server.arrivals_s[-1] > named
+            assert world.server.record.arrivals_s[-1] > named
             assert set(_known_limits(world)) == {per_s}
 
 
@@ -172,7 +172,7 @@
         await _settle(world, LIMIT_PER_S)
         await asyncio.sleep(30)
         await world.load(DEMAND_PER_S, 4)
-        assert not world.server.excess(elapsed_s())
+        assert not world.server.record.excess(elapsed_s())
 
 
 @in_virtual_time
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,14 +9,17 @@
 import signal
 import sys
 import tempfile
+import time
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
+from math import inf
 from pathlib import Path
 
 import aiohttp
 
+from tests.builders.limit_record import LimitRecord
 from tests.builders.platform_servers import PlatformServer, running_server
 from tests.builders.platform_store import RunningStore, running_store
 from tests.builders.platform_system import HOST, configuration
@@ -34,6 +37,10 @@
 _CONNECTION_FAULT_S = (0.3, 1.0, 3.0)
 _STORE_DISCONNECTED_S = 6.0
 _READY_TIMEOUT_S = 15.0
+_LIMITS_PER_S = (0, 2, 6.5, 17.5)
+_LIMIT_S = 6.0
+# As the users allow.
+_LIMIT_SETTLING_S = 3.0
 _RECOVERY_TIMEOUT_S = 10.0
 # Requests for random keys that have to succeed at each instance.
 _PROBES_PER_INSTANCE = 8
@@ -77,6 +84,10 @@
         self._session = session
         self._request_count = 0
         self._refused_ids: list[str] = []
+        self._limits_by_server = {
+            server.server_id: LimitRecord(_LIMIT_SETTLING_S, server.arrivals_s)
+            for server in servers
+        }
 
     async def run(self, duration_s: float) -> SoakReport:
         """Runs load and faults, then waits until requests are served again."""
@@ -96,6 +107,7 @@
                 self._inject(self._connection_faults(), 'connections')
             ),
             asyncio.create_task(self._inject(self._input_faults(), 'input')),
+            asyncio.create_task(self._inject([self._limit_server], 'limits')),
         ]
         await asyncio.sleep(duration_s)
         for task in (*tasks, *faults):
@@ -106,6 +118,7 @@
             _RECOVERY_TIMEOUT_S, 'not served after the faults'
         )
         self._check_executions()
+        self._check_limits()
         return self.report
 
     def _process_faults(self) -> list[Fault]:
@@ -246,6 +259,20 @@
             await self._store.state.notify_feeds()
             await asyncio.sleep(1.0)
 
+    async def _limit_server(self, random_source: random.Random) -> None:
+        """Lets a server name a limit, another one, and none again."""
+        server = random_source.choice(self._servers)
+        for _ in range(random_source.choice((1, 2))):
+            per_s = random_source.choice(_LIMITS_PER_S)
+            self._name_limit(server, per_s)
+            await asyncio.sleep(_LIMIT_S)
+        self._name_limit(server, inf)
+
+    def _name_limit(self, server: PlatformServer, per_s: float) -> None:
+        server.limit_text = None if per_s == inf else str(per_s)
+        record = self._limits_by_server[server.server_id]
+        record.named.append((time.monotonic(), per_s))
+
     async def _clear_faults(self) -> None:
         self._store.faults.down = False
         self._store.faults.drop_answers = False
@@ -253,6 +280,7 @@
             proxy.clear_faults()
         for server in self._servers:
             server.drop_answers = False
+            self._name_limit(server, inf)
             self._store.state.put('servers', server.server_id, server.entry())
         await self._store.state.notify_feeds()
         for instance in self._instances:
@@ -322,6 +350,13 @@
             if executions[request_id]:
                 self.report.problems.append(f'{request_id} was refused and ran')
 
+    def _check_limits(self) -> None:
+        for server_id, record in self._limits_by_server.items():
+            self.report.problems.extend(
+                f'{server_id}: {problem}'
+                for problem in record.excess(time.monotonic())
+            )
+
     async def _wait_until_instance_serves(self, instance: SoakInstance) -> None:
         while await self._send_request(instance) != 200:
             await asyncio.sleep(0.05)
