--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,7 @@
 """A randomized soak test of instance processes with injected faults.
 
-``python -m tests.soak.run --seeds 50 --first 1`` runs seeds by hand.
+``python -m tests.soak.run --seeds 50 --first 1`` runs seeds by hand;
+``--instances 40`` with more processes.
 """
 
 import argparse
@@ -383,8 +384,13 @@
             yield proxy
 
 
-async def run_seed(seed: int, duration_s: float, directory: Path) -> SoakReport:
-    """Runs one seed; logs and settings stay in the directory."""
+async def run_seed(
+    seed: int, duration_s: float, directory: Path, count: int = INSTANCES
+) -> SoakReport:
+    """Runs one seed with a number of instances.
+
+    Logs and settings stay in the directory.
+    """
     servers = [
         PlatformServer(f'k{number}', 'ledger', 'ab'[number % 2], keyed=True)
         for number in range(KEYED_SERVERS)
@@ -399,7 +405,7 @@
             for server in servers
         ]
         instances = await stack.enter_async_context(
-            soak_instances(INSTANCES, directory, store.address)
+            soak_instances(count, directory, store.address)
         )
         session = await stack.enter_async_context(
             aiohttp.ClientSession(timeout=client_timeout)
@@ -414,11 +420,14 @@
     parser.add_argument('--seeds', type=int, default=5)
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=12)
+    parser.add_argument('--instances', type=int, default=INSTANCES)
     options = parser.parse_args()
     status = 0
     for seed in range(options.first, options.first + options.seeds):
         directory = Path(tempfile.mkdtemp(prefix=f'yuccadale-soak-{seed}-'))
-        report = asyncio.run(run_seed(seed, options.seconds, directory))
+        report = asyncio.run(
+            run_seed(seed, options.seconds, directory, options.instances)
+        )
         print(seed, dict(report.status_counts), report.faults, flush=True)
         for problem in report.problems:
             status = 1
