Choose a limited server also where this instance may not send to it

An instance far down the order of senders refused requests for services without keys (3011), although the sender had room: its own part of the limit is 0, so the wait that it expected was endless. The wait is not known where another instance sends, and is left to that one. A request goes on to the next sender when the first is not reached.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -206,7 +206,9 @@
                 expected_service_s=mean_s,
                 until_target_s=self._until_target_s(request),
             )
-            wait_s = queue.expected_wait_s(rank, request.priority)
+            wait_s: float = 0
+            if not self._is_reached_through_keeper(server, request):
+                wait_s = queue.expected_wait_s(rank, request.priority)
             cost = wait_s / mean_s + queue.slowdown * (
                 1.0 + queue.running / queue.limit / 2
             )
@@ -216,6 +218,15 @@
                 best, best_cost = server, cost
         return best
 
+    def _is_reached_through_keeper(
+        self, server: Server, request: RoutedRequest
+    ) -> bool:
+        """Whether another instance sends, whose queue is not known here."""
+        return (
+            self.rate_limits.per_s(_holder(server)) is not None
+            and self._forwarder.limit_keeper(server, request) is not None
+        )
+
     def _may_choose(self, server: Server) -> bool:
         until_s = self._limit_used_until_s.get(_holder(server), 0)
         return self._system_view.usable(server) and until_s <= elapsed_s()
@@ -224,21 +235,33 @@
         self, server: Server, request: RoutedRequest, deadline_s: float
     ) -> Result:
         """Sends a request to a server, through the sender of a limited one."""
-        if self.rate_limits.per_s(_holder(server)) is not None:
-            keeper = self._forwarder.limit_keeper(server, request)
-            if keeper is not None:
-                forwarded = msgspec.structs.replace(
-                    request,
-                    server_id=server.server_id,
-                    incarnation=server.incarnation,
-                    remaining_ms=(deadline_s - elapsed_s()) * _MS_PER_S,
-                )
-                result = await self._forwarder.forward(keeper, forwarded)
-                if result is not None:
-                    self._record_limit_use(server, result)
-                    return result
+        if self._is_reached_through_keeper(server, request):
+            result = await self._serve_through_keeper(
+                server, request, deadline_s
+            )
+            if result is not None:
+                self._record_limit_use(server, result)
+                return result
         return await self._queue_and_send(server, request, deadline_s)
 
+    async def _serve_through_keeper(
+        self, server: Server, request: RoutedRequest, deadline_s: float
+    ) -> Result | None:
+        """Forwards a request to the first sender that is reached, if any."""
+        while True:
+            keeper = self._forwarder.limit_keeper(server, request)
+            if keeper is None:
+                return None
+            forwarded = msgspec.structs.replace(
+                request,
+                server_id=server.server_id,
+                incarnation=server.incarnation,
+                remaining_ms=(deadline_s - elapsed_s()) * _MS_PER_S,
+            )
+            result = await self._forwarder.forward(keeper, forwarded)
+            if result is not None:
+                return result
+
     def _record_limit_use(self, server: Server, result: Result) -> None:
         """Chooses other servers while the limit of this one is used up."""
         if isinstance(result, Served):
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -248,6 +248,7 @@
             entry.name,
             self._hears_leader,
         )
+        self._forwarder = forwarder
         budget = RetryBudget(Bounds(), elapsed_s)
         self.dispatcher = Dispatcher(
             self.view,
@@ -291,6 +292,10 @@
             self.view.membership_version = (1, version)
             self.view.instance_by_name = {one.name: one for one in entries}
 
+    def limit_share(self) -> float:
+        """Returns the part of the server's limit that it may use."""
+        return self._forwarder.limit_share(self.world.server.server)
+
     def stop(self) -> None:
         """Ends the process."""
         self.running = False
@@ -389,6 +394,10 @@
             and not names & peer.cut
         )
 
+    def sender(self) -> SimulatedInstance:
+        """Returns the instance through which the server is reached."""
+        return max(self.nodes, key=SimulatedInstance.limit_share)
+
     async def load(self, per_s: float, for_s: float) -> None:
         """Sends requests at random times through random instances."""
         end_s = elapsed_s() + for_s
--- a/tests/platform/test_limits_of_all_instances.py
+++ b/tests/platform/test_limits_of_all_instances.py
@@ -21,6 +21,7 @@
 from yuccadale_core.codes import ResultCode
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.routing import forwarding, pacing
+from yuccadale_edge._internal.routing.requests import Served
 
 SEQUENCES = 12
 # The removal of a rule has to be found within this many sequences.
@@ -178,6 +179,23 @@
         assert len(served) > 60
 
 
+@in_virtual_time
+async def test_the_next_sender_takes_over_at_once() -> None:
+    """Guards against refusals while another instance may send."""
+    async with limit_world(8, 12) as world:
+        await _settle(world, 40)
+        await asyncio.sleep(1)
+        sender = world.sender()
+        sender.stop()
+        results = [
+            await node.send(f'after-{node.entry.name}', keyed=False, priority=0)
+            for node in world.nodes
+            if node is not sender
+        ]
+        refused = [one for one in results if not isinstance(one, Served)]
+        assert not refused
+
+
 @in_virtual_time
 async def test_silence_is_no_end() -> None:
     """Guards against a burst after a pause in which nobody asked."""
