Write the last answer of a connection whole to a slow reader

A caller that read a large answer slowly lost its end when the connection was closed after it (Connection: close, or a planned stop): the connection was aborted 1 s after the last answer was given to it.

Cause: the time in which a closing connection still reads also bounded what it still writes.

Also: a request is rejected once, and a head of exactly the limit that arrives in parts is not refused for the bytes that the limit does not count.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -26,6 +26,8 @@
 # reset it, and the caller could lose the last answer.
 _LINGER_S = 1.0
 _HEADER_OVERHEAD_BYTES = 4
+# Part of a head, such as the method, that its limit does not count.
+_UNCOUNTED_BYTES = 1024
 # Return of a caller whose body found no room, in seconds.
 _NO_ROOM_RETRY_S = b'0.5'
 
@@ -211,9 +213,10 @@
         except httptools.HttpParserError:
             self._reject(HTTPStatus.BAD_REQUEST)
         parsed = self._unparsed_bytes != unparsed
-        if not parsed and unparsed > self._listener.limits.header_bytes:
+        max_unparsed = self._listener.limits.header_bytes + _UNCOUNTED_BYTES
+        if not parsed and unparsed > max_unparsed:
             self._reject_status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-        if self._reject_status is not None:
+        if self._reject_status is not None and not self._rejected:
             self._reject(self._reject_status)
 
     def on_message_begin(self) -> None:
@@ -416,7 +419,21 @@
         transport.write_eof()
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(_LINGER_S, self.abort)
+        linger_until_s = elapsed_s() + self._listener.limits.idle_timeout_s
+        self._timer = self._loop.call_later(
+            _LINGER_S, self._end_lingering, linger_until_s
+        )
+
+    def _end_lingering(self, until_s: float) -> None:
+        """Aborts the connection when all is written, or after some time."""
+        assert self._transport is not None
+        unwritten = self._transport.get_write_buffer_size()
+        if not unwritten or elapsed_s() >= until_s:
+            self.abort()
+            return
+        self._timer = self._loop.call_later(
+            _LINGER_S, self._end_lingering, until_s
+        )
 
 
 def encode_reply(reply: Reply, *, last: bool) -> bytes:
--- a/tests/edge/test_server_connection.py
+++ b/tests/edge/test_server_connection.py
@@ -31,6 +31,7 @@
         self.release = asyncio.Event()
         self.release.set()
         self.port = 0
+        self.answer = _LARGE_ANSWER
         limits = ServerLimits(
             header_bytes=4096, body_bytes=500_000, idle_timeout_s=_IDLE_S
         )
@@ -45,7 +46,7 @@
     async def _handle(self, message: CallerMessage) -> Reply:
         self.messages.append(message)
         await self.release.wait()
-        return Reply(200, [], _LARGE_ANSWER)
+        return Reply(200, [], self.answer)
 
 
 @asynccontextmanager
@@ -197,3 +198,31 @@
         b'POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
         b'30d40\r\n'
     )
+
+
+async def test_a_head_that_is_too_large_and_malformed_gets_one_answer() -> None:
+    """Guards against a second answer, or an error, for one request."""
+    async with _running_listener() as listener:
+        reader, writer = await listener.connect()
+        large = b'x: %b\r\n' % (b'y' * 5000)
+        writer.write(b'GET /x HTTP/1.1\r\n%b:no name\r\n\r\n' % large)
+        writer.write_eof()
+        async with asyncio.timeout(_LONG_S):
+            answer = await reader.read()
+        assert answer.startswith(b'HTTP/1.1 4')
+        assert answer.count(b'HTTP/1.1') == 1
+
+
+async def test_a_slow_reader_gets_the_whole_last_answer() -> None:
+    """Guards against a large answer that is cut when its connection ends."""
+    async with _running_listener() as listener:
+        listener.state.limits.idle_timeout_s = _LONG_S
+        listener.answer = b'a' * 6_000_000
+        reader, writer = await listener.connect()
+        writer.write(b'GET /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n')
+        assert await _status(reader) == 200
+        await asyncio.sleep(1.3)
+        async with asyncio.timeout(_LONG_S):
+            answer = await reader.readexactly(len(listener.answer))
+        assert answer == listener.answer
+        writer.close()
