--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -174,3 +174,38 @@
             await calls.release(address, release)
             assert released.is_set()
         pool.close_idle(address)
+
+
+def _sends_on(raw: RawServer) -> Script:
+    """Returns a script that sends a head until its connection ends."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await raw.read_request(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\n')
+        while True:
+            writer.write(b'x: %b\r\n' % (b'y' * 1000))
+            await writer.drain()
+
+    return script
+
+
+async def test_other_requests_are_served_beside_an_endless_answer() -> None:
+    """Guards against one server that keeps the instance busy."""
+    async with run_raw_server(_sends_on) as raw:
+        async with _system_with(raw) as (system, name):
+            await system.add_server(
+                PlatformServer('k0', 'ledger', 'a', keyed=True)
+            )
+            await system.wait_until_served(name, 7)
+            endless = [
+                asyncio.create_task(_status(system, name, f'endless-{number}'))
+                for number in range(8)
+            ]
+            for number in range(50):
+                status, _, _ = await system.send_request(
+                    name, '/keyed/x', key=7, request_id=f'beside-{number}'
+                )
+                assert status == 200
+            assert set(await asyncio.gather(*endless)) == {502}
--- a/tests/platform/test_left_servers.py
+++ b/tests/platform/test_left_servers.py
@@ -14,6 +14,10 @@
 
 from tests.builders.platform_servers import PlatformServer
 from tests.builders.platform_system import PlatformSystem, platform_system
+from yuccadale_core.codes import ResultCode
+from yuccadale_edge._internal.routing.request_router import RequestRouter
+from yuccadale_edge._internal.routing.requests import Refused
+from yuccadale_edge._internal.system_view import ServerList, SystemView
 
 KEYS = (0, 20000, 40000, 65535)
 # A server that left gets no requests later than this.
@@ -73,6 +77,30 @@
     together: bool,
 ) -> None:
     """Guards against old state that a restarted instance takes for new."""
+    assert not any(await _requests_after_leaving(together=together))
+
+
+async def test_use_of_a_server_that_left_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a check that no use of such a server would fail."""
+    monkeypatch.setattr(SystemView, 'usable', lambda *_: True)
+    monkeypatch.setattr(ServerList, '_remove', _keep)
+    # A restarted instance has no old state: one instance goes on.
+    assert any(await _requests_after_leaving(together=False))
+
+
+def _keep(*_: object, removal_grace: bool) -> bool:
+    assert removal_grace in {False, True}
+    return False
+
+
+async def _requests_after_leaving(*, together: bool) -> list[int]:
+    """Returns the requests that servers got after they left.
+
+    Args:
+        together: whether all instances restart at once.
+    """
     async with platform_system(keyed=3, unkeyed=2) as system:
         names = [await system.add_instance() for _ in range(3)]
         for started in names:
@@ -88,7 +116,33 @@
                 await asyncio.sleep(1)
             for restarted in names:
                 await system.wait_until_served(restarted, *KEYS)
-        assert [len(server.arrivals_s) for server in left] == before
+        return [
+            len(server.arrivals_s) - earlier
+            for server, earlier in zip(left, before, strict=True)
+        ]
+
+
+async def test_work_that_is_started_again_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against counts that a second run would not change."""
+    monkeypatch.setattr(RequestRouter, '_is_retryable', _is_lost)
+    async with platform_system(keyed=1, unkeyed=0) as system:
+        name = await system.add_instance()
+        await system.wait_until_served(name, 7)
+        server = system.server_by_id['k0']
+        server.drop_answers = True
+        status, _, _ = await system.send_request(
+            name, '/keyed/x', key=7, request_id='lost-1'
+        )
+        assert status == 502
+        assert server.executions['lost-1'] > 1
+
+
+def _is_lost(
+    _router: RequestRouter, _routed: object, refused: Refused, *_: object
+) -> bool:
+    return refused.code == ResultCode.answer_lost
 
 
 @pytest.mark.parametrize(('path', 'key'), [('/once/x', None), ('/keyed/x', 7)])
