Spread the returns of callers whose requests were not forwarded

Callers of a limited service without keys were asked to return after 0.25 s, most of them too early, and were refused again.

Cause: after its sender refused a request, a server is not chosen for up to 0.25 s, and that time was the answer. The sender, which spreads returns, hardly saw those requests, so its own refusals asked for 0.1 to 0.3 s as well. The instance now spreads them itself, by the limits of the service's servers over the regions that send for it.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -23,6 +23,7 @@
     RequestCodec,
 )
 from yuccadale_edge._internal.routing.forwarding import Forwarder
+from yuccadale_edge._internal.routing.pacing import ReturnTimes
 from yuccadale_edge._internal.routing.rate_limits import RateLimits
 from yuccadale_edge._internal.routing.requests import (
     Refused,
@@ -58,8 +59,9 @@
 _EWMA_WEIGHT = 0.05
 # Extra cost of a server in another data centre or region, in requests.
 _DISTANCE_COST = (0, 0.15, 1.5)
-# How long a server is not chosen after its sender refused a request.
-_MAX_LIMIT_USED_S = 0.25
+# A server is not chosen for at most this time after its sender refused a
+# request.
+_LIMIT_USED_S = 0.25
 
 RetryBudgetLookup = Callable[[str], RetryBudget]
 TimeSample = tuple[str, str, float]
@@ -90,6 +92,7 @@
         self.rate_limits = RateLimits(metrics, elapsed_s)
         self._queue_by_holder: dict[Holder, ServerQueue] = {}
         self._limit_used_until_s: dict[Holder, float] = {}
+        self._returns_by_service: dict[str, ReturnTimes] = {}
         self._probes: set[asyncio.Task[None]] = set()
 
     async def serve(self, request: RoutedRequest) -> Result:
@@ -129,41 +132,51 @@
     async def _serve_at_any(
         self, request: RoutedRequest, deadline_s: float
     ) -> Result:
-        best: Result = self._no_server(request.service)
         tried: set[str] = set()
+        server = self._choose_server(request, tried)
+        if server is None:
+            return self._no_server(request.service)
+        best: Result | None = None
         attempts = 0
-        while True:
-            server = self._choose_server(request, tried)
-            if server is None:
-                best.attempts = attempts
-                return best
+        while server is not None:
             tried.add(server.server_id)
             result = await self._serve_at(server, request, deadline_s)
             result.attempts += attempts
             attempts = result.attempts
-            best = _more_informative(best, result)
-            if isinstance(result, Served):
-                retry = self._should_retry_error(result, request, deadline_s)
-            else:
-                retry = _is_retryable_elsewhere(result, request)
-            if not retry:
-                return best
-            if attempts and not self._spend_retry(request, attempts):
+            best = result if best is None else _more_informative(best, result)
+            if not self._may_try_elsewhere(result, request, deadline_s):
                 return best
+            server = self._choose_server(request, tried)
+        assert best is not None
+        best.attempts = attempts
+        return best
+
+    def _may_try_elsewhere(
+        self, result: Result, request: RoutedRequest, deadline_s: float
+    ) -> bool:
+        """Whether another server may get a request; spends the budget."""
+        if isinstance(result, Served):
+            retry = self._should_retry_error(result, request, deadline_s)
+        else:
+            retry = _is_retryable_elsewhere(result, request)
+        if not retry:
+            return False
+        return not result.attempts or self._spend_retry(
+            request, result.attempts
+        )
 
     def _no_server(self, service: str) -> Refused:
         """Returns the refusal for a service without a server to choose."""
-        now_s = elapsed_s()
-        waits_s = [
-            self._limit_used_until_s.get(_holder(server), 0) - now_s
+        usable = [
+            server
             for server in self._system_view.servers.of(service)
             if self._system_view.usable(server)
         ]
-        if waits_s:
+        if usable:
             return Refused(
                 ResultCode.server_limited,
                 'the limits of all usable servers are used up',
-                max(0, *waits_s, _MAX_LIMIT_USED_S),
+                self._book_return_s(service, usable),
             )
         return Refused(
             ResultCode.owner_unreachable,
@@ -171,6 +184,23 @@
             _UNREACHABLE_S,
         )
 
+    def _book_return_s(self, service: str, servers: list[Server]) -> float:
+        """Returns when a caller may return whose request was not forwarded.
+
+        One instance in each region sends for a service; all may use the same
+        part of the limits.
+        """
+        limits = [self.rate_limits.per_s(_holder(server)) for server in servers]
+        region_of = self._place.region_by_data_centre
+        instances = self._system_view.instance_by_name.values()
+        regions = {region_of.get(one.data_centre) for one in instances}
+        returns = self._returns_by_service.setdefault(
+            service, ReturnTimes(elapsed_s)
+        )
+        total_per_s = sum(limit or 0 for limit in limits)
+        per_s = total_per_s / max(1, len(regions))
+        return max(_LIMIT_USED_S, returns.book_s(per_s))
+
     def _should_retry_error(
         self, served: Served, request: RoutedRequest, deadline_s: float
     ) -> bool:
@@ -268,7 +298,7 @@
             return
         if result.code == ResultCode.server_limited:
             self._limit_used_until_s[_holder(server)] = elapsed_s() + min(
-                result.retry_after_s or 0, _MAX_LIMIT_USED_S
+                result.retry_after_s or 0, _LIMIT_USED_S
             )
 
     async def _queue_and_send(
--- a/packages/edge/src/yuccadale_edge/_internal/routing/pacing.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/pacing.py
@@ -52,7 +52,7 @@
         self._now = now
         self._tokens: float = 1
         self._refilled_s = now()
-        self._return_s: float = 0
+        self._returns = ReturnTimes(now)
 
     @property
     def limited(self) -> bool:
@@ -85,32 +85,48 @@
         self._tokens -= 1
 
     def book_return_s(self) -> float:
+        """Returns when a caller that is refused now may return, in seconds."""
+        per_s = self._per_s()
+        return self._returns.book_s(per_s, self.delay_s())
+
+    def _refill(self, per_s: float) -> None:
+        now_s = self._now()
+        self._tokens = min(
+            self._tokens + (now_s - self._refilled_s) * per_s,
+            max(_DEPTH, per_s * _DEPTH_S),
+        )
+        self._refilled_s = now_s
+
+
+class ReturnTimes:
+    """Spreads the returns of refused callers over the time they need."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._last_s: float = 0
+
+    def book_s(self, per_s: float, delay_s: float = 0) -> float:
         """Returns when a caller that is refused now may return, in seconds.
 
         Each refused caller gets a time of its own, in order of refusal. Beyond
         the horizon they are booked from its start again.
+
+        Args:
+            per_s: returns a second that find room.
+            delay_s: time until there is room for the first one.
         """
-        per_s = self._per_s()
         if per_s == 0:
             return _OTHER_SENDER_S
         now_s = self._now()
         interval_s = 1 / per_s
-        earliest_s = now_s + self.delay_s() + interval_s
+        earliest_s = now_s + delay_s + interval_s
         horizon_s = max(
             _RETURN_HORIZON_S, interval_s * _RETURN_HORIZON_INTERVALS
         )
-        self._return_s = max(self._return_s + interval_s, earliest_s)
-        if self._return_s > now_s + horizon_s:
-            self._return_s = earliest_s
-        return self._return_s - now_s
-
-    def _refill(self, per_s: float) -> None:
-        now_s = self._now()
-        self._tokens = min(
-            self._tokens + (now_s - self._refilled_s) * per_s,
-            max(_DEPTH, per_s * _DEPTH_S),
-        )
-        self._refilled_s = now_s
+        self._last_s = max(self._last_s + interval_s, earliest_s)
+        if self._last_s > now_s + horizon_s:
+            self._last_s = earliest_s
+        return self._last_s - now_s
 
 
 class PriorityShares:
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -398,13 +398,21 @@
         """Returns the instance through which the server is reached."""
         return max(self.nodes, key=SimulatedInstance.limit_share)
 
-    async def load(self, per_s: float, for_s: float) -> None:
-        """Sends requests at random times through random instances."""
+    async def load(
+        self, per_s: float, for_s: float, *, keyed: bool | None = None
+    ) -> None:
+        """Sends requests at random times through random instances.
+
+        Args:
+            per_s: requests a second.
+            for_s: how long.
+            keyed: whether they are for keys of the server; by chance if None.
+        """
         end_s = elapsed_s() + for_s
         while elapsed_s() < end_s:
             await asyncio.sleep(self.random.expovariate(per_s))
             running = [node for node in self.nodes if node.running]
-            self._start(self._request(self.random.choice(running)))
+            self._start(self._request(self.random.choice(running), keyed))
 
     async def faults(self, for_s: float) -> None:
         """Injects random changes and faults, which overlap."""
@@ -433,9 +441,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _request(self, node: SimulatedInstance) -> None:
+    async def _request(
+        self, node: SimulatedInstance, keyed: bool | None
+    ) -> None:
         self._requests += 1
-        keyed = self.random.choice((False, True))
+        if keyed is None:
+            keyed = self.random.choice((False, True))
         result: Result = await node.send(
             f'r{self._requests}',
             keyed=keyed,
--- a/tests/platform/test_limits_of_all_instances.py
+++ b/tests/platform/test_limits_of_all_instances.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from math import inf
+from statistics import median
 
 import pytest
 
@@ -219,6 +220,22 @@
         assert len(served) > 60
 
 
+@in_virtual_time
+async def test_returns_are_as_late_for_services_without_keys() -> None:
+    """Guards against callers that return too early and are refused again."""
+    medians_s = []
+    for keyed in (True, False):
+        async with limit_world(9) as world:
+            world.server.name_limit(LIMIT_PER_S)
+            await world.load(DEMAND_PER_S, 2, keyed=keyed)
+            world.outcomes.refused.clear()
+            await world.load(DEMAND_PER_S, 6, keyed=keyed)
+            medians_s.append(
+                median(one.retry_after_s for _, one in world.outcomes.refused)
+            )
+    assert medians_s[1] > medians_s[0] * 0.6
+
+
 @in_virtual_time
 async def test_refusals_come_at_once_with_returns_in_order() -> None:
     """Guards against callers that are held, or all return together."""
