--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -237,7 +237,7 @@
                 until_target_s=self._until_target_s(request),
             )
             wait_s: float = 0
-            if not self._is_reached_through_keeper(server, request):
+            if not self._is_sent_by_another(server, request):
                 wait_s = queue.expected_wait_s(rank, request.priority)
             cost = wait_s / mean_s + queue.slowdown * (
                 1.0 + queue.running / queue.limit / 2
@@ -248,13 +248,13 @@
                 best, best_cost = server, cost
         return best
 
-    def _is_reached_through_keeper(
+    def _is_sent_by_another(
         self, server: Server, request: RoutedRequest
     ) -> bool:
         """Whether another instance sends, whose queue is not known here."""
         return (
             self.rate_limits.per_s(_holder(server)) is not None
-            and self._forwarder.limit_keeper(server, request) is not None
+            and self._forwarder.limit_sender(server, request) is not None
         )
 
     def _may_choose(self, server: Server) -> bool:
@@ -265,8 +265,8 @@
         self, server: Server, request: RoutedRequest, deadline_s: float
     ) -> Result:
         """Sends a request to a server, through the sender of a limited one."""
-        if self._is_reached_through_keeper(server, request):
-            result = await self._serve_through_keeper(
+        if self._is_sent_by_another(server, request):
+            result = await self._serve_through_sender(
                 server, request, deadline_s
             )
             if result is not None:
@@ -274,13 +274,13 @@
                 return result
         return await self._queue_and_send(server, request, deadline_s)
 
-    async def _serve_through_keeper(
+    async def _serve_through_sender(
         self, server: Server, request: RoutedRequest, deadline_s: float
     ) -> Result | None:
         """Forwards a request to the first sender that is reached, if any."""
         while True:
-            keeper = self._forwarder.limit_keeper(server, request)
-            if keeper is None:
+            sender = self._forwarder.limit_sender(server, request)
+            if sender is None:
                 return None
             forwarded = msgspec.structs.replace(
                 request,
@@ -288,7 +288,7 @@
                 incarnation=server.incarnation,
                 remaining_ms=(deadline_s - elapsed_s()) * _MS_PER_S,
             )
-            result = await self._forwarder.forward(keeper, forwarded)
+            result = await self._forwarder.forward(sender, forwarded)
             if result is not None:
                 return result
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
@@ -113,7 +113,7 @@
             position += 1
         return LIMIT_SHARES[position] if position < len(LIMIT_SHARES) else 0
 
-    def limit_keeper(
+    def limit_sender(
         self, server: Server, request: RoutedRequest
     ) -> Instance | None:
         """Returns the sender through which a limited server is reached.
--- a/tests/platform/test_limits_of_all_instances.py
+++ b/tests/platform/test_limits_of_all_instances.py
@@ -70,7 +70,7 @@
 
 
 def _send_without_the_sender(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(forwarding.Forwarder, 'limit_keeper', lambda *_: None)
+    patch.setattr(forwarding.Forwarder, 'limit_sender', lambda *_: None)
     patch.setattr(forwarding.Forwarder, 'limit_share', lambda *_: 1.0)
 
 
