Share the rule of limits and the search over seeds between tests

The windows of the limits' rule stood in three tests and the search for the first seed with problems in two. They are in limit_record.py and virtual_time.py now; bounds, seeds and assertions are the same. A stand-in in test_left_servers.py had an assertion that always held, only to use its argument; it is gone.

--- a/tests/builders/limit_record.py
+++ b/tests/builders/limit_record.py
@@ -1,7 +1,7 @@
 """The requests that a server got, against the limits that it named."""
 
 from bisect import bisect_left
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from math import inf
 
@@ -11,6 +11,24 @@
 EXTRA_REQUESTS = 5
 
 
+def allowed_in_window(per_s: float) -> float:
+    """Returns the most requests that the rule allows in a window."""
+    return per_s * WINDOW_S * TOLERANCE + EXTRA_REQUESTS
+
+
+def most_in_window(times_s: Sequence[float], window_s: float = WINDOW_S) -> int:
+    """Returns the highest number of moments in any window.
+
+    Args:
+        times_s: in ascending order.
+        window_s: length of the windows.
+    """
+    return max(
+        bisect_left(times_s, first_s + window_s) - index
+        for index, first_s in enumerate(times_s)
+    )
+
+
 @dataclass
 class LimitRecord:
     """Times of arrivals and of limits, on one clock, in ascending order.
@@ -33,7 +51,7 @@
     def _first_excess(
         self, begin_s: float, end_s: float, per_s: float
     ) -> str | None:
-        allowed = per_s * WINDOW_S * TOLERANCE + EXTRA_REQUESTS
+        allowed = allowed_in_window(per_s)
         times_s = self.arrivals_s
         first = bisect_left(times_s, begin_s + self.settling_s)
         for index in range(first, bisect_left(times_s, end_s)):
--- a/tests/builders/virtual_time.py
+++ b/tests/builders/virtual_time.py
@@ -3,10 +3,13 @@
 import asyncio
 import functools
 import selectors
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 
+_Problems = Coroutine[Any, Any, list[str]]
+
+
 class _VirtualTimeSelector(selectors.SelectSelector):
     """Advances the loop's time instead of sleeping."""
 
@@ -50,3 +53,19 @@
             runner.run(scenario(*args, **named))
 
     return run
+
+
+def first_problems(
+    seeds: Iterable[int], scenario: Callable[[int], _Problems]
+) -> list[str]:
+    """Runs a scenario in virtual time until a seed finds problems.
+
+    Returns:
+        The seed and its problems; nothing if no seed finds any.
+    """
+    for seed in seeds:
+        with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+            found = runner.run(scenario(seed))
+        if found:
+            return [f'seed {seed}', *found]
+    return []
--- a/tests/edge/test_leadership.py
+++ b/tests/edge/test_leadership.py
@@ -16,7 +16,7 @@
     LeadershipWorld,
     use_virtual_clock,
 )
-from tests.builders.virtual_time import VirtualTimeLoop, in_virtual_time
+from tests.builders.virtual_time import first_problems, in_virtual_time
 from yuccadale_edge._internal.membership import (
     electorate,
     leadership,
@@ -35,12 +35,7 @@
 
 
 def _find_problems(seeds: Iterable[int]) -> list[str]:
-    for seed in seeds:
-        with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-            found = runner.run(LeadershipWorld(seed).run(STEPS))
-        if found:
-            return [f'seed {seed}', *found]
-    return []
+    return first_problems(seeds, lambda seed: LeadershipWorld(seed).run(STEPS))
 
 
 def test_candidate_replaces_only_the_row_version_that_was_voted_on() -> None:
--- a/tests/platform/test_left_servers.py
+++ b/tests/platform/test_left_servers.py
@@ -85,16 +85,11 @@
 ) -> None:
     """Guards against a check that no use of such a server would fail."""
     monkeypatch.setattr(SystemView, 'usable', lambda *_: True)
-    monkeypatch.setattr(ServerList, '_remove', _keep)
+    monkeypatch.setattr(ServerList, '_remove', lambda *_, removal_grace: False)
     # A restarted instance has no old state: one instance goes on.
     assert any(await _requests_after_leaving(together=False))
 
 
-def _keep(*_: object, removal_grace: bool) -> bool:
-    assert removal_grace in {False, True}
-    return False
-
-
 async def _requests_after_leaving(*, together: bool) -> list[int]:
     """Returns the requests that servers got after they left.
 
--- a/tests/platform/test_limits_of_all_instances.py
+++ b/tests/platform/test_limits_of_all_instances.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-from bisect import bisect_left
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from math import inf
@@ -17,8 +16,9 @@
 import pytest
 
 from tests.builders.leadership_world import use_virtual_clock
+from tests.builders.limit_record import most_in_window
 from tests.builders.limit_world import LimitWorld, limit_world
-from tests.builders.virtual_time import VirtualTimeLoop, in_virtual_time
+from tests.builders.virtual_time import first_problems, in_virtual_time
 from yuccadale_core.codes import ResultCode
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.routing import forwarding, pacing
@@ -48,12 +48,7 @@
 
 
 def _find_excess(seeds: Iterable[int]) -> list[str]:
-    for seed in seeds:
-        with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-            found = runner.run(_excess(seed))
-        if found:
-            return [f'seed {seed}', *found]
-    return []
+    return first_problems(seeds, _excess)
 
 
 def test_a_limit_holds_for_the_sum_in_random_sequences() -> None:
@@ -253,8 +248,5 @@
         returns_s = sorted(at_s + one.retry_after_s for at_s, one in refused)
         # Callers do not return much faster than they came.
         for window_s in (0.1, 1):
-            most = max(
-                bisect_left(returns_s, first_s + window_s) - index
-                for index, first_s in enumerate(returns_s)
-            )
+            most = most_in_window(returns_s, window_s)
             assert most <= DEMAND_PER_S * window_s * 1.5
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import itertools
-from bisect import bisect_left
 
 import pytest
 
+from tests.builders.limit_record import allowed_in_window, most_in_window
 from tests.builders.platform_servers import PlatformServer
 from tests.builders.platform_system import PlatformSystem, platform_system
 from yuccadale_edge.instance import Answer, InvalidLimitError
@@ -15,19 +15,9 @@
 REQUESTS_PER_S = 60
 # The load is played for longer than the window in which requests count.
 LOAD_S = 4.5
-WINDOW_S = 4.0
-ALLOWED = LIMIT_PER_S * WINDOW_S * 1.5 + 5
 _NUMBERS = itertools.count()
 
 
-def most_in_window(times_s: list[float]) -> int:
-    """Returns the highest number of arrivals in any window."""
-    return max(
-        bisect_left(times_s, first_s + WINDOW_S) - index
-        for index, first_s in enumerate(times_s)
-    )
-
-
 async def _play_load(system: PlatformSystem, names: list[str]) -> list[int]:
     """Sends requests in turn through the instances; returns the statuses."""
     loop = asyncio.get_running_loop()
@@ -66,7 +56,8 @@
             server.arrivals_s.clear()
         statuses = await _play_load(system, names)
         for limited in system.server_by_id.values():
-            assert most_in_window(limited.arrivals_s) <= ALLOWED
+            most = most_in_window(limited.arrivals_s)
+            assert most <= allowed_in_window(LIMIT_PER_S)
             assert len(limited.arrivals_s) >= LIMIT_PER_S * LOAD_S * 0.5
     assert set(statuses) <= {200, 429, 503}
 
