--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -11,6 +11,8 @@
 from yuccadale_edge._internal.ownership.segments import (
     CallKind,
     Holder,
+    LeaseEnd,
+    LeaseEndReason,
     OwnershipCall,
     SegmentTable,
 )
@@ -103,7 +105,9 @@
         Args:
             renew_s: see `SegmentTable.calls_due`.
         """
-        for call in self._table.calls_due(elapsed_s(), renew_s):
+        calls = self._table.calls_due(elapsed_s(), renew_s)
+        self._report_lease_ends()
+        for call in calls:
             task = asyncio.create_task(self._run(call))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -168,19 +172,17 @@
         started_s = elapsed_s()
         if call.kind == CallKind.grant:
             await self._calls.grant(address, call, self._table.lease_s)
-            self._table.grant_answered(call, accepted=True, now_s=elapsed_s())
+            if self._table.grant_answered(
+                call, accepted=True, now_s=elapsed_s()
+            ):
+                _log.info('keys granted', **_described(call))
             return
         handover = await self._calls.release(address, call)
         self._table.release_answered(call, handover, elapsed_s())
         took_ms = (elapsed_s() - started_s) * _MS_PER_S
         self._metrics.observe_ms('release', took_ms)
         _log.info(
-            'keys released',
-            server=call.holder.server_id,
-            first=call.first,
-            last=call.last,
-            fence=call.fence,
-            took_ms=round(took_ms, 1),
+            'keys released', took_ms=round(took_ms, 1), **_described(call)
         )
         self.start_due()
 
@@ -192,28 +194,29 @@
             self.mark_ended(call.holder, 'another server has its address')
             return
         self._table.grant_answered(call, accepted=False, now_s=elapsed_s())
-        _log.warning(
-            'grant refused',
-            server=call.holder.server_id,
-            first=call.first,
-            last=call.last,
-            fence=call.fence,
-            reason=str(error),
-        )
+        _log.warning('grant refused', reason=str(error), **_described(call))
 
     def _handle_unanswered(self, call: OwnershipCall, reason: str) -> None:
         self._metrics.count('calls_unanswered', kind=call.kind)
         _log.warning(
             'ownership call unanswered',
             kind=call.kind,
-            server=call.holder.server_id,
-            first=call.first,
-            last=call.last,
-            fence=call.fence,
             reason=reason,
+            **_described(call),
         )
         self._table.call_unanswered(call, elapsed_s())
 
+    def _report_lease_ends(self) -> None:
+        for ended in self._table.pop_lease_ends():
+            self._metrics.count('leases_ended', reason=ended.reason)
+            if ended.reason != LeaseEndReason.released:
+                # An answered release has a line of its own.
+                _log.info(
+                    'lease ended without a release',
+                    reason=ended.reason,
+                    **_described(ended),
+                )
+
     def _handle_refused_connection(self, holder: Holder, reason: str) -> None:
         now_s = elapsed_s()
         first_refusal_s = self._first_refusal_s_by_holder.setdefault(
@@ -245,3 +248,13 @@
                 for_s=_UNREACHABLE_S,
             )
         until[holder.server_id] = now_s + _UNREACHABLE_S
+
+
+def _described(subject: OwnershipCall | LeaseEnd) -> dict[str, str | int]:
+    """Returns the fields of log lines about a range of a server's keys."""
+    return {
+        'server': subject.holder.server_id,
+        'first': subject.first,
+        'last': subject.last,
+        'fence': subject.fence,
+    }
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -59,6 +59,25 @@
     handover: str | None = None
 
 
+class LeaseEndReason(StrEnum):
+    """Why a server is known to hold no keys of a range any more."""
+
+    released = 'released'
+    expired = 'expired'
+    refused = 'refused'
+    server_ended = 'server_ended'
+
+
+class LeaseEnd(NamedTuple):
+    """The end of a server's lease on a range of keys."""
+
+    first: int
+    last: int
+    holder: Holder
+    fence: int
+    reason: LeaseEndReason
+
+
 class UnconfirmedGrant(NamedTuple):
     """A grant without an answer, which a server may still apply.
 
@@ -101,6 +120,13 @@
     handover: str | None = None
     released: bool = False
 
+    @property
+    def expiry_reason(self) -> LeaseEndReason:
+        """Why the server holds no keys after ``end_s``."""
+        if self.released:
+            return LeaseEndReason.released
+        return LeaseEndReason.expired
+
     @property
     def end_s(self) -> float:
         """When the server has lost the keys at the latest."""
@@ -191,12 +217,14 @@
     Attributes:
         lease_s: lease duration of each grant.
         changed: ranges whose owner changed since the last `pop_changes`.
+        lease_ends: leases that ended since the last `pop_lease_ends`.
     """
 
     def __init__(self, epoch: int, lease_s: float, renew_s: float) -> None:
         self.segments: list[Segment] = [Segment(0, LAST_KEY)]
         self.lease_s = lease_s
         self.changed: list[tuple[int, int]] = []
+        self.lease_ends: list[LeaseEnd] = []
         self._plan_version = 1
         self._recorded_version = 1
         self._renew_s = renew_s
@@ -259,7 +287,7 @@
     def end_holder(self, holder: Holder) -> None:
         """Removes the leases of a server incarnation that has stopped."""
         for segment in self.segments:
-            segment.lease_by_holder.pop(holder, None)
+            self._end_lease(segment, holder, LeaseEndReason.server_ended)
             if holder in {segment.target, segment.owner}:
                 # The reserved fence belonged to the stopped server.
                 self._invalidate_record(segment)
@@ -361,8 +389,13 @@
 
     def grant_answered(
         self, call: OwnershipCall, *, accepted: bool, now_s: float
-    ) -> None:
-        """Applies a server's answer to a grant."""
+    ) -> bool:
+        """Applies a server's answer to a grant.
+
+        Returns:
+            Whether the server became the owner of keys.
+        """
+        changes = len(self.changed)
         for segment, lease in self._end_call(call):
             if accepted:
                 lease.accepted = True
@@ -370,6 +403,7 @@
                 self._handle_acceptance(segment, call.holder)
             else:
                 self._handle_refusal(segment, call.holder)
+        return accepted and len(self.changed) > changes
 
     def call_unanswered(self, call: OwnershipCall, now_s: float) -> None:
         """Handles a call that the server may apply late or never."""
@@ -422,6 +456,12 @@
         self.changed = []
         return changes
 
+    def pop_lease_ends(self) -> list[LeaseEnd]:
+        """Returns the leases that ended and clears the list."""
+        ends = self.lease_ends
+        self.lease_ends = []
+        return ends
+
     def load(self, segments: Iterable[Segment]) -> None:
         """Replaces all segments by those that an earlier leader recorded."""
         self.segments = sorted(segments, key=_first_key)
@@ -518,7 +558,7 @@
 
     def _handle_refusal(self, segment: Segment, holder: Holder) -> None:
         # The server knows a higher fence, so it did not apply this grant.
-        segment.lease_by_holder.pop(holder, None)
+        self._end_lease(segment, holder, LeaseEndReason.refused)
         if segment.owner == holder:
             segment.target = segment.target or holder
             self._set_owner(segment, None)
@@ -569,7 +609,18 @@
             if kept or holder in segment.in_flight:
                 continue
             if now_s > lease.end_s:
-                segment.lease_by_holder.pop(holder)
+                self._end_lease(segment, holder, lease.expiry_reason)
+
+    def _end_lease(
+        self, segment: Segment, holder: Holder, reason: LeaseEndReason
+    ) -> None:
+        lease = segment.lease_by_holder.pop(holder, None)
+        if lease is not None:
+            self.lease_ends.append(
+                LeaseEnd(
+                    segment.first, segment.last, holder, lease.fence, reason
+                )
+            )
 
     def _lease_end(self, arrival_s: float) -> float:
         return arrival_s + self.lease_s * CLOCK_MARGIN
--- a/packages/edge/src/yuccadale_edge/ownership.py
+++ b/packages/edge/src/yuccadale_edge/ownership.py
@@ -16,6 +16,7 @@
 )
 from yuccadale_edge._internal.ownership.segments import (
     CLOCK_MARGIN,
+    LATEST_ARRIVAL_S,
     CallKind,
     Holder,
     Lease,
@@ -31,6 +32,7 @@
 __all__ = (
     'CLOCK_MARGIN',
     'KEY_COUNT',
+    'LATEST_ARRIVAL_S',
     'Balancer',
     'CallKind',
     'Holder',
