Withdraw calls to servers that got no answer within their time

Callers' keys had two holders: after a cut healed, a server took a renewal that the leader had given up seconds before, while its keys had gone to another server.

The leader's table takes an unanswered grant to arrive within 0.4 s of closing its connection. The kernel, however, goes on sending for a closed connection, for one of a process that was killed, and for one that is stopped; only after 2.5 s without an acknowledgement would it give up. Now a connection to a server is reset when it is closed, by us or by the end of the process, which discards unsent bytes, and the kernel's limit is that of the call (0.8 s) while one is sent. The bound (0.8 s and 0.4 s for packets on their way) is one constant. A new leader and the report on grants in flight use it; the report had assumed 0.4 s from the report on.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -47,7 +47,14 @@
 
 
 class ServerCalls(Protocol):
-    """Sends grants and releases to servers."""
+    """Sends grants and releases to servers.
+
+    A call that got no answer, or none within its time, is withdrawn before its
+    error is raised: bytes that the server has not acknowledged are never sent
+    again. The kernel of a process that ended withdraws its calls at once, and
+    that of one that is stopped within ``CALL_TIMEOUT_S``, which is also the
+    longest wait for the answer to a grant.
+    """
 
     async def grant(
         self, address: Address, call: OwnershipCall, lease_s: float
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -31,6 +31,7 @@
 )
 from yuccadale_edge._internal.ownership.segments import (
     CLOCK_MARGIN,
+    LATEST_ARRIVAL_S,
     Holder,
     Segment,
     SegmentTable,
@@ -58,7 +59,7 @@
 # When the leader's own lease ends within this time, grants older than this are
 # renewed a last time, so that they outlast the change of the leader.
 _FINAL_RENEWAL_S = 0.9
-# A call that the previous leader had in flight has ended within this time.
+# Longest wait for the calls in flight when this instance no longer leads.
 _CALL_END_S = 1.0
 # Speed of a server while it fills its caches after a start, relative to the
 # usual one.
@@ -257,9 +258,12 @@
         self._publish_changes()
 
     def _latest_lease_end_s(self) -> float:
-        """Returns when the last lease by an earlier leader has expired."""
+        """Returns when the last lease by an earlier leader has expired.
+
+        That leader may have sent a grant just before its own lease ended.
+        """
         lease_s = self.table.lease_s * CLOCK_MARGIN
-        return elapsed_s() + lease_s + _CALL_END_S
+        return elapsed_s() + lease_s + LATEST_ARRIVAL_S
 
     def _plan_if_due(self, now_s: float) -> None:
         if now_s - self._planned_s >= PLAN_INTERVAL_S:
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -23,8 +23,13 @@
 LAST_KEY = KEY_COUNT - 1
 # The protocol of the servers allows their clocks to run slower by this factor.
 CLOCK_MARGIN = 1.02
-# Bytes written before a connection is aborted arrive within this time.
-LATEST_ARRIVAL_S = 0.4
+# A grant without an answer is withdrawn after this time: its connection is
+# reset, and no kernel goes on sending it. See ``ServerCalls``.
+CALL_TIMEOUT_S = 0.8
+# Packets that were sent before that arrive within this time.
+_NETWORK_DELAY_S = 0.4
+# A grant arrives within this time after it was sent, or never.
+LATEST_ARRIVAL_S = CALL_TIMEOUT_S + _NETWORK_DELAY_S
 _FENCE_COUNTER_BITS = 24
 
 
@@ -406,8 +411,11 @@
         return accepted and len(self.changed) > changes
 
     def call_unanswered(self, call: OwnershipCall, now_s: float) -> None:
-        """Handles a call that the server may apply late or never."""
-        end_s = self._lease_end(now_s + LATEST_ARRIVAL_S)
+        """Handles a call that was withdrawn without an answer.
+
+        The server may apply it late or never.
+        """
+        end_s = self._lease_end(now_s + _NETWORK_DELAY_S)
         for _, lease in self._end_call(call):
             if call.kind == CallKind.grant:
                 lease.unconfirmed_until_s = max(
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,7 +18,11 @@
 
 # The connection ends after this time with unacknowledged bytes. This detects a
 # machine that lost power and sends no reset.
-_UNACKNOWLEDGED_MS = 2500
+_UNACKNOWLEDGED_S = 2.5
+_MS_PER_S = 1000
+# Closing resets the connection and discards what the kernel has not sent yet.
+# Otherwise the kernel goes on sending for a closed connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Bytes that may be read without completing a head, or a part of a body. One
 # read of the event loop is added.
@@ -79,6 +84,7 @@
         self._unparsed_bytes = 0
         self._other_answers = 0
         self._keep_alive = True
+        self._unacknowledged_s: float = 0
         self.idle_since: float = 0
         self.idle_limit_s: float | None = None
         self.used = False
@@ -94,17 +100,28 @@
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Stores the transport and limits the time without acknowledgement."""
+        """Stores the transport and sets the options of the socket."""
         self._transport = transport  # type: ignore[assignment]
         sock = transport.get_extra_info('socket')
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS
-        )
-
-    async def exchange(self, request: bytes, matches: AnswerMatcher) -> Answer:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._limit_unacknowledged(_UNACKNOWLEDGED_S)
+
+    async def exchange(
+        self,
+        request: bytes,
+        matches: AnswerMatcher,
+        unacknowledged_s: float = _UNACKNOWLEDGED_S,
+    ) -> Answer:
         """Sends a request and returns the answer that matches it.
 
+        Args:
+            request: the whole request.
+            matches: tells whether an answer belongs to the request.
+            unacknowledged_s: the connection ends when the server's machine
+                has not acknowledged the request for this long, even if this
+                process is stopped meanwhile.
+
         Raises:
             NotSentError: the connection was closed before the request was sent.
             AnswerLostError: the connection ended without a complete answer.
@@ -117,6 +134,7 @@
         self._matches = matches
         self._other_answers = 0
         self.used = True
+        self._limit_unacknowledged(unacknowledged_s)
         transport.write(request)
         try:
             return await self._waiter
@@ -124,7 +142,7 @@
             self._end_exchange(self._waiter, transport)
 
     def close(self) -> None:
-        """Aborts the connection."""
+        """Resets the connection; what was not sent yet is discarded."""
         self._keep_alive = False
         if self._transport is not None:
             self._transport.abort()
@@ -206,6 +224,18 @@
         else:
             self._pass_over()
 
+    def _limit_unacknowledged(self, limit_s: float) -> None:
+        if limit_s == self._unacknowledged_s:
+            return
+        self._unacknowledged_s = limit_s
+        assert self._transport is not None
+        sock = self._transport.get_extra_info('socket')
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(limit_s * _MS_PER_S),
+        )
+
     def _end_exchange(
         self, waiter: asyncio.Future[Answer], transport: asyncio.Transport
     ) -> None:
--- a/packages/edge/src/yuccadale_edge/instance.py
+++ b/packages/edge/src/yuccadale_edge/instance.py
@@ -20,7 +20,11 @@
     GrantRefusedError,
     WrongServerError,
 )
-from yuccadale_edge._internal.ownership.segments import CallKind, OwnershipCall
+from yuccadale_edge._internal.ownership.segments import (
+    CALL_TIMEOUT_S,
+    CallKind,
+    OwnershipCall,
+)
 from yuccadale_edge._internal.routing.codec import InvalidLimitError
 from yuccadale_edge._internal.routing.requests import (
     CallerRequest,
@@ -61,6 +65,7 @@
 )
 
 __all__ = (
+    'CALL_TIMEOUT_S',
     'CONFIGURATION_TABLE',
     'KEY_COUNT',
     'MAX_ERA',
--- a/tests/builders/edge_key_servers.py
+++ b/tests/builders/edge_key_servers.py
@@ -10,6 +10,7 @@
 from yuccadale_edge.ownership import (
     CLOCK_MARGIN,
     KEY_COUNT,
+    LATEST_ARRIVAL_S,
     CallKind,
     Holder,
     KeysRecord,
@@ -27,7 +28,6 @@
 _LATE_GRANT_S = 12.0
 # A takeover waits at least this long, so that no call is in flight.
 _TAKEOVER_S = 3.2
-_CALL_END_S = 1.0
 
 
 @dataclass
@@ -211,7 +211,9 @@
         unconfirmed = self.table.unconfirmed_grants(self.now_s)
         self.table = SegmentTable(self._epoch, LEASE_S, RENEW_S)
         if self._stored is not None:
-            latest_end_s = self.now_s + LEASE_S * CLOCK_MARGIN + _CALL_END_S
+            latest_end_s = (
+                self.now_s + LEASE_S * CLOCK_MARGIN + LATEST_ARRIVAL_S
+            )
             self.table.load(segments_of(self._stored, latest_end_s))
             if self.random.randrange(_PERCENT) < _REPORTS_GRANTS:
                 self.table.replace_assumed_grants(
--- a/tests/platform/test_late_arrivals.py
+++ b/tests/platform/test_late_arrivals.py
@@ -79,9 +79,7 @@
 
 
 def _is_late(arrival: Arrival, sent_s: float) -> bool:
-    # A call without an answer is given up after 0.8 s.
-    bound_s = 0.8 + LATEST_ARRIVAL_S
-    return arrival.fence == _FENCE and arrival.at_s - sent_s > bound_s
+    return arrival.fence == _FENCE and arrival.at_s - sent_s > LATEST_ARRIVAL_S
 
 
 async def _all_late_arrivals() -> list[str]:
