Ask again just before a call is written whether it may be sent

A leader asked whether it leads, and whether the server lives, before it waited for a free call and for a new connection (0.4 s). It could so grant keys after its own lease, or to the next life of a server that it had just taken for ended, which accepts calls under the same id.

The question is now asked after the connection is made, in the same step as the write. test_nothing_is_sent_for_what_ended_while_connecting sends both calls with the old check. A process that is suspended between the two still writes when it goes on; only the server could refuse that.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import structlog
@@ -57,10 +58,21 @@
     """
 
     async def grant(
-        self, address: Address, call: OwnershipCall, lease_s: float
+        self,
+        address: Address,
+        call: OwnershipCall,
+        lease_s: float,
+        may_send: Callable[[], bool],
     ) -> None:
         """Grants keys or renews their lease.
 
+        Args:
+            address: of the server.
+            call: the grant.
+            lease_s: duration of the lease.
+            may_send: asked once more just before the call is written, since
+                it takes time to connect.
+
         Raises:
             GrantRefusedError: the server knows a higher fencing token.
             WrongServerError: another server answers at the address.
@@ -69,10 +81,15 @@
         """
 
     async def release(
-        self, address: Address, call: OwnershipCall
+        self,
+        address: Address,
+        call: OwnershipCall,
+        may_send: Callable[[], bool],
     ) -> str | None:
         """Releases keys; returns the handover token for the next owner.
 
+        See ``grant`` for the arguments.
+
         Raises:
             WrongServerError: another server answers at the address.
             NotSentError: no byte was sent.
@@ -142,7 +159,7 @@
         )
         async with limit:
             address = self.address_by_holder.get(call.holder)
-            if address is None or not self._may_act():
+            if address is None or not self._may_send(call):
                 self._table.call_not_sent(call)
                 return
             try:
@@ -151,6 +168,9 @@
                 self._handle_unanswered(call, repr(error))
         self._on_changed()
 
+    def _may_send(self, call: OwnershipCall) -> bool:
+        return self._may_act() and call.holder not in self.ended
+
     async def _attempt(self, address: Address, call: OwnershipCall) -> None:
         """Sends a call once; handles the errors whose effect is known.
 
@@ -177,14 +197,17 @@
 
     async def _perform(self, address: Address, call: OwnershipCall) -> None:
         started_s = elapsed_s()
+        may_send = partial(self._may_send, call)
         if call.kind == CallKind.grant:
-            await self._calls.grant(address, call, self._table.lease_s)
+            await self._calls.grant(
+                address, call, self._table.lease_s, may_send
+            )
             if self._table.grant_answered(
                 call, accepted=True, now_s=elapsed_s()
             ):
                 _log.info('keys granted', **_described(call))
             return
-        handover = await self._calls.release(address, call)
+        handover = await self._calls.release(address, call, may_send)
         self._table.release_answered(call, handover, elapsed_s())
         took_ms = (elapsed_s() - started_s) * _MS_PER_S
         self._metrics.observe_ms('release', took_ms)
--- a/tests/builders/call_sender.py
+++ b/tests/builders/call_sender.py
@@ -36,9 +36,9 @@
 ) -> None:
     call = OwnershipCall(CallKind(kind), Holder('s', 1), 0, 99, fence)
     if call.kind == CallKind.grant:
-        await calls.grant(address, call, LEASE_S)
+        await calls.grant(address, call, LEASE_S, lambda: True)
     else:
-        await calls.release(address, call)
+        await calls.release(address, call, lambda: True)
 
 
 async def _run(host: str, port: int, fence: int) -> None:
--- a/tests/edge/test_call_runner.py
+++ b/tests/edge/test_call_runner.py
@@ -17,7 +17,13 @@
 from yuccadale_edge._internal.ownership.segments import SegmentTable
 from yuccadale_edge._internal.system_view import SERVER_TABLE, SystemView
 from yuccadale_edge._internal.transport.client_pool import PortClosedError
-from yuccadale_edge.instance import Rows, Server, ServerState, StoredRow
+from yuccadale_edge.instance import (
+    NotSentError,
+    Rows,
+    Server,
+    ServerState,
+    StoredRow,
+)
 from yuccadale_edge.ownership import Holder
 
 HOLDER = Holder('s', 1)
@@ -26,6 +32,7 @@
 # must come well before, although renewals are 1.4 s apart.
 _TICK_S = 0.05
 _DURATION_S = 2.0
+_CONNECT_S = 0.4
 _READY = Server('s', 'ledger', ('10.0.0.1', 1), 'a', 2, ServerState.ready, 1, 0)
 
 
@@ -71,12 +78,18 @@
     )
 
 
-async def _run_calls(
-    system_view: SystemView, *, list_is_fresh: bool = True
-) -> CallRunner:
+def _table() -> SegmentTable:
+    """Returns a table in which a grant of all keys is due."""
     table = SegmentTable(1, 4.5, RENEW_S)
     table.plan(0, 65535, HOLDER)
     table.mark_recorded(table.reserve_fences())
+    return table
+
+
+async def _run_calls(
+    system_view: SystemView, *, list_is_fresh: bool = True
+) -> CallRunner:
+    table = _table()
     runner = CallRunner(
         table,
         _RefusesAfterFirstGrant(),
@@ -138,3 +151,50 @@
     """Guards against granting keys of a server that left during an outage."""
     runner = await _run_calls(_system_view(_READY), list_is_fresh=False)
     assert not runner.ended
+
+
+class _SlowToConnect:
+    """Calls that ask whether they may be sent once they have connected."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+
+    async def grant(
+        self, _address: object, _call: object, _lease_s: float, may_send
+    ) -> None:
+        """Connects for a while and sends the grant if it still may."""
+        await asyncio.sleep(_CONNECT_S)
+        if not may_send():
+            raise NotSentError('not permitted')
+        self.sent += 1
+
+    async def release(self, *_call: object) -> None:
+        """Is not used."""
+
+
+@pytest.mark.parametrize('end', ['leadership', 'server'])
+@in_virtual_time
+async def test_nothing_is_sent_for_what_ended_while_connecting(
+    end: str,
+) -> None:
+    """Guards against a grant by a former leader, or to a server's next life."""
+    table = _table()
+    calls = _SlowToConnect()
+    leading = True
+    runner = CallRunner(
+        table,
+        calls,
+        _system_view(_READY),
+        lambda: leading,
+        lambda: None,
+        Metrics(),
+    )
+    runner.address_by_holder[HOLDER] = _READY.address
+    runner.start_due()
+    await asyncio.sleep(_CONNECT_S / 2)
+    if end == 'leadership':
+        leading = False
+    else:
+        runner.mark_ended(HOLDER, 'the server started again')
+    await asyncio.sleep(_CONNECT_S)
+    assert not calls.sent
--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -168,10 +168,10 @@
         holder = Holder(_SERVER_ID, 1)
         for fence in (1, 2):
             grant = OwnershipCall(CallKind.grant, holder, 0, 9, fence)
-            await calls.grant(address, grant, 1)
+            await calls.grant(address, grant, 1, lambda: True)
             released.clear()
             release = OwnershipCall(CallKind.release, holder, 0, 9, fence)
-            await calls.release(address, release)
+            await calls.release(address, release, lambda: True)
             assert released.is_set()
         pool.close_idle(address)
 
--- a/tests/platform/test_server_calls.py
+++ b/tests/platform/test_server_calls.py
@@ -10,6 +10,7 @@
     CallKind,
     ClientPool,
     GrantRefusedError,
+    NotSentError,
     OwnershipCall,
     WrongServerError,
 )
@@ -37,11 +38,17 @@
         async with running_server(server, store):
             calls = _calls()
             server_address = parse_address(server.address)
-            await calls.grant(server_address, _call('k', 7), LEASE_S)
+            await calls.grant(
+                server_address, _call('k', 7), LEASE_S, lambda: True
+            )
             with pytest.raises(GrantRefusedError):
-                await calls.grant(server_address, _call('k', 6), LEASE_S)
+                await calls.grant(
+                    server_address, _call('k', 6), LEASE_S, lambda: True
+                )
             released = await calls.release(
-                server_address, _call('k', 7, CallKind.release)
+                server_address,
+                _call('k', 7, CallKind.release),
+                lambda: True,
             )
             assert released == 'h7'
             assert not server.holds(5)
@@ -61,5 +68,23 @@
             calls = _calls('/elsewhere', health_path)
             with pytest.raises(WrongServerError):
                 await calls.grant(
-                    parse_address(server.address), _call('k', 7), LEASE_S
+                    parse_address(server.address),
+                    _call('k', 7),
+                    LEASE_S,
+                    lambda: True,
+                )
+
+
+async def test_a_call_is_not_written_once_it_may_not_be_sent() -> None:
+    """Guards against a grant by a leader whose lease ended while connecting."""
+    async with running_store() as store:
+        server = PlatformServer('k', 'ledger', 'a', keyed=True)
+        async with running_server(server, store):
+            with pytest.raises(NotSentError):
+                await _calls().grant(
+                    parse_address(server.address),
+                    _call('k', 7),
+                    LEASE_S,
+                    bool,
                 )
+            assert not server.call_history
