Release the keys of a server that has started again under its id

Callers' keys could have two holders after a server started again under the same id. Calls name the server by its id, so its new process accepts the renewals of the process before it until the leader has its new entry. The leader then took the leases of the old process for ended and granted the keys to others at once.

The leases now go on: the new process is asked to release them, which takes one round trip, or they expire. A grant to the new process itself does not wait.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -8,6 +8,7 @@
 import structlog
 
 from yuccadale_edge._internal.clock import elapsed_s
+from yuccadale_edge._internal.model import Server
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.segments import (
     CallKind,
@@ -112,6 +113,7 @@
         self.address_by_holder: dict[Holder, Address] = {}
         # The store may list stopped servers for a few more heartbeats.
         self.ended: set[Holder] = set()
+        self._restarted: set[Holder] = set()
         self._possibly_leaving: set[Holder] = set()
         self._table = table
         self._calls = calls
@@ -153,6 +155,23 @@
         self._table.end_holder(holder)
         self.address_by_holder.pop(holder, None)
 
+    def mark_restarted(self, holder: Holder, server: Server) -> None:
+        """Handles a server that has started again under the same id.
+
+        Its leases are released at the new process, which may have them.
+        """
+        if holder in self._restarted:
+            return
+        _log.info(
+            'server started again',
+            server=holder.server_id,
+            incarnation=holder.incarnation,
+            next_incarnation=server.incarnation,
+        )
+        self._restarted.add(holder)
+        self.address_by_holder[holder] = server.address
+        self._table.restart_holder(holder, elapsed_s())
+
     async def _run(self, call: OwnershipCall) -> None:
         limit = self._limit_by_holder.setdefault(
             call.holder, asyncio.Semaphore(_CALLS_PER_SERVER)
@@ -169,7 +188,10 @@
         self._on_changed()
 
     def _may_send(self, call: OwnershipCall) -> bool:
-        return self._may_act() and call.holder not in self.ended
+        ended = call.holder in self.ended or (
+            call.kind == CallKind.grant and call.holder in self._restarted
+        )
+        return self._may_act() and not ended
 
     async def _attempt(self, address: Address, call: OwnershipCall) -> None:
         """Sends a call once; handles the errors whose effect is known.
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -325,7 +325,7 @@
             if server is None:
                 continue
             if server.incarnation > holder.incarnation:
-                self._runner.mark_ended(holder, 'the server started again')
+                self._runner.mark_restarted(holder, server)
 
     def _usable(self) -> dict[Holder, Server]:
         ready = {
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -11,6 +11,8 @@
   a fencing token above all earlier ones for these keys, and only after the
   store has recorded that the server may hold them.
 * At most one call about a key is in flight to a server.
+* Calls name a server by its id. A process that starts again under the id may
+  have accepted grants that were meant for the process before it.
 """
 
 from collections.abc import Iterable, Iterator, Mapping
@@ -115,6 +117,7 @@
         handover: token that the previous holder returned with its release;
             renewals repeat it.
         released: whether the server has answered a release.
+        renewable: false if the server has started again since it was granted.
     """
 
     fence: int
@@ -124,6 +127,7 @@
     sent_s: float = 0
     handover: str | None = None
     released: bool = False
+    renewable: bool = True
 
     @property
     def expiry_reason(self) -> LeaseEndReason:
@@ -191,12 +195,13 @@
     def renewable(self, holder: Holder) -> bool:
         """Whether a server's lease may be renewed with the same fence.
 
-        A lease cannot be renewed after a release, or when another server may
-        have received a higher fence for the keys.
+        A lease cannot be renewed after a release or a restart of the server, or
+        when another server may have received a higher fence for the keys.
         """
         lease = self.lease_by_holder.get(holder)
         return (
             lease is not None
+            and lease.renewable
             and not lease.released
             and lease.fence == self.last_fence
         )
@@ -293,13 +298,23 @@
         """Removes the leases of a server incarnation that has stopped."""
         for segment in self.segments:
             self._end_lease(segment, holder, LeaseEndReason.server_ended)
-            if holder in {segment.target, segment.owner}:
-                # The reserved fence belonged to the stopped server.
-                self._invalidate_record(segment)
-            if segment.target == holder:
-                segment.target = None
-            if segment.owner == holder:
-                self._set_owner(segment, None)
+            self._remove_from_plan(segment, holder)
+
+    def restart_holder(self, holder: Holder, now_s: float) -> None:
+        """Handles a server that has started again under the same id.
+
+        The new process may have accepted grants since its start. The leases go
+        on until it answers a release or they expire, but are not renewed.
+        """
+        for segment in self.segments:
+            lease = segment.lease_by_holder.get(holder)
+            if lease is not None:
+                lease.renewable = False
+                if holder in segment.in_flight:
+                    lease.unconfirmed_until_s = self._lease_end(
+                        now_s + LATEST_ARRIVAL_S
+                    )
+            self._remove_from_plan(segment, holder)
 
     def holders(self) -> set[Holder]:
         """Returns all servers that may hold keys or are to get some."""
@@ -514,8 +529,12 @@
         self, segment: Segment, now_s: float, renew_s: float
     ) -> Iterator[OwnershipCall]:
         keeper = segment.keeper
+        # An earlier process of the keeper has ended; what that held is replaced
+        # by the next grant.
         other_holders = [
-            held for held in segment.lease_by_holder if held != keeper
+            held
+            for held in segment.lease_by_holder
+            if keeper is None or held.server_id != keeper.server_id
         ]
         if (
             other_holders
@@ -633,6 +652,15 @@
     def _lease_end(self, arrival_s: float) -> float:
         return arrival_s + self.lease_s * CLOCK_MARGIN
 
+    def _remove_from_plan(self, segment: Segment, holder: Holder) -> None:
+        if holder in {segment.target, segment.owner}:
+            # The reserved fence belonged to the stopped server.
+            self._invalidate_record(segment)
+        if segment.target == holder:
+            segment.target = None
+        if segment.owner == holder:
+            self._set_owner(segment, None)
+
     def _set_owner(self, segment: Segment, owner: Holder | None) -> None:
         segment.owner = owner
         self.changed.append((segment.first, segment.last))
--- a/tests/builders/edge_key_servers.py
+++ b/tests/builders/edge_key_servers.py
@@ -45,6 +45,7 @@
     at_s: float
     arrived_s: float
     call: OwnershipCall
+    receiver: Holder | None
 
 
 def buckets_of(first: int, last: int) -> range:
@@ -60,6 +61,9 @@
 _PERCENT = 100
 _PLAN_RECORDED = 80
 _RESTART_NOTICED = 70
+# The entry of a server that has started again reaches the leader within this
+# time.
+_NOTICE_S = 3.0
 # Share of replaced leaders that still report their unanswered grants.
 _REPORTS_GRANTS = 50
 
@@ -73,6 +77,7 @@
         self.leases_by_holder: dict[Holder, ServerLeases] = {}
         self.violations: list[str] = []
         self._late: list[LateGrant] = []
+        self._unnoticed: list[tuple[float, Holder]] = []
         self._highest_fence_by_bucket: dict[int, tuple[int, Holder]] = {}
         self._address_by_holder: dict[Holder, tuple[str, int]] = {}
         self._epoch = 1
@@ -122,7 +127,7 @@
 
     def _deliver(self, call: OwnershipCall) -> None:
         outcome = self.random.randrange(_PERCENT)
-        if call.holder not in self.leases_by_holder or outcome < _NOT_SENT:
+        if self._living(call.holder.server_id) is None or outcome < _NOT_SENT:
             self.table.call_not_sent(call)
         elif call.kind == CallKind.release:
             self._deliver_release(call, answered=outcome >= _RELEASE_UNANSWERED)
@@ -132,6 +137,7 @@
                     self.now_s + self.random.uniform(0, _LATE_GRANT_S),
                     self.now_s,
                     call,
+                    self._living(call.holder.server_id),
                 )
             )
             self.table.call_unanswered(call, self.now_s)
@@ -145,7 +151,7 @@
                 )
 
     def _deliver_release(self, call: OwnershipCall, *, answered: bool) -> None:
-        leases = self.leases_by_holder[call.holder]
+        leases = self._leases(call)
         for bucket in buckets_of(call.first, call.last):
             leases.until_by_bucket.pop(bucket, None)
         if answered:
@@ -154,7 +160,7 @@
             self.table.call_unanswered(call, self.now_s)
 
     def _apply_grant(self, call: OwnershipCall, arrived_s: float) -> bool:
-        leases = self.leases_by_holder[call.holder]
+        leases = self._leases(call)
         buckets = buckets_of(call.first, call.last)
         if any(
             leases.fence_by_bucket.get(bucket, 0) > call.fence
@@ -170,11 +176,12 @@
         return True
 
     def _check(self, call: OwnershipCall, bucket: int) -> None:
+        receiver = self._living(call.holder.server_id)
         for holder, leases in self.leases_by_holder.items():
             until_s = leases.until_by_bucket.get(bucket, 0)
-            if holder != call.holder and until_s > self.now_s:
+            if holder != receiver and until_s > self.now_s:
                 self.violations.append(
-                    f'{self.now_s:.2f}: {call.holder} gets bucket {bucket} '
+                    f'{self.now_s:.2f}: {receiver} gets bucket {bucket} '
                     f'that {holder} holds until {until_s:.2f}'
                 )
         highest, last_holder = self._highest_fence_by_bucket.get(
@@ -187,6 +194,12 @@
         if call.fence >= highest:
             self._highest_fence_by_bucket[bucket] = (call.fence, call.holder)
 
+    def _notice_restarts(self) -> None:
+        for noticed_s, holder in list(self._unnoticed):
+            if noticed_s <= self.now_s:
+                self._unnoticed.remove((noticed_s, holder))
+                self.table.restart_holder(holder, self.now_s)
+
     def _advance(self, by_s: float) -> None:
         end_s = self.now_s + by_s
         for late in sorted(self._late, key=lambda grant: grant.at_s):
@@ -194,16 +207,40 @@
                 continue
             self.now_s = max(self.now_s, late.at_s)
             self._late.remove(late)
-            if late.call.holder in self.leases_by_holder:
+            # The connection was to the process that has ended meanwhile.
+            if late.receiver in self.leases_by_holder:
                 self._apply_grant(late.call, late.arrived_s)
         self.now_s = end_s
+        self._notice_restarts()
+
+    def _living(self, server_id: str) -> Holder | None:
+        """Returns the incarnation that answers calls to a server id."""
+        return next(
+            (
+                holder
+                for holder in self.leases_by_holder
+                if holder.server_id == server_id
+            ),
+            None,
+        )
+
+    def _leases(self, call: OwnershipCall) -> ServerLeases:
+        """Returns the leases of the process that receives a call.
+
+        Calls name the server's id, so a later incarnation accepts those that
+        were meant for an earlier one.
+        """
+        receiver = self._living(call.holder.server_id)
+        assert receiver is not None
+        return self.leases_by_holder[receiver]
 
     def _restart_server(self) -> None:
         holder = self.random.choice(list(self.leases_by_holder))
         self.leases_by_holder.pop(holder)
         self._start(holder.server_id, holder.incarnation + 1)
         if self.random.randrange(_PERCENT) < _RESTART_NOTICED:
-            self.table.end_holder(holder)
+            noticed_s = self.now_s + self.random.uniform(0, _NOTICE_S)
+            self._unnoticed.append((noticed_s, holder))
 
     def _change_leader(self) -> None:
         self._advance(_TAKEOVER_S)
--- a/tests/edge/test_segments_fuzz.py
+++ b/tests/edge/test_segments_fuzz.py
@@ -108,7 +108,19 @@
     )
 
 
+def _without_leases_of_restarted_servers(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(
+        segments.SegmentTable,
+        'restart_holder',
+        lambda table, holder, _now_s: table.end_holder(holder),
+    )
+
+
 RULES = (
+    RemovedRule(
+        'a server that starts again may have new grants',
+        _without_leases_of_restarted_servers,
+    ),
     RemovedRule(
         'a new leader assumes unanswered grants',
         _without_unconfirmed_grants_after_takeover,
