Keep a server's earlier lease while a new grant is not accepted

When a server's keys were granted to it again with a higher fence, the table replaced the lease, and with it the time until which the server holds the keys by the earlier grant. If the new grant could not be sent, the lease was removed, and the keys could go to another server while the first one still held them.

The earlier lease's end stays with the new one until the server accepts. test_an_unsent_grant_leaves_the_earlier_lease failed before.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -440,7 +440,7 @@
     def call_not_sent(self, call: OwnershipCall) -> None:
         """Handles a call of which no byte was sent."""
         for segment, lease in self._end_call(call):
-            unused = not lease.accepted and not lease.unconfirmed_until_s
+            unused = not lease.accepted and not lease.end_s
             if call.kind == CallKind.grant and unused:
                 segment.lease_by_holder.pop(call.holder, None)
 
@@ -598,14 +598,12 @@
         fence: int,
         earlier: Lease | None,
     ) -> Lease:
-        lease = Lease(
-            fence,
-            until_s=0,
-            unconfirmed_until_s=0
-            if earlier is None
-            else earlier.unconfirmed_until_s,
-            handover=segment.handover,
-        )
+        lease = Lease(fence, until_s=0, handover=segment.handover)
+        if earlier is not None:
+            # The server holds the keys by the earlier grant until it has
+            # accepted this one.
+            lease.until_s = 0 if earlier.released else earlier.until_s
+            lease.unconfirmed_until_s = earlier.unconfirmed_until_s
         segment.lease_by_holder[holder] = lease
         segment.last_fence = fence
         return lease
--- a/tests/edge/test_segments.py
+++ b/tests/edge/test_segments.py
@@ -4,7 +4,9 @@
     KEY_COUNT,
     CallKind,
     Holder,
+    Lease,
     OwnershipCall,
+    Segment,
     SegmentTable,
 )
 
@@ -33,6 +35,45 @@
             table.release_answered(call, None, now_s)
 
 
+def test_an_unsent_grant_leaves_the_earlier_lease() -> None:
+    """Guards against two holders after a move that was taken back.
+
+    The owner was to be granted its keys again with a higher fence, and could
+    not be reached. Its earlier lease was forgotten then.
+    """
+    table = SegmentTable(2, LEASE_S, RENEW_S)
+    table.load([_moving_segment(lease_end_s=10)])
+    table.plan(0, KEY_COUNT - 1, OWNER)
+    table.mark_recorded(table.reserve_fences())
+    _accept(table, table.calls_due(1), now_s=1)
+    (grant,) = table.calls_due(2)
+    assert grant.holder == OWNER
+    table.call_not_sent(grant)
+    table.plan(0, KEY_COUNT - 1, OTHER)
+    table.mark_recorded(table.reserve_fences())
+    assert not [
+        call
+        for now_s in (3, 9)
+        for call in table.calls_due(now_s)
+        if call.kind == CallKind.grant
+    ]
+
+
+def _moving_segment(lease_end_s: float) -> Segment:
+    """Returns all keys as a new leader finds them during a move."""
+    return Segment(
+        0,
+        KEY_COUNT - 1,
+        target=OTHER,
+        lease_by_holder={
+            OWNER: Lease(5, until_s=lease_end_s, accepted=True),
+            OTHER: Lease(6, until_s=lease_end_s, accepted=True),
+        },
+        recorded=True,
+        last_fence=6,
+    )
+
+
 def test_owner_keeps_its_keys_until_the_move_is_recorded() -> None:
     """Guards against keys without an owner while the store is unavailable.
 
