Keep the lease of a server that refuses a renewal until it releases

A refused grant (409) says that the server knows a higher fence for some key of the range, and was taken to say that it holds none of them. The keys could go to another server while the first one held the others by its earlier grants.

The lease now stays until it expires or the server has answered a release; a new grant to the same server does not wait. test_a_refused_renewal_leaves_the_lease failed before.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -71,7 +71,6 @@
 
     released = 'released'
     expired = 'expired'
-    refused = 'refused'
     server_ended = 'server_ended'
 
 
@@ -117,7 +116,8 @@
         handover: token that the previous holder returned with its release;
             renewals repeat it.
         released: whether the server has answered a release.
-        renewable: false if the server has started again since it was granted.
+        renewable: false if the server has started again since it was granted,
+            or refused to renew it.
     """
 
     fence: int
@@ -422,7 +422,7 @@
                 lease.until_s = max(lease.until_s, self._lease_end(now_s))
                 self._handle_acceptance(segment, call.holder)
             else:
-                self._handle_refusal(segment, call.holder)
+                self._handle_refusal(segment, call.holder, lease)
         return accepted and len(self.changed) > changes
 
     def call_unanswered(self, call: OwnershipCall, now_s: float) -> None:
@@ -583,9 +583,13 @@
         if segment.owner != holder:
             self._set_owner(segment, holder)
 
-    def _handle_refusal(self, segment: Segment, holder: Holder) -> None:
-        # The server knows a higher fence, so it did not apply this grant.
-        self._end_lease(segment, holder, LeaseEndReason.refused)
+    def _handle_refusal(
+        self, segment: Segment, holder: Holder, lease: Lease
+    ) -> None:
+        # The server knows a higher fence for some of the keys, so it did not
+        # apply this grant. It may hold the others by an earlier one.
+        lease.renewable = False
+        lease.accepted = False
         if segment.owner == holder:
             segment.target = segment.target or holder
             self._set_owner(segment, None)
--- a/tests/edge/test_segments.py
+++ b/tests/edge/test_segments.py
@@ -46,17 +46,28 @@
     table.plan(0, KEY_COUNT - 1, OWNER)
     table.mark_recorded(table.reserve_fences())
     _accept(table, table.calls_due(1), now_s=1)
-    (grant,) = table.calls_due(2)
-    assert grant.holder == OWNER
-    table.call_not_sent(grant)
+    grants = table.calls_due(2)
+    assert [grant.holder for grant in grants] == [OWNER]
+    table.call_not_sent(grants[0])
     table.plan(0, KEY_COUNT - 1, OTHER)
     table.mark_recorded(table.reserve_fences())
-    assert not [
-        call
-        for now_s in (3, 9)
-        for call in table.calls_due(now_s)
-        if call.kind == CallKind.grant
-    ]
+    kinds = {call.kind for call in table.calls_due(9)}
+    assert kinds == {CallKind.release}
+
+
+def test_a_refused_renewal_leaves_the_lease() -> None:
+    """Guards against two holders after an answer with status 409.
+
+    It says that the server knows a higher fence for some key of the range. It
+    may still hold the others.
+    """
+    table = _owned_table()
+    for renewal in table.calls_due(2):
+        table.grant_answered(renewal, accepted=False, now_s=2)
+    table.plan(0, KEY_COUNT - 1, OTHER)
+    table.mark_recorded(table.reserve_fences())
+    calls = [(call.kind, call.holder) for call in table.calls_due(3)]
+    assert calls == [(CallKind.release, OWNER)]
 
 
 def _moving_segment(lease_end_s: float) -> Segment:
