Do not take refused connections for the end of a server

Callers' keys had two holders for up to 4 s when a path to a server refused and reset connections: two refusals 0.3 s apart, beside a recent list that said that the server stays, counted as the end of its process. A refusal tells of a path at a moment. The server lived, and its leases ran.

Only time, an answered release, a later process under the same id, or another owner of its address by the list of servers end its leases now. An answer of another server at the address is not enough, since it may come from a relay. Calls that were not sent are due again after 0.3 s, releases as well.

test_keys_of_a_server_that_refuses_connections_stay_its_own failed before with 4.0, 2.7 and 4.0 s (a path that refuses for 0.6 s and a server that begins to leave, 2.5 s, and both). Two tests demanded that a server that refuses twice is ended at once, which is the fault; in their place, no state of its entry may end it, and its keys are granted to another server when its lease has run out, not later. A test of the adapter demanded that an id in an answer to a health check proves a reused address; seven cases of lists take its place.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -4,7 +4,7 @@
 import gc
 import signal
 import time
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 
@@ -90,9 +90,6 @@
 _GC_THRESHOLD = 5000
 
 
-HealthPaths = Callable[[], Iterable[str]]
-
-
 class Adapter:
     """What the platform supplies besides the settings."""
 
@@ -100,7 +97,7 @@
         self,
         *,
         store: Callable[[ClientPool], Store],
-        calls: Callable[[ClientPool, HealthPaths], ServerCalls],
+        calls: Callable[[ClientPool], ServerCalls],
         codec: RequestCodec,
         decode_configuration: DecodeConfiguration,
         decode_server: DecodeServer,
@@ -184,7 +181,7 @@
             self._links,
             broadcaster,
             self._dispatcher,
-            adapter.calls(self._pool, self._system_view.health_paths),
+            adapter.calls(self._pool),
             self._metrics,
         )
         self._stop_guard = StopGuard(elapsed_s)
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -116,6 +116,7 @@
         handover: token that the previous holder returned with its release;
             renewals repeat it.
         released: whether the server has answered a release.
+        release_due_s: when a release may be sent again.
         renewable: false if the server has started again since it was granted,
             or refused to renew it.
     """
@@ -127,6 +128,7 @@
     sent_s: float = 0
     handover: str | None = None
     released: bool = False
+    release_due_s: float = 0
     renewable: bool = True
 
     @property
@@ -447,11 +449,15 @@
     def retry_call_after(
         self, call: OwnershipCall, after_s: float, now_s: float
     ) -> None:
-        """Makes the grants of a call due again after a delay."""
+        """Makes a call due again after a delay."""
         for segment in self.in_range(call.first, call.last):
             lease = segment.lease_by_holder.get(call.holder)
-            if lease is not None and lease.fence == call.fence:
+            if lease is None or lease.fence != call.fence:
+                continue
+            if call.kind == CallKind.grant:
                 lease.sent_s = now_s + after_s - self._renew_s
+            else:
+                lease.release_due_s = now_s + after_s
 
     def release_answered(
         self, call: OwnershipCall, handover: str | None, now_s: float
@@ -543,7 +549,7 @@
         ):
             # Requests stop before the owner is asked to release.
             self._set_owner(segment, None)
-        yield from self._releases(segment, other_holders)
+        yield from self._releases(segment, other_holders, now_s)
         if keeper is None or other_holders or keeper in segment.in_flight:
             return
         lease = self._lease_to_send(segment, keeper)
@@ -558,11 +564,12 @@
         )
 
     def _releases(
-        self, segment: Segment, holders: Iterable[Holder]
+        self, segment: Segment, holders: Iterable[Holder], now_s: float
     ) -> Iterator[OwnershipCall]:
         for holder in holders:
             lease = segment.lease_by_holder[holder]
-            if holder not in segment.in_flight and not lease.released:
+            due = not lease.released and now_s >= lease.release_due_s
+            if due and holder not in segment.in_flight:
                 segment.in_flight.add(holder)
                 yield _make_call(CallKind.release, segment, holder, lease.fence)
 
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -40,17 +40,8 @@
 # their servers are alive. A server that left must get no new requests 2 s after
 # its entry was removed, so the grace period is shorter.
 REMOVAL_GRACE_S = 1.6
-# The leader gets the server list at least every 1.2 s while the store is
-# available. A leaving server announces it for longer than this before it stops
-# listening.
-_MAX_LIST_AGE_S = 1.5
 # Time for a read of the store before rows exceed their age limit.
 _CONFIRMATION_TIME_S = 0.3
-# A leaving server listens for at least 2 s after the store has its state, which
-# reaches the list up to 1.2 s later.
-_LEAVING_LISTEN_S = 0.8
-# Servers that left are remembered for longer than any lease.
-_LEFT_RETENTION_S = 30.0
 # Entries of removed servers are remembered for longer than the age of the copy
 # that the store may be restored from.
 _REMOVED_RETENTION_S = 120.0
@@ -167,7 +158,6 @@
         self._decode = decode
         self._removal_s_by_id: dict[str, float] = {}
         self._cold_until_s: dict[tuple[str, int], float] = {}
-        self._left_s_by_identity: dict[tuple[str, int], float] = {}
         # The last entries of removed servers.
         self._removed_by_id: dict[str, _RemovedEntry] = {}
         # Rows that returned with a restored store, and when they are accepted.
@@ -226,20 +216,19 @@
             return row
         return self.row_by_id.get(row.key, row)
 
-    def is_listening(self, server_id: str, incarnation: int) -> bool:
-        """Whether a server incarnation listens, unless it has crashed.
+    def is_reused(
+        self, address: Address, server_id: str, incarnation: int
+    ) -> bool:
+        """Whether the address of a server incarnation has another owner.
 
-        A leaving server goes on listening for some time after its entry says
-        so or is removed.
+        The platform gives the address of a server that has ended to others.
         """
-        left_s = self._left_s_by_identity.get((server_id, incarnation))
-        if left_s is not None:
-            return elapsed_s() - left_s < _LEAVING_LISTEN_S
-        server = self.server_by_id.get(server_id)
-        return (
-            server is not None
-            and server.incarnation == incarnation
-            and server.state == ServerState.ready
+        former = self.server_by_id.get(server_id)
+        if former is not None and former.address == address:
+            return False
+        return any(
+            server.address == address and server.incarnation > incarnation
+            for server in self.server_by_id.values()
         )
 
     def cold(self, server: Server) -> bool:
@@ -302,10 +291,6 @@
             return False
         self.server_by_id[row.key] = server
         self._record_start(server)
-        if server.state == ServerState.ready:
-            self._left_s_by_identity.pop((row.key, server.incarnation), None)
-        else:
-            self._record_left(server)
         _log.info(
             'server entry changed',
             server=server.server_id,
@@ -355,23 +340,12 @@
                 now_s + server.slow_start_s,
             )
 
-    def _record_left(self, server: Server) -> None:
-        now_s = elapsed_s()
-        self._left_s_by_identity = {
-            identity: left_s
-            for identity, left_s in self._left_s_by_identity.items()
-            if now_s - left_s < _LEFT_RETENTION_S
-        }
-        identity = (server.server_id, server.incarnation)
-        self._left_s_by_identity.setdefault(identity, now_s)
-
     def _remove(
         self, server_id: str, content: bytes, *, removal_grace: bool
     ) -> bool:
         if server_id not in self.server_by_id:
             return False
         server = self.server_by_id[server_id]
-        self._record_left(server)
         now_s = elapsed_s()
         self._removed_by_id = {
             removed_id: entry
@@ -585,21 +559,6 @@
         until = self.unreachable_until_by_server.get(server.server_id, 0)
         return until < elapsed_s()
 
-    def health_paths(self) -> list[str]:
-        """Returns the paths at which servers report their id and state."""
-        if self.configuration is None:
-            return []
-        services = self.configuration.service_by_name.values()
-        return sorted({service.health_path for service in services})
-
-    def should_be_listening(self, server_id: str, incarnation: int) -> bool:
-        """Whether a recent server list says that a server is listening.
-
-        If such a server refuses connections, it has crashed.
-        """
-        fresh = self.source_age_s(SERVER_TABLE) < _MAX_LIST_AGE_S
-        return fresh and self.servers.is_listening(server_id, incarnation)
-
     def keyed_services(self) -> list[str]:
         """Returns the services whose servers divide the keys."""
         if self.configuration is None:
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
@@ -112,18 +112,12 @@
                 _, connection = await self._loop.create_connection(
                     lambda: ClientConnection(self._loop), *address
                 )
-        except ConnectionRefusedError as refused:
-            raise PortClosedError(str(refused)) from refused
         except _CONNECT_ERRORS as error:
             raise NotSentError(f'cannot connect: {error!r}') from error
         self.opened += 1
         return connection
 
 
-class PortClosedError(NotSentError):
-    """The address refused the connection; no process listens there."""
-
-
 def _usable(connection: ClientConnection, now: float) -> bool:
     limit = connection.idle_limit_s
     allowed = _DEFAULT_IDLE_S if limit is None else limit * _IDLE_SHARE
