Withdraw the calls in flight when the leader's own lease ends

A leader that was suspended, or lost its lease, left its calls in flight until they timed out, up to 0.8 s later (3 s for a release), while another leader may act. Their connections are now reset at the next tick (0.05 s) without a lease, and when the instance stops leading. What a withdrawn call may have started is counted as for any unanswered one: test_withdrawn_calls_may_have_been_applied.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -246,6 +246,8 @@
             await renewal
             for task in tasks:
                 task.cancel()
+        for manager in self._manager_by_service.values():
+            manager.withdraw_calls()
         if not self.draining:
             self._broadcaster.start_task(
                 self._send_unconfirmed_grants(epoch, self._manager_by_service)
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -129,7 +129,12 @@
         for call in calls:
             task = asyncio.create_task(self._run(call))
             self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(partial(self._forget, call))
+
+    def withdraw(self) -> None:
+        """Resets the calls in flight; servers may have read them."""
+        for task in self._tasks:
+            task.cancel()
 
     async def finish(self, within_s: float) -> None:
         """Waits for the calls in flight, at most this long."""
@@ -165,6 +170,11 @@
         self.address_by_holder[holder] = server.address
         self._table.restart_holder(holder, elapsed_s())
 
+    def _forget(self, call: OwnershipCall, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            self._handle_unanswered(call, 'withdrawn')
+
     async def _run(self, call: OwnershipCall) -> None:
         limit = self._limit_by_holder.setdefault(
             call.holder, asyncio.Semaphore(_CALLS_PER_SERVER)
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -191,6 +191,11 @@
                 run = partial(self._repeat, tick)
                 group.create_task(supervise(task, run, self._metrics))
 
+    def withdraw_calls(self) -> None:
+        """Stops sending calls, and gives up those in flight."""
+        self._ending = True
+        self._runner.withdraw()
+
     async def unconfirmed_grants(self) -> list[UnconfirmedGrant]:
         """Stops sending calls; returns grants that servers may still apply."""
         self._ending = True
@@ -255,6 +260,9 @@
         if self._may_call():
             lease_ending = self._lease_left_s() < _FINAL_RENEWAL_S
             self._runner.start_due(_FINAL_RENEWAL_S if lease_ending else None)
+        if not self._may_act():
+            # A suspended process wakes up with calls that it sent before.
+            self._runner.withdraw()
         self._publish_changes()
 
     def _latest_lease_end_s(self) -> float:
--- a/tests/edge/test_call_runner.py
+++ b/tests/edge/test_call_runner.py
@@ -208,6 +208,49 @@
     assert 1 <= calls.refused <= 5
 
 
+class _NeverAnswered:
+    """Calls that get no answer.
+
+    Attributes:
+        withdrawn: number of calls that were given up by the caller.
+    """
+
+    def __init__(self) -> None:
+        self.withdrawn = 0
+
+    async def grant(self, *_call: object) -> None:
+        """Waits until the call is withdrawn."""
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.withdrawn += 1
+
+    release = grant
+
+
+@pytest.mark.parametrize('begun', [True, False])
+@in_virtual_time
+async def test_withdrawn_calls_may_have_been_applied(*, begun: bool) -> None:
+    """Guards against two holders after the calls of a former leader.
+
+    Also against keys that wait for a call that was withdrawn before it began.
+    """
+    table = _table()
+    calls = _NeverAnswered()
+    runner = _runner(table, calls, _system_view(_READY))
+    runner.start_due()
+    if begun:
+        await asyncio.sleep(_TICK_S)
+    runner.withdraw()
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert calls.withdrawn == int(begun)
+    segment = table.at(0)
+    assert not segment.in_flight
+    lease_s = LEASE_S * CLOCK_MARGIN
+    assert segment.lease_by_holder[HOLDER].end_s - _now_s() >= lease_s
+
+
 class _AnsweredByAnother:
     """Calls to an address at which another server answers."""
 
