Go on asking for keys whose lease ended by time alone

A server whose process is stopped, or a proxy before it, may hold a renewal that its kernel has acknowledged, and read it after the lease has been waited out: two holders of a key for up to a lease. No wait of the leader bounds that.

A server that has not answered a release when its lease expires is asked each 0.3 s, for 30 s or until it has answered twice, so that a grant that is read late lasts until the next release is read.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -10,6 +10,7 @@
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.model import Server
 from yuccadale_edge._internal.observability.metrics import Metrics
+from yuccadale_edge._internal.ownership.lapsed_leases import LapsedLeases
 from yuccadale_edge._internal.ownership.segments import (
     CallKind,
     Holder,
@@ -117,6 +118,8 @@
         self._metrics = metrics
         self._limit_by_holder: dict[Holder, asyncio.Semaphore] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._lapsed = LapsedLeases()
+        self._lapsed_tasks: set[asyncio.Task[None]] = set()
 
     def start_due(self, renew_s: float | None = None) -> None:
         """Starts all due calls.
@@ -130,10 +133,14 @@
             task = asyncio.create_task(self._run(call))
             self._tasks.add(task)
             task.add_done_callback(partial(self._forget, call))
+        for release in self._lapsed.releases_due(elapsed_s()):
+            lapsed_task = asyncio.create_task(self._release_lapsed(release))
+            self._lapsed_tasks.add(lapsed_task)
+            lapsed_task.add_done_callback(self._lapsed_tasks.discard)
 
     def withdraw(self) -> None:
         """Resets the calls in flight; servers may have read them."""
-        for task in self._tasks:
+        for task in self._tasks | self._lapsed_tasks:
             task.cancel()
 
     async def finish(self, within_s: float) -> None:
@@ -150,6 +157,7 @@
             reason=reason,
         )
         self.ended.add(holder)
+        self._lapsed.remove(holder)
         self._table.end_holder(holder)
         self.address_by_holder.pop(holder, None)
 
@@ -181,7 +189,10 @@
         )
         async with limit:
             address = self.address_by_holder.get(call.holder)
-            if address is None or not self._may_send(call):
+            blocked = call.kind == CallKind.grant and not self._lapsed.replace(
+                call
+            )
+            if address is None or blocked or not self._may_send(call):
                 self._table.call_not_sent(call)
                 return
             try:
@@ -190,6 +201,25 @@
                 self._handle_unanswered(call, repr(error))
         self._on_changed()
 
+    async def _release_lapsed(self, release: OwnershipCall) -> None:
+        """Asks a server once to release what a late grant may have started."""
+        answered = False
+        address = self.address_by_holder.get(release.holder)
+        try:
+            if address is not None and self._may_send(release):
+                await self._calls.release(
+                    address, release, partial(self._may_send, release)
+                )
+                answered = True
+        except WrongServerError:
+            self._end_if_reused(release.holder)
+        except NotSentError as error:
+            self._mark_unreachable(release.holder, str(error))
+        except (AnswerLostError, TimeoutError):
+            self._metrics.count('calls_unanswered', kind=release.kind)
+        finally:
+            self._lapsed.release_ended(release, elapsed_s(), answered=answered)
+
     def _may_send(self, call: OwnershipCall) -> bool:
         ended = call.holder in self.ended or (
             call.kind == CallKind.grant and call.holder in self._restarted
@@ -253,6 +283,8 @@
     def _report_lease_ends(self) -> None:
         for ended in self._table.pop_lease_ends():
             self._metrics.count('leases_ended', reason=ended.reason)
+            if ended.reason == LeaseEndReason.expired:
+                self._lapsed.add(ended, elapsed_s())
             if ended.reason != LeaseEndReason.released:
                 # An answered release has a line of its own.
                 _log.info(
@@ -269,13 +301,14 @@
         self._mark_unreachable(call.holder, reason)
 
     def _handle_wrong_server(self, call: OwnershipCall) -> None:
-        address = self.address_by_holder.get(call.holder)
+        self._handle_unsent(call, 'another server answered')
+        self._end_if_reused(call.holder)
+
+    def _end_if_reused(self, holder: Holder) -> None:
+        address = self.address_by_holder.get(holder)
         servers = self._system_view.servers
-        if address is not None and servers.is_reused(address, *call.holder):
-            self._table.call_not_sent(call)
-            self.mark_ended(call.holder, 'another server has its address')
-        else:
-            self._handle_unsent(call, 'another server answered')
+        if address is not None and servers.is_reused(address, *holder):
+            self.mark_ended(holder, 'another server has its address')
 
     def _mark_unreachable(self, holder: Holder, reason: str) -> None:
         until = self._system_view.unreachable_until_by_server
--- /dev/null
+++ b/tests/platform/test_held_calls.py
@@ -0,0 +1,33 @@
+"""Calls that a stopped server, or a proxy before it, holds and reads late."""
+
+import asyncio
+
+from tests.builders.relayed_servers import MOMENT_S, relayed_servers
+
+# At least one renewal is held.
+_BEFORE_LEAVING_S = 1.6
+# Until the keys are granted to the other server, by time.
+_UNTIL_MOVED_S = 8.0
+# A late lease would last for longer.
+_WATCHED_S = 3.0
+
+
+async def test_a_grant_that_is_read_late_lasts_for_a_moment_only() -> None:
+    """Guards against two holders when held calls are read after their time.
+
+    The process of a server, or a proxy, stops for longer than a lease. Its
+    kernel has acknowledged a renewal, which is read when it goes on.
+    """
+    async with relayed_servers() as relayed:
+        late, other = relayed.servers
+        proxy = relayed.proxies[0]
+        proxy.blocked_directions = frozenset(('to_target', 'from_target'))
+        await asyncio.sleep(_BEFORE_LEAVING_S)
+        await relayed.register(late, 'draining')
+        await asyncio.sleep(_UNTIL_MOVED_S)
+        assert other.holds(0)
+        grants = len(late.accepted_grants)
+        proxy.clear_faults()
+        longest_s = await relayed.longest_shared_s(_WATCHED_S)
+        assert len(late.accepted_grants) > grants
+        assert longest_s <= MOMENT_S
