Do not mark a server unreachable for a call that may not be sent

A call that was given up just before its write counted as a failed connection, so that this instance sent the server no requests for 1.5 s. test_nothing_is_sent_for_what_ended_while_connecting asserts it now.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -214,7 +214,8 @@
         except WrongServerError:
             self._end_if_reused(release.holder)
         except NotSentError as error:
-            self._mark_unreachable(release.holder, str(error))
+            if self._may_send(release):
+                self._mark_unreachable(release.holder, str(error))
         except (AnswerLostError, TimeoutError):
             self._metrics.count('calls_unanswered', kind=release.kind)
         finally:
@@ -298,7 +299,8 @@
         # path may refuse it, and a leaving server stops listening first.
         self._table.call_not_sent(call)
         self._table.retry_call_after(call, _RETRY_UNSENT_S, elapsed_s())
-        self._mark_unreachable(call.holder, reason)
+        if self._may_send(call):
+            self._mark_unreachable(call.holder, reason)
 
     def _handle_wrong_server(self, call: OwnershipCall) -> None:
         self._handle_unsent(call, 'another server answered')
--- a/tests/edge/test_call_runner.py
+++ b/tests/edge/test_call_runner.py
@@ -318,10 +318,11 @@
     table = _table()
     calls = _SlowToConnect()
     leading = True
+    system_view = _system_view(_READY)
     runner = CallRunner(
         table,
         calls,
-        _system_view(_READY),
+        system_view,
         lambda: leading,
         lambda: None,
         Metrics(),
@@ -335,3 +336,4 @@
         runner.mark_ended(HOLDER, 'the server started again')
     await asyncio.sleep(_CONNECT_S)
     assert not calls.sent
+    assert not system_view.unreachable_until_by_server
