Let releases of lapsed leases neither block nor miss grants

Found by a review: a release that was withdrawn before its task began stayed in flight for good, and the server got none of these keys again while this instance led. A new grant of a part of the keys, or one that was never sent, ended the releases of all of them. Releases to a dead address marked the next process of the server unreachable for half a minute, and they did not count among the calls to a server.

A grant now holds the releases back while it is sent, and removes just what it replaces once it is accepted.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -119,7 +119,7 @@
         self._limit_by_holder: dict[Holder, asyncio.Semaphore] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._lapsed = LapsedLeases()
-        self._lapsed_tasks: set[asyncio.Task[None]] = set()
+        self._lapsed_tasks: set[asyncio.Task[bool]] = set()
 
     def start_due(self, renew_s: float | None = None) -> None:
         """Starts all due calls.
@@ -136,11 +136,11 @@
         for release in self._lapsed.releases_due(elapsed_s()):
             lapsed_task = asyncio.create_task(self._release_lapsed(release))
             self._lapsed_tasks.add(lapsed_task)
-            lapsed_task.add_done_callback(self._lapsed_tasks.discard)
+            lapsed_task.add_done_callback(partial(self._forget_lapsed, release))
 
     def withdraw(self) -> None:
         """Resets the calls in flight; servers may have read them."""
-        for task in self._tasks | self._lapsed_tasks:
+        for task in (*self._tasks, *self._lapsed_tasks):
             task.cancel()
 
     async def finish(self, within_s: float) -> None:
@@ -183,43 +183,58 @@
         if task.cancelled():
             self._handle_unanswered(call, 'withdrawn')
 
-    async def _run(self, call: OwnershipCall) -> None:
-        limit = self._limit_by_holder.setdefault(
-            call.holder, asyncio.Semaphore(_CALLS_PER_SERVER)
+    def _forget_lapsed(
+        self, release: OwnershipCall, task: asyncio.Task[bool]
+    ) -> None:
+        self._lapsed_tasks.discard(task)
+        answered = not task.cancelled() and task.result()
+        self._lapsed.release_ended(release, elapsed_s(), answered=answered)
+
+    def _limit(self, holder: Holder) -> asyncio.Semaphore:
+        return self._limit_by_holder.setdefault(
+            holder, asyncio.Semaphore(_CALLS_PER_SERVER)
         )
-        async with limit:
+
+    async def _run(self, call: OwnershipCall) -> None:
+        async with self._limit(call.holder):
             address = self.address_by_holder.get(call.holder)
-            blocked = call.kind == CallKind.grant and not self._lapsed.replace(
-                call
-            )
-            if address is None or blocked or not self._may_send(call):
+            if address is None or not self._may_send(call):
+                self._table.call_not_sent(call)
+                return
+            is_grant = call.kind == CallKind.grant
+            if is_grant and not self._lapsed.begin_grant(call):
                 self._table.call_not_sent(call)
                 return
             try:
                 await self._attempt(address, call)
             except (AnswerLostError, TimeoutError) as error:
                 self._handle_unanswered(call, repr(error))
+            finally:
+                if is_grant:
+                    self._lapsed.end_grant(call, accepted=False)
         self._on_changed()
 
-    async def _release_lapsed(self, release: OwnershipCall) -> None:
-        """Asks a server once to release what a late grant may have started."""
-        answered = False
-        address = self.address_by_holder.get(release.holder)
-        try:
-            if address is not None and self._may_send(release):
+    async def _release_lapsed(self, release: OwnershipCall) -> bool:
+        """Asks a server once to release what a late grant may have started.
+
+        Returns:
+            Whether it has answered.
+        """
+        async with self._limit(release.holder):
+            address = self.address_by_holder.get(release.holder)
+            if address is None or not self._may_send(release):
+                return False
+            try:
                 await self._calls.release(
                     address, release, partial(self._may_send, release)
                 )
-                answered = True
-        except WrongServerError:
-            self._end_if_reused(release.holder)
-        except NotSentError as error:
-            if self._may_send(release):
-                self._mark_unreachable(release.holder, str(error))
-        except (AnswerLostError, TimeoutError):
-            self._metrics.count('calls_unanswered', kind=release.kind)
-        finally:
-            self._lapsed.release_ended(release, elapsed_s(), answered=answered)
+            except WrongServerError:
+                self._end_if_reused(release.holder)
+            except (NotSentError, AnswerLostError, TimeoutError):
+                self._metrics.count('lapsed_releases_unanswered')
+            else:
+                return True
+        return False
 
     def _may_send(self, call: OwnershipCall) -> bool:
         ended = call.holder in self.ended or (
@@ -248,6 +263,7 @@
             await self._calls.grant(
                 address, call, self._table.lease_s, may_send
             )
+            self._lapsed.end_grant(call, accepted=True)
             if self._table.grant_answered(
                 call, accepted=True, now_s=elapsed_s()
             ):
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/lapsed_leases.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/lapsed_leases.py
@@ -6,9 +6,11 @@
 and a late grant lasts until the next release is read.
 """
 
-from dataclasses import dataclass
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
 
 from yuccadale_edge._internal.ownership.segments import (
+    LAST_KEY,
     CallKind,
     Holder,
     LeaseEnd,
@@ -31,7 +33,7 @@
         until_s: when the server is no longer asked.
         due_s: when the next release is due.
         answers_left: how many releases the server has to answer.
-        in_flight: whether a release is being sent.
+        in_flight: whether a release, or a grant in its place, is being sent.
     """
 
     until_s: float
@@ -84,30 +86,50 @@
 
     def remove(self, holder: Holder) -> None:
         """Removes the ranges of a server that has ended."""
-        for release in self._of(holder):
+        for release in self._overlapping(holder, 0, LAST_KEY):
             self._lapse_by_release.pop(release)
 
-    def replace(self, grant: OwnershipCall) -> bool:
-        """Removes what a grant to the same server replaces.
+    def begin_grant(self, grant: OwnershipCall) -> bool:
+        """Holds the releases back that a grant to the same server may replace.
 
         Returns:
             False while a release of some of its keys is in flight. It could
             arrive after the grant and end it.
         """
-        replaced = [
-            release
-            for release in self._of(grant.holder)
-            if release.first <= grant.last and release.last >= grant.first
-        ]
-        if any(self._lapse_by_release[one].in_flight for one in replaced):
+        releases = self._overlapping(grant.holder, grant.first, grant.last)
+        if any(self._lapse_by_release[one].in_flight for one in releases):
             return False
-        for release in replaced:
-            self._lapse_by_release.pop(release)
+        for release in releases:
+            self._lapse_by_release[release].in_flight = True
         return True
 
-    def _of(self, holder: Holder) -> list[OwnershipCall]:
+    def end_grant(self, grant: OwnershipCall, *, accepted: bool) -> None:
+        """Removes what an accepted grant replaces; goes on with the rest."""
+        for release in self._overlapping(grant.holder, grant.first, grant.last):
+            lapse = self._lapse_by_release[release]
+            lapse.in_flight = False
+            if accepted:
+                self._lapse_by_release.pop(release)
+                for rest in _without(release, grant):
+                    self._lapse_by_release[rest] = replace(lapse)
+
+    def _overlapping(
+        self, holder: Holder, first: int, last: int
+    ) -> list[OwnershipCall]:
         return [
             release
             for release in self._lapse_by_release
             if release.holder.server_id == holder.server_id
+            and release.first <= last
+            and release.last >= first
         ]
+
+
+def _without(
+    release: OwnershipCall, grant: OwnershipCall
+) -> Iterator[OwnershipCall]:
+    """Yields the parts of a release outside the range of a grant."""
+    if release.first < grant.first:
+        yield replace(release, last=grant.first - 1)
+    if release.last > grant.last:
+        yield replace(release, first=grant.last + 1)
--- a/tests/edge/test_call_runner.py
+++ b/tests/edge/test_call_runner.py
@@ -9,36 +9,40 @@
 
 import pytest
 
+from tests.builders.call_runner_parts import (
+    HOLDER,
+    LEASE_S,
+    OTHER,
+    OTHER_ADDRESS,
+    READY,
+    RENEW_S,
+    now_s,
+    plan_all,
+    receive_rows,
+    runner_of,
+    system_view_of,
+    view_of,
+)
 from tests.builders.leadership_world import use_virtual_clock
 from tests.builders.virtual_time import in_virtual_time
 from yuccadale_edge._internal.observability.metrics import Metrics
-from yuccadale_edge._internal.ownership.call_runner import (
-    CallRunner,
-    ServerCalls,
-)
+from yuccadale_edge._internal.ownership.call_runner import CallRunner
 from yuccadale_edge._internal.ownership.segments import SegmentTable
-from yuccadale_edge._internal.system_view import SERVER_TABLE, SystemView
+from yuccadale_edge._internal.system_view import SystemView
 from yuccadale_edge.instance import (
     NotSentError,
     OwnershipCall,
-    Rows,
     Server,
     ServerState,
     StoredRow,
     WrongServerError,
 )
-from yuccadale_edge.ownership import CLOCK_MARGIN, KEY_COUNT, Holder
+from yuccadale_edge.ownership import CLOCK_MARGIN, Holder
 
-HOLDER = Holder('s', 1)
-OTHER = Holder('other', 1)
-LEASE_S = 4.5
-RENEW_S = 1.4
 _TICK_S = 0.05
 _DURATION_S = 2.0
 _CONNECT_S = 0.4
-_OTHER_ADDRESS = ('10.0.0.2', 1)
-_READY = Server('s', 'ledger', ('10.0.0.1', 1), 'a', 2, ServerState.ready, 1, 0)
-_REUSED = replace(_READY, server_id='next', service='stage', incarnation=2)
+_REUSED = replace(READY, server_id='next', service='stage', incarnation=2)
 
 
 class _RefusesAfterFirstGrant:
@@ -59,7 +63,7 @@
         """Accepts the first grant to each server."""
         if HOLDER == call.holder and self.granted_s_by_holder:
             self._refuse()
-        self.granted_s_by_holder.setdefault(call.holder, _now_s())
+        self.granted_s_by_holder.setdefault(call.holder, now_s())
 
     async def release(self, *_call: object) -> None:
         """Refuses the connection."""
@@ -75,73 +79,20 @@
     use_virtual_clock(monkeypatch)
 
 
-def _system_view(server: Server) -> SystemView:
-    system_view = SystemView(
-        lambda _: None,  # type: ignore[arg-type, return-value]
-        lambda *_: server,
-        max_source_age_s=2.0,
-    )
-    _receive(system_view, StoredRow('s', b'{}', 1))
-    return system_view
-
-
-def _view_of(servers: list[Server]) -> SystemView:
-    """Returns a view of a list of other servers."""
-    server_by_id = {server.server_id: server for server in servers}
-    system_view = SystemView(
-        lambda _: None,  # type: ignore[arg-type, return-value]
-        lambda server_id, _: server_by_id[server_id],
-        max_source_age_s=2.0,
-    )
-    rows = [StoredRow(server_id, b'{}', 1) for server_id in server_by_id]
-    _receive(system_view, *rows)
-    return system_view
-
-
-def _runner(
-    table: SegmentTable, calls: ServerCalls, system_view: SystemView
-) -> CallRunner:
-    runner = CallRunner(
-        table, calls, system_view, lambda: True, lambda: None, Metrics()
-    )
-    runner.address_by_holder[HOLDER] = _READY.address
-    return runner
-
-
-def _plan(table: SegmentTable, target: Holder) -> None:
-    """Plans and records a move of all keys."""
-    table.plan(0, KEY_COUNT - 1, target)
-    table.mark_recorded(table.reserve_fences())
-
-
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
-
-
-def _receive(system_view: SystemView, *rows: StoredRow) -> None:
-    system_view.apply_rows(
-        SERVER_TABLE,
-        Rows(rows, 1),
-        full_snapshot=False,
-        removal_grace=True,
-        confirmed_s=asyncio.get_running_loop().time(),
-    )
-
-
 def _table() -> SegmentTable:
     """Returns a table in which a grant of all keys is due."""
     table = SegmentTable(1, LEASE_S, RENEW_S)
-    _plan(table, HOLDER)
+    plan_all(table, HOLDER)
     return table
 
 
 async def _run_calls(
     system_view: SystemView, *, list_is_fresh: bool = True
 ) -> CallRunner:
-    runner = _runner(_table(), _RefusesAfterFirstGrant(), system_view)
+    runner = runner_of(_table(), _RefusesAfterFirstGrant(), system_view)
     for _ in range(int(_DURATION_S / _TICK_S)):
         if list_is_fresh:
-            _receive(system_view)
+            receive_rows(system_view)
         runner.start_due()
         await asyncio.sleep(_TICK_S)
     return runner
@@ -161,12 +112,12 @@
 ) -> None:
     """Guards against granting keys of a server behind a path that refuses."""
     state = ServerState.leaving if entry == 'leaving' else ServerState.ready
-    system_view = _system_view(replace(_READY, state=state))
+    system_view = system_view_of(replace(READY, state=state))
     if entry == 'removed':
-        _receive(system_view, _removed_entry())
+        receive_rows(system_view, _removed_entry())
     elif entry == 'removed late':
         asyncio.get_running_loop().call_later(
-            1.5, _receive, system_view, _removed_entry()
+            1.5, receive_rows, system_view, _removed_entry()
         )
     runner = await _run_calls(system_view, list_is_fresh=list_is_fresh)
     assert not runner.ended
@@ -179,12 +130,12 @@
     """Guards against keys that wait for longer than the lease requires."""
     table = _table()
     calls = _RefusesAfterFirstGrant()
-    runner = _runner(table, calls, _system_view(_READY))
+    runner = runner_of(table, calls, system_view_of(READY))
     runner.start_due()
     await asyncio.sleep(_TICK_S)
-    granted_s = _now_s()
-    _plan(table, OTHER)
-    runner.address_by_holder[OTHER] = _OTHER_ADDRESS
+    granted_s = now_s()
+    plan_all(table, OTHER)
+    runner.address_by_holder[OTHER] = OTHER_ADDRESS
     while OTHER not in calls.granted_s_by_holder:
         runner.start_due()
         await asyncio.sleep(_TICK_S)
@@ -198,10 +149,10 @@
     """Guards against a connection for each tick while a lease runs out."""
     table = _table()
     calls = _RefusesAfterFirstGrant()
-    runner = _runner(table, calls, _system_view(_READY))
+    runner = runner_of(table, calls, system_view_of(READY))
     runner.start_due()
     await asyncio.sleep(_TICK_S)
-    _plan(table, OTHER)
+    plan_all(table, OTHER)
     for _ in range(int(1 / _TICK_S)):
         runner.start_due()
         await asyncio.sleep(_TICK_S)
@@ -237,7 +188,7 @@
     """
     table = _table()
     calls = _NeverAnswered()
-    runner = _runner(table, calls, _system_view(_READY))
+    runner = runner_of(table, calls, system_view_of(READY))
     runner.start_due()
     if begun:
         await asyncio.sleep(_TICK_S)
@@ -248,7 +199,7 @@
     segment = table.at(0)
     assert not segment.in_flight
     lease_s = LEASE_S * CLOCK_MARGIN
-    assert segment.lease_by_holder[HOLDER].end_s - _now_s() >= lease_s
+    assert segment.lease_by_holder[HOLDER].end_s - now_s() >= lease_s
 
 
 class _AnsweredByAnother:
@@ -265,14 +216,14 @@
     ('entries', 'ended'),
     [
         ([], False),
-        ([_READY], False),
+        ([READY], False),
         # A relay that both servers stand behind.
-        ([_READY, _REUSED], False),
+        ([READY, _REUSED], False),
         ([_REUSED], True),
-        ([replace(_READY, address=_OTHER_ADDRESS), _REUSED], True),
+        ([replace(READY, address=OTHER_ADDRESS), _REUSED], True),
         # It has had the address before.
         ([replace(_REUSED, incarnation=HOLDER.incarnation)], False),
-        ([replace(_REUSED, address=_OTHER_ADDRESS)], False),
+        ([replace(_REUSED, address=OTHER_ADDRESS)], False),
     ],
 )
 @in_virtual_time
@@ -284,7 +235,7 @@
     Guards also against keys that wait for a server whose address was given to
     another one.
     """
-    runner = _runner(_table(), _AnsweredByAnother(), _view_of(entries))
+    runner = runner_of(_table(), _AnsweredByAnother(), view_of(entries))
     runner.start_due()
     await asyncio.sleep(_TICK_S)
     assert bool(runner.ended) == ended
@@ -318,7 +269,7 @@
     table = _table()
     calls = _SlowToConnect()
     leading = True
-    system_view = _system_view(_READY)
+    system_view = system_view_of(READY)
     runner = CallRunner(
         table,
         calls,
@@ -327,7 +278,7 @@
         lambda: None,
         Metrics(),
     )
-    runner.address_by_holder[HOLDER] = _READY.address
+    runner.address_by_holder[HOLDER] = READY.address
     runner.start_due()
     await asyncio.sleep(_CONNECT_S / 2)
     if end == 'leadership':
--- a/tests/edge/test_lapsed_leases.py
+++ b/tests/edge/test_lapsed_leases.py
@@ -43,10 +43,12 @@
     """Guards against a late release that ends a newer grant."""
     lapsed = _lapsed()
     release = lapsed.releases_due(0)[0]
-    assert lapsed.replace(_grant(100, 199))
-    assert not lapsed.replace(_grant(50, 149))
+    assert lapsed.begin_grant(_grant(100, 199))
+    assert not lapsed.begin_grant(_grant(50, 149))
     lapsed.release_ended(release, 0, answered=False)
-    assert lapsed.replace(_grant(50, 149))
+    assert lapsed.begin_grant(_grant(0, 149))
+    assert not lapsed.releases_due(RELEASE_INTERVAL_S)
+    lapsed.end_grant(_grant(0, 149), accepted=True)
     assert not lapsed.releases_due(RELEASE_INTERVAL_S)
 
 
--- a/tests/platform/test_held_calls.py
+++ b/tests/platform/test_held_calls.py
@@ -6,6 +6,8 @@
 
 # At least one renewal is held.
 _BEFORE_LEAVING_S = 1.6
+# At least one renewal is unanswered.
+_UNANSWERED_S = 2.6
 # Until the keys are granted to the other server, by time.
 _UNTIL_MOVED_S = 8.0
 # A late lease would last for longer.
@@ -31,3 +33,25 @@
         longest_s = await relayed.longest_shared_s(_WATCHED_S)
         assert len(late.accepted_grants) > grants
         assert longest_s <= MOMENT_S
+
+
+async def test_a_held_grant_after_a_release_lasts_for_a_moment_only() -> None:
+    """Guards against two holders by a renewal that was held in a proxy.
+
+    The open connections stall; new ones work, so that the server answers the
+    release of its keys while the proxy holds an earlier renewal.
+    """
+    async with relayed_servers() as relayed:
+        late, other = relayed.servers
+        proxy = relayed.proxies[0]
+        proxy.stall_connections()
+        await asyncio.sleep(_UNANSWERED_S)
+        await relayed.register(late, 'draining')
+        await asyncio.sleep(_UNTIL_MOVED_S)
+        assert other.holds(0)
+        assert 'release' in {call[0] for call in late.call_history}
+        grants = len(late.accepted_grants)
+        proxy.resume_connections()
+        longest_s = await relayed.longest_shared_s(_WATCHED_S)
+        assert len(late.accepted_grants) > grants
+        assert longest_s <= MOMENT_S
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -52,6 +52,10 @@
         """Stops forwarding on open connections; new ones work."""
         self._stalled.update(self._writers)
 
+    def resume_connections(self) -> None:
+        """Forwards on stalled connections again, with what they have held."""
+        self._stalled.clear()
+
     def clear_faults(self) -> None:
         """Ends all faults; stalled connections stay stalled."""
         self.delay_s = 0
