Keep a new leader's own unanswered grants when its predecessor reports

A new leader assumes that grants of its predecessor may act late, until it has its report. Its own unanswered renewal was counted in the same field, as the later of both times, so that the report removed it, too: the keys could go to another server while the first one took the renewal.

The assumption has a field of its own. Found by a review; not seen in a play. test_a_report_of_the_earlier_leader_keeps_later_unanswered_grants failed before.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -418,7 +418,7 @@
         holder = intended_owner if intended_owner in usable else None
         stable = segment.target is None and segment.owner is not None
         unconfirmed = any(
-            lease.unconfirmed_until_s > now_s
+            lease.late_until_s > now_s
             for lease in segment.lease_by_holder.values()
         )
         moved_s = self._moved_s_by_range.get((segment.first, segment.last), 0)
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -111,6 +111,8 @@
         fence: fencing token of the grant.
         until_s: latest expiry by the grants that were answered.
         unconfirmed_until_s: latest expiry by a grant that got no answer.
+        assumed_until_s: latest expiry by the grants of an earlier leader that
+            may have got no answer.
         accepted: whether the server has accepted a grant with this token.
         sent_s: when the latest grant was sent.
         handover: token that the previous holder returned with its release;
@@ -124,6 +126,7 @@
     fence: int
     until_s: float
     unconfirmed_until_s: float = 0
+    assumed_until_s: float = 0
     accepted: bool = False
     sent_s: float = 0
     handover: str | None = None
@@ -142,8 +145,13 @@
     def end_s(self) -> float:
         """When the server has lost the keys at the latest."""
         if self.released:
-            return self.unconfirmed_until_s
-        return max(self.until_s, self.unconfirmed_until_s)
+            return self.late_until_s
+        return max(self.until_s, self.late_until_s)
+
+    @property
+    def late_until_s(self) -> float:
+        """When the lease by a grant that is applied late has expired."""
+        return max(self.unconfirmed_until_s, self.assumed_until_s)
 
 
 @dataclass(slots=True)
@@ -332,7 +340,7 @@
         return not any(
             segment.in_flight
             or any(
-                lease.unconfirmed_until_s > now_s
+                lease.late_until_s > now_s
                 for lease in segment.lease_by_holder.values()
             )
             for segment in self.segments
@@ -375,11 +383,11 @@
             self.split(grant.last + 1)
         for segment in self.segments:
             for holder, lease in segment.lease_by_holder.items():
-                if lease.unconfirmed_until_s == assumed_until_s:
+                if lease.assumed_until_s == assumed_until_s:
                     remaining_s = _longest_unconfirmed_s(
                         segment, holder, reported
                     )
-                    lease.unconfirmed_until_s = (
+                    lease.assumed_until_s = (
                         now_s + remaining_s if remaining_s else 0
                     )
 
@@ -523,9 +531,7 @@
     def _unconfirmed_s(
         self, segment: Segment, holder: Holder, now_s: float
     ) -> float:
-        unconfirmed_s = (
-            segment.lease_by_holder[holder].unconfirmed_until_s - now_s
-        )
+        unconfirmed_s = segment.lease_by_holder[holder].late_until_s - now_s
         if holder in segment.in_flight:
             # The call may still arrive.
             unconfirmed_s = self.lease_s * CLOCK_MARGIN + LATEST_ARRIVAL_S
@@ -615,6 +621,7 @@
             # accepted this one.
             lease.until_s = 0 if earlier.released else earlier.until_s
             lease.unconfirmed_until_s = earlier.unconfirmed_until_s
+            lease.assumed_until_s = earlier.assumed_until_s
         segment.lease_by_holder[holder] = lease
         segment.last_fence = fence
         return lease
@@ -680,7 +687,7 @@
     return Lease(
         fence=0,
         until_s=latest_end_s,
-        unconfirmed_until_s=latest_end_s,
+        assumed_until_s=latest_end_s,
         released=True,
     )
 
@@ -748,6 +755,9 @@
     lower_lease.unconfirmed_until_s = max(
         lower_lease.unconfirmed_until_s, upper_lease.unconfirmed_until_s
     )
+    lower_lease.assumed_until_s = max(
+        lower_lease.assumed_until_s, upper_lease.assumed_until_s
+    )
     lower_lease.sent_s = min(lower_lease.sent_s, upper_lease.sent_s)
     lower.last = upper.last
     lower.last_fence = max(lower.last_fence, upper.last_fence)
--- a/tests/edge/test_lease_calls.py
+++ b/tests/edge/test_lease_calls.py
@@ -218,3 +218,38 @@
     calls.release_s = 0.2
     await _tick(runner, 0.5)
     assert calls.most_at_once <= 4
+
+
+def test_a_report_of_the_earlier_leader_keeps_later_unanswered_grants() -> None:
+    """Guards against two holders after the report of the previous leader.
+
+    The new leader's own renewal got no answer before the report arrived, and
+    the server applies it late.
+    """
+    assumed_s = LATEST_ARRIVAL_S + _LEASE_END_S
+    table = SegmentTable(2, LEASE_S, RENEW_S)
+    lease = Lease(
+        5, until_s=assumed_s, unconfirmed_until_s=assumed_s, accepted=True
+    )
+    table.load(
+        [
+            Segment(
+                0,
+                KEY_COUNT - 1,
+                owner=HOLDER,
+                lease_by_holder={HOLDER: lease},
+                recorded=True,
+                last_fence=5,
+            )
+        ]
+    )
+    renewal = table.calls_due(2)[0]
+    assert renewal.kind == CallKind.grant
+    # Taken over at 0 s; the connection was reset just after the call.
+    table.call_unanswered(renewal, 0.2)
+    table.replace_assumed_grants(assumed_s, [], 1)
+    assert table.at(0).lease_by_holder[HOLDER].unconfirmed_until_s > 4
+    plan_all(table, OTHER)
+    release = table.calls_due(1.1)[0]
+    table.release_answered(release, None, 1.2)
+    assert not table.calls_due(1.3)
