Do not release the keys that a restarted server has got again

When the lease of a server's earlier process ran out, the leader went on asking for the keys under the same id, where the next process had them by a newer grant: callers were refused until the next renewal. A grant could also overtake a release to the process before.

An accepted grant ends the leases of earlier processes of the server, and a grant waits for any call to the server about the keys.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -71,6 +71,7 @@
 
     released = 'released'
     expired = 'expired'
+    replaced = 'replaced'
     server_ended = 'server_ended'
 
 
@@ -431,6 +432,7 @@
                 lease.accepted = True
                 lease.until_s = max(lease.until_s, self._lease_end(now_s))
                 self._handle_acceptance(segment, call.holder)
+                self._end_earlier_processes(segment, call.holder)
             else:
                 self._handle_refusal(segment, call.holder, lease)
         return accepted and len(self.changed) > changes
@@ -556,7 +558,9 @@
             # Requests stop before the owner is asked to release.
             self._set_owner(segment, None)
         yield from self._releases(segment, other_holders, now_s)
-        if keeper is None or other_holders or keeper in segment.in_flight:
+        if keeper is None or other_holders:
+            return
+        if any(one.server_id == keeper.server_id for one in segment.in_flight):
             return
         lease = self._lease_to_send(segment, keeper)
         if lease is None:
@@ -596,6 +600,13 @@
         if segment.owner != holder:
             self._set_owner(segment, holder)
 
+    def _end_earlier_processes(self, segment: Segment, holder: Holder) -> None:
+        """Ends the leases that an accepted grant to a server replaces."""
+        for earlier in list(segment.lease_by_holder):
+            same_server = earlier.server_id == holder.server_id
+            if same_server and earlier != holder:
+                self._end_lease(segment, earlier, LeaseEndReason.replaced)
+
     def _handle_refusal(
         self, segment: Segment, holder: Holder, lease: Lease
     ) -> None:
--- a/tests/edge/test_lease_calls.py
+++ b/tests/edge/test_lease_calls.py
@@ -253,3 +253,54 @@
     release = table.calls_due(1.1)[0]
     table.release_answered(release, None, 1.2)
     assert not table.calls_due(1.3)
+
+
+@in_virtual_time
+async def test_keys_of_a_restarted_server_are_not_released_at_their_owner() -> (
+    None
+):
+    """Guards against a release that a server's next process takes for its own.
+
+    The lease of the earlier process runs out while the next one owns the keys.
+    """
+    table = _owned_table()
+    calls = _Recorded()
+    runner = runner_of(table, calls, system_view_of(READY))
+    await _tick(runner, 0.2)
+    runner.mark_restarted(
+        HOLDER, replace(READY, incarnation=NEXT_LIFE.incarnation)
+    )
+    runner.address_by_holder[NEXT_LIFE] = READY.address
+    plan_all(table, NEXT_LIFE)
+    await _tick(runner, 0.2)
+    assert table.at(0).owner == NEXT_LIFE
+    await _tick(runner, 2 * LEASE_S)
+    assert table.at(0).owner == NEXT_LIFE
+    releases = [
+        (round(at_s, 2), call)
+        for at_s, call in calls.calls
+        if call.kind == CallKind.release
+    ]
+    assert not releases
+
+
+@in_virtual_time
+async def test_releases_and_grants_to_the_same_server_do_not_overtake() -> None:
+    """Guards against a release to a server's next process after its grant."""
+    table = _owned_table()
+    calls = _Recorded()
+    calls.release_s = 2.5
+    runner = runner_of(table, calls, system_view_of(READY))
+    await _tick(runner, 0.2)
+    runner.mark_restarted(
+        HOLDER, replace(READY, incarnation=NEXT_LIFE.incarnation)
+    )
+    runner.address_by_holder[NEXT_LIFE] = READY.address
+    runner.address_by_holder[OTHER] = OTHER_ADDRESS
+    plan_all(table, OTHER)
+    await _tick(runner, 0.2)
+    assert calls.at_once == 1
+    plan_all(table, NEXT_LIFE)
+    await _tick(runner, 0.2)
+    granted = [call for _, call in calls.calls if call.holder == NEXT_LIFE]
+    assert not (granted and calls.at_once)
