Space the attempts to send a first grant

A grant that could not be sent was due again at the next tick, every 0.05 s, until the plan changed. It now waits for 0.3 s, as renewals and releases do. test_a_first_grant_that_is_refused_is_spaced failed before, found by a review.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -18,6 +18,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
+from math import inf
 from typing import NamedTuple
 
 from yuccadale_edge._internal.model import KEY_COUNT
@@ -119,7 +120,7 @@
         handover: token that the previous holder returned with its release;
             renewals repeat it.
         released: whether the server has answered a release.
-        release_due_s: when a release may be sent again.
+        call_due_s: when a call may be sent again.
         renewable: false if the server has started again since it was granted,
             or refused to renew it.
     """
@@ -132,7 +133,7 @@
     sent_s: float = 0
     handover: str | None = None
     released: bool = False
-    release_due_s: float = 0
+    call_due_s: float = 0
     renewable: bool = True
 
     @property
@@ -451,10 +452,7 @@
 
     def call_not_sent(self, call: OwnershipCall) -> None:
         """Handles a call of which no byte was sent."""
-        for segment, lease in self._end_call(call):
-            unused = not lease.accepted and not lease.end_s
-            if call.kind == CallKind.grant and unused:
-                segment.lease_by_holder.pop(call.holder, None)
+        self._end_call(call)
 
     def retry_call_after(
         self, call: OwnershipCall, after_s: float, now_s: float
@@ -464,10 +462,9 @@
             lease = segment.lease_by_holder.get(call.holder)
             if lease is None or lease.fence != call.fence:
                 continue
+            lease.call_due_s = now_s + after_s
             if call.kind == CallKind.grant:
-                lease.sent_s = now_s + after_s - self._renew_s
-            else:
-                lease.release_due_s = now_s + after_s
+                lease.sent_s = -inf
 
     def release_answered(
         self, call: OwnershipCall, handover: str | None, now_s: float
@@ -563,7 +560,7 @@
         if any(one.server_id == keeper.server_id for one in segment.in_flight):
             return
         lease = self._lease_to_send(segment, keeper)
-        if lease is None:
+        if lease is None or now_s < lease.call_due_s:
             return
         if lease.accepted and now_s - lease.sent_s < renew_s:
             return
@@ -578,7 +575,7 @@
     ) -> Iterator[OwnershipCall]:
         for holder in holders:
             lease = segment.lease_by_holder[holder]
-            due = not lease.released and now_s >= lease.release_due_s
+            due = not lease.released and now_s >= lease.call_due_s
             if due and holder not in segment.in_flight:
                 segment.in_flight.add(holder)
                 yield _make_call(CallKind.release, segment, holder, lease.fence)
--- a/tests/edge/test_lease_calls.py
+++ b/tests/edge/test_lease_calls.py
@@ -304,3 +304,14 @@
     await _tick(runner, 0.2)
     granted = [call for _, call in calls.calls if call.holder == NEXT_LIFE]
     assert not (granted and calls.at_once)
+
+
+@in_virtual_time
+async def test_a_first_grant_that_is_refused_is_spaced() -> None:
+    """Guards against a connection for each tick."""
+    table = _owned_table()
+    calls = _Recorded()
+    calls.reach = lambda *_: False
+    runner = runner_of(table, calls, system_view_of(READY))
+    await _tick(runner, 1)
+    assert 1 <= len(calls.calls) <= 5
