End a lease by its time also while a release of it is in flight

The keys of a server that is frozen waited for the end of the release in flight, up to 3 s longer than its lease.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -121,6 +121,7 @@
             renewals repeat it.
         released: whether the server has answered a release.
         call_due_s: when a call may be sent again.
+        releasing: whether a release is in flight.
         renewable: false if the server has started again since it was granted,
             or refused to renew it.
     """
@@ -134,6 +135,7 @@
     handover: str | None = None
     released: bool = False
     call_due_s: float = 0
+    releasing: bool = False
     renewable: bool = True
 
     @property
@@ -322,7 +324,7 @@
             lease = segment.lease_by_holder.get(holder)
             if lease is not None:
                 lease.renewable = False
-                if holder in segment.in_flight:
+                if holder in segment.in_flight and not lease.releasing:
                     lease.unconfirmed_until_s = self._lease_end(
                         now_s + LATEST_ARRIVAL_S
                     )
@@ -577,6 +579,7 @@
             lease = segment.lease_by_holder[holder]
             due = not lease.released and now_s >= lease.call_due_s
             if due and holder not in segment.in_flight:
+                lease.releasing = True
                 segment.in_flight.add(holder)
                 yield _make_call(CallKind.release, segment, holder, lease.fence)
 
@@ -650,6 +653,7 @@
             segment.in_flight.discard(call.holder)
             lease = segment.lease_by_holder.get(call.holder)
             if lease is not None and lease.fence == call.fence:
+                lease.releasing = False
                 leases.append((segment, lease))
         return leases
 
@@ -657,9 +661,9 @@
         for holder, lease in list(segment.lease_by_holder.items()):
             needed = holder in {segment.intended_owner, segment.keeper}
             kept = needed and not lease.released
-            if kept or holder in segment.in_flight:
-                continue
-            if now_s > lease.end_s:
+            # A release in flight cannot start a lease.
+            granting = holder in segment.in_flight and not lease.releasing
+            if not kept and not granting and now_s > lease.end_s:
                 self._end_lease(segment, holder, lease.expiry_reason)
 
     def _end_lease(
--- a/tests/edge/test_lease_calls.py
+++ b/tests/edge/test_lease_calls.py
@@ -315,3 +315,28 @@
     runner = runner_of(table, calls, system_view_of(READY))
     await _tick(runner, 1)
     assert 1 <= len(calls.calls) <= 5
+
+
+@in_virtual_time
+async def test_keys_of_a_frozen_server_wait_for_its_lease_and_no_longer() -> (
+    None
+):
+    """Guards against keys that wait for a release after the lease is over."""
+    table = _owned_table()
+    calls = _Recorded()
+    runner = runner_of(table, calls, system_view_of(READY))
+    runner.start_due()
+    await asyncio.sleep(_TICK_S)
+    granted_s = now_s()
+
+    async def time_out(_address: object, _call: object, *_: object) -> None:
+        await asyncio.sleep(3)
+        raise TimeoutError
+
+    calls.release = time_out  # type: ignore[method-assign]
+    plan_all(table, OTHER)
+    runner.address_by_holder[OTHER] = OTHER_ADDRESS
+    while table.at(0).owner != OTHER:
+        runner.start_due()
+        await asyncio.sleep(_TICK_S)
+    assert now_s() - granted_s <= _LEASE_END_S + LATEST_ARRIVAL_S
