Repair the removed rule on unanswered grants in the histories

Its replacement of _releases took one argument too few since releases are due again after a delay, so the test ended with a TypeError instead of a history. It demands the same as before: a violation must be found.

--- a/tests/edge/test_segments_fuzz.py
+++ b/tests/edge/test_segments_fuzz.py
@@ -101,7 +101,7 @@
     patch.setattr(
         segments.SegmentTable,
         '_releases',
-        lambda _table, _segment, _holders: iter(()),
+        lambda _table, _segment, _holders, _now_s: iter(()),
     )
     patch.setattr(
         segments.Lease, 'end_s', property(lambda lease: lease.until_s)
