Keep what a new leader has sent when its predecessor reports

Callers' keys could have two holders after quick changes of the leader. A leader that has lost its role reports which of its grants servers may still apply, and its successor drops what it had assumed.

The successor recognised its assumption by its time, which an unanswered renewal of its own did not raise if it ended before; that was dropped as well. And the report was taken by any leader whose record was of the reporter's epoch: also by the next but one, whose predecessor had only renewed and stored no record. The renewals of that one were forgotten.

The assumption is now kept apart from the leader's own unanswered grants, and only the next epoch takes a report: no other leader can have acted between. A report that arrives late or twice only shortens the assumption.

The random histories now play chains of leaders with resignations, calls in flight, and reports that arrive late, twice or never.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -122,9 +122,6 @@
         self._record_retry_s: float = 0
         self._recorded = True
         self._ending = False
-        # The previous leader, and until when its unanswered grants may last.
-        self._previous_epoch = 0
-        self._assumed_until_s: float = 0
 
     @property
     def keys_moving(self) -> bool:
@@ -147,8 +144,6 @@
                     held.port,
                 )
         self.speeds.assume(record.speed_by_server)
-        self._previous_epoch = record.epoch
-        self._assumed_until_s = latest_end_s
         self.table.load(segments_of(record, latest_end_s))
         if record.all_calls_answered:
             # The stored record must no longer say so once a call is sent.
@@ -201,13 +196,13 @@
         self, epoch: int, unconfirmed_grants: list[UnconfirmedGrant]
     ) -> None:
         """Applies the previous leader's report on its unanswered grants."""
-        if epoch != self._previous_epoch:
-            return
-        self.table.replace_assumed_grants(
-            self._assumed_until_s, unconfirmed_grants, elapsed_s()
+        replaced = self.table.replace_assumed_grants(
+            epoch, unconfirmed_grants, elapsed_s()
         )
         _log.info(
-            'previous leader reported its unconfirmed grants',
+            'previous leader reported its unconfirmed grants'
+            if replaced
+            else 'report of unconfirmed grants ignored, others led since',
             service=self.service,
             epoch=epoch,
             left=len(unconfirmed_grants),
@@ -410,7 +405,7 @@
         holder = intended_owner if intended_owner in usable else None
         stable = segment.target is None and segment.owner is not None
         unconfirmed = any(
-            lease.unconfirmed_until_s > now_s
+            lease.unanswered_until_s > now_s
             for lease in segment.lease_by_holder.values()
         )
         moved_s = self._moved_s_by_range.get((segment.first, segment.last), 0)
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/records.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/records.py
@@ -173,15 +173,15 @@
         record: as the previous leader stored it.
         latest_end_s: when the last lease by that leader expires at the latest.
     """
-    unconfirmed_until_s = 0 if record.all_calls_answered else latest_end_s
+    assumed_until_s = 0 if record.all_calls_answered else latest_end_s
     return [
-        _segment(segment, latest_end_s, unconfirmed_until_s)
+        _segment(segment, latest_end_s, assumed_until_s)
         for segment in record.segments
     ]
 
 
 def _segment(
-    record: SegmentRecord, latest_end_s: float, unconfirmed_until_s: float
+    record: SegmentRecord, latest_end_s: float, assumed_until_s: float
 ) -> Segment:
     fences = [held.fence for held in record.holders]
     segment = Segment(
@@ -194,7 +194,7 @@
         lease = Lease(
             stored.fence,
             until_s=latest_end_s,
-            unconfirmed_until_s=unconfirmed_until_s,
+            assumed_until_s=assumed_until_s,
             accepted=True,
         )
         if stored.holder == UNKNOWN_HOLDER:
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -111,6 +111,8 @@
         fence: fencing token of the grant.
         until_s: latest expiry by the grants that were answered.
         unconfirmed_until_s: latest expiry by a grant that got no answer.
+        assumed_until_s: latest expiry by a grant that an earlier leader may
+            have sent without an answer.
         accepted: whether the server has accepted a grant with this token.
         sent_s: when the latest grant was sent.
         handover: token that the previous holder returned with its release;
@@ -124,6 +126,7 @@
     fence: int
     until_s: float
     unconfirmed_until_s: float = 0
+    assumed_until_s: float = 0
     accepted: bool = False
     sent_s: float = 0
     handover: str | None = None
@@ -138,12 +141,17 @@
             return LeaseEndReason.released
         return LeaseEndReason.expired
 
+    @property
+    def unanswered_until_s(self) -> float:
+        """Latest expiry by a grant without an answer, of any leader."""
+        return max(self.unconfirmed_until_s, self.assumed_until_s)
+
     @property
     def end_s(self) -> float:
         """When the server has lost the keys at the latest."""
         if self.released:
-            return self.unconfirmed_until_s
-        return max(self.until_s, self.unconfirmed_until_s)
+            return self.unanswered_until_s
+        return max(self.until_s, self.unanswered_until_s)
 
 
 @dataclass(slots=True)
@@ -332,7 +340,7 @@
         return not any(
             segment.in_flight
             or any(
-                lease.unconfirmed_until_s > now_s
+                lease.unanswered_until_s > now_s
                 for lease in segment.lease_by_holder.values()
             )
             for segment in self.segments
@@ -358,30 +366,36 @@
 
     def replace_assumed_grants(
         self,
-        assumed_until_s: float,
+        epoch: int,
         unconfirmed_grants: Iterable[UnconfirmedGrant],
         now_s: float,
-    ) -> None:
-        """Replaces the assumptions about an earlier leader's grants.
+    ) -> bool:
+        """Replaces the assumptions about the previous leader's grants.
+
+        Its report covers the grants of all leaders before it, but not those
+        of a leader after it, which may have stored no record.
 
         Args:
-            assumed_until_s: the latest expiry that was assumed at the takeover.
-            unconfirmed_grants: those that the earlier leader reported.
+            epoch: epoch of the leader that sent the report.
+            unconfirmed_grants: those that it reported.
             now_s: the present time.
+
+        Returns:
+            Whether they were replaced: no other leader led since that one.
         """
+        if not self._follows(epoch):
+            return False
         reported = list(unconfirmed_grants)
         for grant in reported:
             self.split(grant.first)
             self.split(grant.last + 1)
         for segment in self.segments:
             for holder, lease in segment.lease_by_holder.items():
-                if lease.unconfirmed_until_s == assumed_until_s:
-                    remaining_s = _longest_unconfirmed_s(
-                        segment, holder, reported
-                    )
-                    lease.unconfirmed_until_s = (
-                        now_s + remaining_s if remaining_s else 0
-                    )
+                remaining_s = _longest_unconfirmed_s(segment, holder, reported)
+                lease.assumed_until_s = min(
+                    lease.assumed_until_s, now_s + remaining_s
+                )
+        return True
 
     def merge_adjacent(self) -> None:
         """Merges adjacent segments with the same lease and no calls."""
@@ -524,13 +538,17 @@
         self, segment: Segment, holder: Holder, now_s: float
     ) -> float:
         unconfirmed_s = (
-            segment.lease_by_holder[holder].unconfirmed_until_s - now_s
+            segment.lease_by_holder[holder].unanswered_until_s - now_s
         )
         if holder in segment.in_flight:
             # The call may still arrive.
             unconfirmed_s = self.lease_s * CLOCK_MARGIN + LATEST_ARRIVAL_S
         return unconfirmed_s
 
+    def _follows(self, epoch: int) -> bool:
+        """Whether no other leader can have led since that of an epoch."""
+        return epoch == self._epoch - 1
+
     def _segment_calls(
         self, segment: Segment, now_s: float, renew_s: float
     ) -> Iterator[OwnershipCall]:
@@ -615,6 +633,7 @@
             # accepted this one.
             lease.until_s = 0 if earlier.released else earlier.until_s
             lease.unconfirmed_until_s = earlier.unconfirmed_until_s
+            lease.assumed_until_s = earlier.assumed_until_s
         segment.lease_by_holder[holder] = lease
         segment.last_fence = fence
         return lease
@@ -748,6 +767,9 @@
     lower_lease.unconfirmed_until_s = max(
         lower_lease.unconfirmed_until_s, upper_lease.unconfirmed_until_s
     )
+    lower_lease.assumed_until_s = max(
+        lower_lease.assumed_until_s, upper_lease.assumed_until_s
+    )
     lower_lease.sent_s = min(lower_lease.sent_s, upper_lease.sent_s)
     lower.last = upper.last
     lower.last_fence = max(lower.last_fence, upper.last_fence)
--- a/packages/edge/src/yuccadale_edge/ownership.py
+++ b/packages/edge/src/yuccadale_edge/ownership.py
@@ -23,6 +23,7 @@
     OwnershipCall,
     Segment,
     SegmentTable,
+    UnconfirmedGrant,
 )
 from yuccadale_edge._internal.ownership.speeds import (
     ServerSpeeds,
@@ -45,6 +46,7 @@
     'OwnershipCall',
     'Segment',
     'SegmentTable',
+    'UnconfirmedGrant',
     'ServerSpeeds',
     'Span',
     'fair_loads',
--- a/tests/builders/edge_key_servers.py
+++ b/tests/builders/edge_key_servers.py
@@ -16,6 +16,7 @@
     KeysRecord,
     OwnershipCall,
     SegmentTable,
+    UnconfirmedGrant,
     record_of,
     segments_of,
 )
@@ -24,10 +25,18 @@
 _BUCKET_KEYS = KEY_COUNT // BUCKETS
 LEASE_S = 5.0
 RENEW_S = 1.0
-# An unanswered grant is applied within this time.
+# A call that was withdrawn arrives within this time.
+_NETWORK_DELAY_S = 0.4
+# An unanswered grant is applied within this time after its arrival.
 _LATE_GRANT_S = 12.0
-# A takeover waits at least this long, so that no call is in flight.
-_TAKEOVER_S = 3.2
+# Times from the last call of a leader to the takeover by the next one.
+_TAKEOVERS_S = (0.3, 1.0, 3.2)
+# Leaders that follow one another before other steps, and times between them.
+_CHAINS = (1, 1, 2, 3)
+_CHAIN_STEPS_S = (0.01, 0.3, 0.8)
+# A report of an earlier leader arrives within this time, so often.
+_MAX_REPORT_DELAY_S = 4.0
+_REPORT_COUNTS = (0, 1, 1, 2)
 
 
 @dataclass
@@ -39,8 +48,8 @@
 
 
 @dataclass
-class LateGrant:
-    """A grant that got no answer and is applied later."""
+class LateCall:
+    """A call that got no answer and is applied later."""
 
     at_s: float
     arrived_s: float
@@ -48,6 +57,15 @@
     receiver: Holder | None
 
 
+@dataclass
+class LateReport:
+    """A report of an earlier leader on its unanswered grants."""
+
+    at_s: float
+    epoch: int
+    unconfirmed_grants: list[UnconfirmedGrant]
+
+
 def buckets_of(first: int, last: int) -> range:
     """Returns the buckets of a range that is aligned to them."""
     return range(first // _BUCKET_KEYS, last // _BUCKET_KEYS + 1)
@@ -64,8 +82,10 @@
 # The entry of a server that has started again reaches the leader within this
 # time.
 _NOTICE_S = 3.0
-# Share of replaced leaders that still report their unanswered grants.
-_REPORTS_GRANTS = 50
+# Share of leaders that resign.
+_RESIGNS = 30
+# Share of leaders that end while calls are in flight.
+_CALLS_IN_FLIGHT = 50
 
 
 class KeyServerSimulation:
@@ -76,12 +96,15 @@
         self.now_s = 100.0
         self.leases_by_holder: dict[Holder, ServerLeases] = {}
         self.violations: list[str] = []
-        self._late: list[LateGrant] = []
+        self._late: list[LateCall] = []
+        self._reports: list[LateReport] = []
         self._unnoticed: list[tuple[float, Holder]] = []
         self._highest_fence_by_bucket: dict[int, tuple[int, Holder]] = {}
         self._address_by_holder: dict[Holder, tuple[str, int]] = {}
         self._epoch = 1
         self._stored: KeysRecord | None = None
+        # Whether the record says that this leader may have sent calls.
+        self._recorded = True
         for number in range(4):
             self._start(f's{number}', 1)
         self.table = SegmentTable(1, LEASE_S, RENEW_S)
@@ -92,7 +115,7 @@
             (6, self._plan),
             (12, self._send_due_calls),
             (2, self._restart_server),
-            (1, self._change_leader),
+            (1, self._change_leaders),
         )
         weights = [weight for weight, _ in actions]
         for _ in range(steps):
@@ -119,8 +142,11 @@
             self._epoch, self.table, self._address_by_holder
         )
         self.table.mark_recorded(version)
+        self._recorded = True
 
     def _send_due_calls(self) -> None:
+        if not self._recorded:
+            return
         self.table.merge_adjacent()
         for call in self.table.calls_due(self.now_s):
             self._deliver(call)
@@ -132,14 +158,7 @@
         elif call.kind == CallKind.release:
             self._deliver_release(call, answered=outcome >= _RELEASE_UNANSWERED)
         elif outcome < _LATE:
-            self._late.append(
-                LateGrant(
-                    self.now_s + self.random.uniform(0, _LATE_GRANT_S),
-                    self.now_s,
-                    call,
-                    self._living(call.holder.server_id),
-                )
-            )
+            self._send_late(call, _NETWORK_DELAY_S)
             self.table.call_unanswered(call, self.now_s)
         else:
             accepted = self._apply_grant(call, self.now_s)
@@ -150,15 +169,30 @@
                     call, accepted=accepted, now_s=self.now_s
                 )
 
+    def _send_late(self, call: OwnershipCall, latest_arrival_s: float) -> None:
+        """Sends a call whose arrival the leader does not learn."""
+        arrived_s = self.now_s + self.random.uniform(0, latest_arrival_s)
+        self._late.append(
+            LateCall(
+                arrived_s + self.random.uniform(0, _LATE_GRANT_S),
+                arrived_s,
+                call,
+                self._living(call.holder.server_id),
+            )
+        )
+
     def _deliver_release(self, call: OwnershipCall, *, answered: bool) -> None:
-        leases = self._leases(call)
-        for bucket in buckets_of(call.first, call.last):
-            leases.until_by_bucket.pop(bucket, None)
+        self._apply_release(call)
         if answered:
             self.table.release_answered(call, 'token', self.now_s)
         else:
             self.table.call_unanswered(call, self.now_s)
 
+    def _apply_release(self, call: OwnershipCall) -> None:
+        leases = self._leases(call)
+        for bucket in buckets_of(call.first, call.last):
+            leases.until_by_bucket.pop(bucket, None)
+
     def _apply_grant(self, call: OwnershipCall, arrived_s: float) -> bool:
         leases = self._leases(call)
         buckets = buckets_of(call.first, call.last)
@@ -202,16 +236,29 @@
 
     def _advance(self, by_s: float) -> None:
         end_s = self.now_s + by_s
-        for late in sorted(self._late, key=lambda grant: grant.at_s):
-            if late.at_s > end_s:
-                continue
+        late_calls = [late for late in self._late if late.at_s <= end_s]
+        for late in sorted(late_calls, key=lambda call: call.at_s):
             self.now_s = max(self.now_s, late.at_s)
             self._late.remove(late)
             # The connection was to the process that has ended meanwhile.
-            if late.receiver in self.leases_by_holder:
+            if late.receiver not in self.leases_by_holder:
+                continue
+            if late.call.kind == CallKind.release:
+                self._apply_release(late.call)
+            else:
                 self._apply_grant(late.call, late.arrived_s)
         self.now_s = end_s
         self._notice_restarts()
+        self._deliver_reports()
+
+    def _deliver_reports(self) -> None:
+        """Delivers the reports that have arrived to the present leader."""
+        for report in list(self._reports):
+            if report.at_s <= self.now_s:
+                self._reports.remove(report)
+                self.table.replace_assumed_grants(
+                    report.epoch, report.unconfirmed_grants, self.now_s
+                )
 
     def _living(self, server_id: str) -> Holder | None:
         """Returns the incarnation that answers calls to a server id."""
@@ -242,20 +289,57 @@
             noticed_s = self.now_s + self.random.uniform(0, _NOTICE_S)
             self._unnoticed.append((noticed_s, holder))
 
+    def _change_leaders(self) -> None:
+        """Lets some leaders follow one another, each with a few calls."""
+        for _ in range(self.random.choice(_CHAINS)):
+            self._change_leader()
+            self._advance(self.random.choice(_CHAIN_STEPS_S))
+            self._send_due_calls()
+
     def _change_leader(self) -> None:
-        self._advance(_TAKEOVER_S)
+        if self.random.randrange(_PERCENT) < _CALLS_IN_FLIGHT:
+            self._leave_calls_in_flight()
+        if self.random.randrange(_PERCENT) < _RESIGNS:
+            self._resign()
+        else:
+            self._advance(self.random.choice(_TAKEOVERS_S))
+        self._report_unconfirmed_grants()
         self._epoch += 1
-        unconfirmed = self.table.unconfirmed_grants(self.now_s)
         self.table = SegmentTable(self._epoch, LEASE_S, RENEW_S)
         if self._stored is not None:
             latest_end_s = (
                 self.now_s + LEASE_S * CLOCK_MARGIN + LATEST_ARRIVAL_S
             )
             self.table.load(segments_of(self._stored, latest_end_s))
-            if self.random.randrange(_PERCENT) < _REPORTS_GRANTS:
-                self.table.replace_assumed_grants(
-                    latest_end_s, unconfirmed, self.now_s
-                )
+            self._recorded = not self._stored.all_calls_answered
+            if not self._recorded:
+                self.table.require_record()
+
+    def _leave_calls_in_flight(self) -> None:
+        """Sends the due calls; the leader ends before it has the answers."""
+        if not self._recorded:
+            return
+        for call in self.table.calls_due(self.now_s):
+            if self._living(call.holder.server_id) is not None:
+                self._send_late(call, LATEST_ARRIVAL_S)
+
+    def _resign(self) -> None:
+        self.table.reserve_fences()
+        self._stored = record_of(
+            self._epoch,
+            self.table,
+            self._address_by_holder,
+            all_calls_answered=self.table.all_calls_answered(self.now_s),
+        )
+
+    def _report_unconfirmed_grants(self) -> None:
+        """Sends the next leader a report, which may arrive late or twice."""
+        unconfirmed = self.table.unconfirmed_grants(self.now_s)
+        for _ in range(self.random.choice(_REPORT_COUNTS)):
+            delay_s = self.random.uniform(0, _MAX_REPORT_DELAY_S)
+            self._reports.append(
+                LateReport(self.now_s + delay_s, self._epoch, unconfirmed)
+            )
 
     def _start(self, server_id: str, incarnation: int) -> None:
         holder = Holder(server_id, incarnation)
--- a/tests/edge/test_segments.py
+++ b/tests/edge/test_segments.py
@@ -8,6 +8,8 @@
     OwnershipCall,
     Segment,
     SegmentTable,
+    record_of,
+    segments_of,
 )
 
 LEASE_S = 5.0
@@ -109,3 +111,50 @@
     assert [(call.kind, call.holder) for call in granted] == [
         (CallKind.grant, OTHER)
     ]
+
+
+def _taken_over_table(epoch: int) -> SegmentTable:
+    """Returns a new leader's table with the record of epoch 1, at 0 s."""
+    record = record_of(1, _owned_table(), {OWNER: ('127.0.0.1', 1)})
+    table = SegmentTable(epoch, LEASE_S, RENEW_S)
+    table.load(segments_of(record, latest_end_s=LEASE_S + 1))
+    return table
+
+
+def _kinds_after_release(table: SegmentTable) -> set[CallKind]:
+    """Moves all keys; returns the calls due when the owner released them."""
+    table.plan(0, KEY_COUNT - 1, OTHER)
+    table.mark_recorded(table.reserve_fences())
+    _accept(table, table.calls_due(1), now_s=1)
+    return {call.kind for call in table.calls_due(1.1)}
+
+
+def test_a_report_leaves_what_its_receiver_has_sent() -> None:
+    """Guards against two holders after a report of the previous leader.
+
+    A new leader's own unanswered renewal ended before the expiry that it
+    assumed for its predecessor's, and was forgotten with that assumption.
+    """
+    table = _taken_over_table(epoch=2)
+    for renewal in table.calls_due(0, renew_s=0):
+        table.call_unanswered(renewal, now_s=0.1)
+    assert table.replace_assumed_grants(1, [], now_s=0.2)
+    assert not _kinds_after_release(table)
+
+
+def test_a_report_of_an_earlier_than_the_previous_leader_is_ignored() -> None:
+    """Guards against two holders after leaders that followed one another.
+
+    A leader that only renewed leaves the record of the one before it, whose
+    late report was applied to its renewals too.
+    """
+    table = _taken_over_table(epoch=3)
+    assert not table.replace_assumed_grants(1, [], now_s=0.2)
+    assert not _kinds_after_release(table)
+
+
+def test_a_report_of_the_previous_leader_frees_released_keys() -> None:
+    """Guards against keys that wait for a lease although nobody has it."""
+    table = _taken_over_table(epoch=2)
+    assert table.replace_assumed_grants(1, [], now_s=0.2)
+    assert _kinds_after_release(table) == {CallKind.grant}
--- a/tests/edge/test_segments_fuzz.py
+++ b/tests/edge/test_segments_fuzz.py
@@ -116,7 +116,38 @@
     )
 
 
+def _with_reports_of_any_leader(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(
+        segments.SegmentTable, '_follows', lambda _table, _epoch: True
+    )
+
+
+def _with_reports_about_own_grants(patch: pytest.MonkeyPatch) -> None:
+    original = segments.SegmentTable.replace_assumed_grants
+
+    def replace_all(
+        table: segments.SegmentTable,
+        epoch: int,
+        unconfirmed_grants: list[segments.UnconfirmedGrant],
+        now_s: float,
+    ) -> bool:
+        if not original(table, epoch, unconfirmed_grants, now_s):
+            return False
+        for segment in table.segments:
+            for lease in segment.lease_by_holder.values():
+                lease.unconfirmed_until_s = lease.assumed_until_s
+        return True
+
+    patch.setattr(segments.SegmentTable, 'replace_assumed_grants', replace_all)
+
+
 RULES = (
+    RemovedRule(
+        'a report counts only for the next leader', _with_reports_of_any_leader
+    ),
+    RemovedRule(
+        'a report leaves what its receiver sent', _with_reports_about_own_grants
+    ),
     RemovedRule(
         'a server that starts again may have new grants',
         _without_leases_of_restarted_servers,
