Send no call of a term that has ended

A leader sends four calls at a time to a server; the others wait. Those that waited were still sent while the leader's resignation was being stored, when the next leader may lead already and counts the last lease from its own begin, and by an instance that led again, with the fences of its earlier term. Callers' keys could have two holders for as long.

The calls that wait now ask the manager, which has ended with the term. A term that ends with an unexpected error is given up: its managers alone know which fences they used.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -223,13 +223,31 @@
         """Runs the leader's tasks until another instance leads."""
         leadership = self._leadership
         epoch = leadership.epoch
+        self._manager_by_service = {}
+        try:
+            await self._run_term()
+        except Exception:
+            # What was sent in this term is known to the managers only.
+            leadership.deposed = True
+            raise
+        finally:
+            # This instance may lead again before the last call has ended.
+            for manager in self._manager_by_service.values():
+                manager.stop_calls()
+        if not self.draining:
+            self._broadcaster.start_task(
+                self._send_unconfirmed_grants(epoch, self._manager_by_service)
+            )
+        self._manager_by_service = {}
+
+    async def _run_term(self) -> None:
+        leadership = self._leadership
         self._last_report_s_by_member = {self._settings.instance: elapsed_s()}
         self._reported_s_by_member = {}
         # Known members have twice the timeout for their first report.
         assumed_report_s = elapsed_s() + _MEMBER_TIMEOUT_S
         for name in self._system_view.instance_by_name:
             self._last_report_s_by_member.setdefault(name, assumed_report_s)
-        self._manager_by_service = {}
         self._owner_changes_by_service = {}
         self._owner_sequence_by_service = {}
         self._broadcasts_by_table = {}
@@ -246,11 +264,6 @@
             await renewal
             for task in tasks:
                 task.cancel()
-        if not self.draining:
-            self._broadcaster.start_task(
-                self._send_unconfirmed_grants(epoch, self._manager_by_service)
-            )
-        self._manager_by_service = {}
 
     def _start(
         self,
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -113,7 +113,8 @@
             self.table,
             calls,
             system_view,
-            may_act,
+            # Also asked for calls that waited for others.
+            self._may_call,
             self._publish_changes,
             metrics,
         )
@@ -188,7 +189,7 @@
 
     async def unconfirmed_grants(self) -> list[UnconfirmedGrant]:
         """Stops sending calls; returns grants that servers may still apply."""
-        self._ending = True
+        self.stop_calls()
         await self._runner.finish(_CALL_END_S)
         return self.table.unconfirmed_grants(elapsed_s())
 
@@ -208,13 +209,17 @@
             left=len(unconfirmed_grants),
         )
 
+    def stop_calls(self) -> None:
+        """Sends no more calls, nor those that wait for others to end."""
+        self._ending = True
+
     def resume_calls(self) -> None:
         """Sends calls again after ``finish_calls``."""
         self._ending = False
 
     async def finish_calls(self) -> tuple[str, bytes]:
         """Stops sending calls; returns key and content of the row to store."""
-        self._ending = True
+        self.stop_calls()
         await self._runner.finish(_CALL_END_S)
         self.table.reserve_fences()
         record = record_of(
