Begin no forwarded request that its sender has given up

Callers were told that a request had an unknown outcome, and it was sent to a server up to seconds later, with a deadline that counted from then. A frame on a link between instances may arrive long after it was written: the kernel retransmits it for up to 1.5 s, also for a link that was closed and for a process that was killed or stopped, and the kernel of a suspended receiver accepts frames and new links.

Frames now carry the time of their writing on the sender's clock. The receiver knows from the fastest frame of the link when each was due, and counts the request's times from then. Of a request that arrives late it first reads what follows, such as its cancellation. A link that is given up or whose process ends is reset, so that the kernel discards unsent bytes; a planned stop still delivers what was written. A new link is used after the peer has echoed a probe.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -344,9 +344,11 @@
             self._retry_budget_by_service[service] = budget
         return budget
 
-    async def _answer_peer(self, topic: str, body: bytes) -> bytes:
+    async def _answer_peer(
+        self, topic: str, body: bytes, due_s: float
+    ) -> bytes:
         if topic == FORWARD_TOPIC:
-            return await self._router.handle_forwarded(body)
+            return await self._router.handle_forwarded(body, due_s)
         return await self._cluster.handle_request(topic, body)
 
     async def _store_answers(self) -> bool:
--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -8,12 +8,20 @@
 closed. Only bytes from the peer count: bytes that left a write buffer may be
 in a buffer of the kernel or of a proxy. A peer that receives a large frame
 acknowledges its parts, since it reads the probe only after that frame.
+
+A frame may arrive long after it was written: kernels retransmit, and a process
+may be suspended. Frames carry the time of their writing on the sender's clock,
+so the receiver knows how much later than others one arrives. A link that is
+given up is reset, so that the kernel discards what it has not sent; a planned
+stop still delivers what was written.
 """
 
 import asyncio
 import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
+from math import inf
 from typing import TypeVar
 
 import msgspec
@@ -31,6 +39,18 @@
 _READ_CHUNK_BYTES = 64 * 1024
 _TCP_USER_TIMEOUT_MS = 1500
 _CONNECT_TIMEOUT_S = 0.5
+# Closing resets a connection, unless the second option is set before.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_SEND_AFTER_CLOSE = struct.pack('ii', 0, 0)
+# A new link is used once the peer has echoed a probe within this time: a kernel
+# also accepts connections for a process that is suspended.
+_FIRST_ECHO_TIMEOUT_S = 0.8
+# The clocks of two instances may differ by this rate.
+_CLOCK_RATE_MARGIN = 0.02
+# What follows a request that arrives this late is read first: its sender may
+# have cancelled it, or closed the link.
+_LATE_REQUEST_S = 0.1
+_SETTLE_S = 0.05
 # A running peer echoes a probe within a few ms; a peer that was paused is
 # reached again by a new link.
 _ECHO_TIMEOUT_S = 1.0
@@ -58,12 +78,15 @@
     Attributes:
         kind: one of the constants above.
         request_id: of a request, its response and its cancellation.
+        written_s: when it was written, on the clock of its sender; 0 if that
+            runs an earlier version.
     """
 
     kind: int
     request_id: int
     topic: str
     body: bytes
+    written_s: float = 0
 
 
 class LinkLostError(Exception):
@@ -88,7 +111,7 @@
 DECODE_ERRORS = (msgspec.DecodeError, RecursionError)
 
 _Message = TypeVar('_Message')
-RequestHandler = Callable[[str, bytes], Awaitable[bytes]]
+RequestHandler = Callable[[str, bytes, float], Awaitable[bytes]]
 MessageHandler = Callable[[str, bytes], None]
 
 _encoder = msgspec.msgpack.Encoder()
@@ -96,10 +119,35 @@
 
 
 def _frame(kind: int, request_id: int, topic: str, body: bytes) -> bytes:
-    packed = _encoder.encode(Frame(kind, request_id, topic, body))
+    frame = Frame(kind, request_id, topic, body, elapsed_s())
+    packed = _encoder.encode(frame)
     return len(packed).to_bytes(_LENGTH_BYTES, 'big') + packed
 
 
+class DueTimes:
+    """Tells when the frames of one link should have arrived.
+
+    The difference between the sender's and the receiver's clock is unknown, so
+    a delay is relative to the frame that took the shortest time.
+    """
+
+    def __init__(self) -> None:
+        self._shortest_s = inf
+        self._measured_s = elapsed_s()
+
+    def of(self, frame: Frame) -> float:
+        """Returns when a frame that is read now was due, on this clock."""
+        now_s = elapsed_s()
+        if not frame.written_s:
+            return now_s
+        drift_s = (now_s - self._measured_s) * _CLOCK_RATE_MARGIN
+        self._shortest_s = min(
+            now_s - frame.written_s, self._shortest_s + drift_s
+        )
+        self._measured_s = now_s
+        return frame.written_s + self._shortest_s
+
+
 class FrameReader:
     """Reads frames.
 
@@ -173,6 +221,17 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
     )
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
+def _close_after_sending(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection; the kernel goes on sending what was written."""
+    if writer.is_closing():
+        return
+    sock = writer.get_extra_info('socket')
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _SEND_AFTER_CLOSE)
+    writer.close()
 
 
 class PeerLink:
@@ -190,8 +249,32 @@
         self._future_by_request_id: dict[int, asyncio.Future[bytes]] = {}
         self._last_request_id = 0
         self._probe_task: asyncio.Task[None] | None = None
+        self._echoed = asyncio.Event()
         self.open = True
 
+    @property
+    def established(self) -> bool:
+        """Whether the peer has read from the link, which is open."""
+        return self.open and self._echoed.is_set()
+
+    async def establish(self) -> None:
+        """Waits until the peer has echoed a probe; closes the link otherwise.
+
+        Raises:
+            PeerUnreachableError: the link was closed.
+        """
+        self._writer.write(_frame(_PROBE, 0, '', b''))
+        try:
+            async with asyncio.timeout(_FIRST_ECHO_TIMEOUT_S):
+                await self._echoed.wait()
+        except TimeoutError:
+            """The link is closed below."""
+        finally:
+            if not self.established:
+                self.close()
+        if not self.open:
+            raise PeerUnreachableError('no echo on a new link')
+
     async def request(self, topic: str, body: bytes) -> bytes:
         """Sends a request and waits for its response.
 
@@ -245,15 +328,25 @@
             self.close()
 
     def close(self) -> None:
-        """Closes the link and fails the requests that wait on it."""
+        """Resets the link and fails the requests that wait on it."""
+        self._writer.transport.abort()
+        self._end()
+
+    def close_after_sending(self) -> None:
+        """Closes the link; what was written before is still delivered."""
+        _close_after_sending(self._writer)
+        self._end()
+
+    def _end(self) -> None:
         self.open = False
-        transport = self._writer.transport
-        transport.abort()
+        self._echoed.set()
         for future in self._future_by_request_id.values():
             if not future.done():
                 future.set_exception(LinkLostError('the link was lost'))
 
     def _handle_frame(self, frame: Frame) -> None:
+        if frame.kind == _ECHO:
+            self._echoed.set()
         future = self._future_by_request_id.get(frame.request_id)
         if future is None or future.done():
             return
@@ -341,15 +434,16 @@
         return link.open
 
     def drop(self, address: Address) -> None:
-        """Closes the link to an address; the next use dials again."""
+        """Resets the link to an address; the next use dials again."""
         link = self._link_by_address.pop(address, None)
         if link is not None:
             link.close()
 
     def close(self) -> None:
-        """Closes all links."""
-        for address in list(self._link_by_address):
-            self.drop(address)
+        """Closes all links; what was written before is still delivered."""
+        for link in self._link_by_address.values():
+            link.close_after_sending()
+        self._link_by_address.clear()
 
     def _close_unreadable(
         self, address: Address, topic: str, error: Exception
@@ -384,10 +478,11 @@
         except (OSError, TimeoutError) as error:
             raise PeerUnreachableError(f'cannot connect: {error!r}') from error
         link = PeerLink(reader, writer)
-        self._link_by_address[address] = link
         task = asyncio.create_task(link.read())
         self._readers.add(task)
         task.add_done_callback(self._readers.discard)
+        await link.establish()
+        self._link_by_address[address] = link
         return link
 
 
@@ -407,7 +502,9 @@
         """Creates the server.
 
         Args:
-            handle_request: returns the response to a topic and body.
+            handle_request: returns the response to a topic and a body. It
+                gets the time at which they were due, on the clock of
+                ``elapsed_s``, since they may have arrived late.
             handle_message: handles a topic and body without a response.
             metrics: counts messages that could not be handled.
         """
@@ -443,9 +540,9 @@
             self._close_link(writer, task_by_request_id)
 
     def close(self) -> None:
-        """Closes all accepted links."""
+        """Closes all accepted links; what was written is still delivered."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            _close_after_sending(writer)
 
     async def _serve_frames(
         self,
@@ -454,20 +551,23 @@
         frames: FrameReader,
     ) -> None:
         _set_socket_options(writer)
+        due_times = DueTimes()
         while True:
             frame = await frames.read()
+            due_s = due_times.of(frame)
             with contained(
                 'message of a peer',
                 self._metrics,
                 passing=(UnreadableMessageError,),
             ):
-                self._handle_frame(writer, task_by_request_id, frame)
+                self._handle_frame(writer, task_by_request_id, frame, due_s)
 
     def _handle_frame(
         self,
         writer: asyncio.StreamWriter,
         task_by_request_id: dict[int, asyncio.Task[None]],
         frame: Frame,
+        due_s: float,
     ) -> None:
         if frame.kind == _NOTIFICATION:
             self._receive(frame)
@@ -476,18 +576,19 @@
         elif frame.kind == _CANCEL:
             _cancel(task_by_request_id.pop(frame.request_id, None))
         elif frame.kind == _REQUEST:
-            self._start_request(writer, task_by_request_id, frame)
+            self._start_request(writer, task_by_request_id, frame, due_s)
 
     def _start_request(
         self,
         writer: asyncio.StreamWriter,
         task_by_request_id: dict[int, asyncio.Task[None]],
         frame: Frame,
+        due_s: float,
     ) -> None:
         def forget(_done: asyncio.Task[None]) -> None:
             task_by_request_id.pop(frame.request_id, None)
 
-        task = asyncio.create_task(self._respond(writer, frame))
+        task = asyncio.create_task(self._respond(writer, frame, due_s))
         task_by_request_id[frame.request_id] = task
         task.add_done_callback(forget)
 
@@ -510,8 +611,11 @@
         writer.transport.abort()
 
     async def _respond(
-        self, writer: asyncio.StreamWriter, frame: Frame
+        self, writer: asyncio.StreamWriter, frame: Frame, due_s: float
     ) -> None:
+        if elapsed_s() - due_s > _LATE_REQUEST_S:
+            self._metrics.count('late_peer_requests', topic=frame.topic)
+            await asyncio.sleep(_SETTLE_S)
         self.active_requests += 1
         kind = _FAILURE
         response = b''
@@ -519,7 +623,9 @@
             with contained(
                 'request of a peer', self._metrics, passing=DECODE_ERRORS
             ):
-                response = await self._handle_request(frame.topic, frame.body)
+                response = await self._handle_request(
+                    frame.topic, frame.body, due_s
+                )
                 kind = _RESPONSE
         except DECODE_ERRORS as error:
             self._log_unreadable(writer, str(error))
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -162,12 +162,26 @@
             Refused(ResultCode.instance_failed, 'unexpected error'),
         )
 
-    async def handle_forwarded(self, body: bytes) -> bytes:
-        """Serves a request that another instance forwarded."""
+    async def handle_forwarded(self, body: bytes, due_s: float) -> bytes:
+        """Serves a request that another instance forwarded.
+
+        Args:
+            body: the encoded request.
+            due_s: when it was due to arrive; its times count from then.
+        """
         routed = decode_request(body)
         now_s = elapsed_s()
+        asked_until_s = due_s + routed.remaining_ms / _MS_PER_S
+        if asked_until_s <= now_s:
+            return encode_message(
+                Refused(
+                    ResultCode.deadline_passed,
+                    'the deadline passed before the request arrived',
+                )
+            )
+        routed.until_target_ms -= (now_s - due_s) * _MS_PER_S
         deadline_s = self._stop_guard.bounded_deadline_s(
-            now_s + routed.remaining_ms / _MS_PER_S,
+            asked_until_s,
             self._dispatcher.service_times.mean_s(routed.route),
         )
         if isinstance(deadline_s, Refused):
--- a/tests/builders/silent_path.py
+++ b/tests/builders/silent_path.py
@@ -38,7 +38,8 @@
 _HEAD_END = b'\r\n\r\n'
 
 
-def _drop_packets(sock: socket.socket) -> None:
+def drop_packets(sock: socket.socket) -> None:
+    """Drops arriving packets that have data or end a connection."""
     program = ctypes.create_string_buffer(
         b''.join(
             struct.pack('HBBI', *instruction)
@@ -54,7 +55,8 @@
     )
 
 
-def _accept_packets(sock: socket.socket) -> None:
+def accept_packets(sock: socket.socket) -> None:
+    """Accepts all arriving packets again."""
     sock.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, struct.pack('i', 0))
 
 
@@ -90,12 +92,12 @@
     def silence(self) -> None:
         """Drops all packets from now on, those of new connections too."""
         for sock in self.sockets:
-            _drop_packets(sock)
+            drop_packets(sock)
 
     def heal(self) -> None:
         """Lets packets through again."""
         for sock in self.sockets:
-            _accept_packets(sock)
+            accept_packets(sock)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/edge/test_links.py
+++ b/tests/edge/test_links.py
@@ -1,6 +1,7 @@
 """Links between instances over faulty connections."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -19,7 +20,7 @@
 _LOST_WITHIN_S = 5.0
 
 
-async def _handle_request(topic: str, body: bytes) -> bytes:
+async def _handle_request(topic: str, body: bytes, _due_s: float) -> bytes:
     if topic == 'slow':
         await asyncio.sleep(_SLOW_S)
     if topic == 'fails':
@@ -233,3 +234,49 @@
         assert not await reader.read()
         writer.close()
         assert await _request(dialled, proxy.address, 'quick', b'2', 1) == b'2'
+
+
+async def test_a_planned_stop_delivers_what_was_written() -> None:
+    """Guards against messages and responses that are lost by a planned stop.
+
+    A leader that stops has just written its hand-over, and an instance the
+    responses to forwarded requests. Links that are given up are reset instead.
+    """
+    received: list[bytes] = []
+    address = ('127.0.0.1', free_port())
+    server = links.PeerServer(
+        _handle_request, lambda _, body: received.append(body), Metrics()
+    )
+    dialled = links.PeerLinks()
+    async with links.peer_listener(address, server):
+        sent = [b'%d' % number * 8000 for number in range(100)]
+        for body in sent:
+            await dialled.notify(address, 'quick', body)
+        dialled.close()
+        async with asyncio.timeout(_LOST_WITHIN_S):
+            while len(received) < len(sent):
+                await asyncio.sleep(0.01)
+        assert received == sent
+        stopping = links.PeerLinks()
+        response = asyncio.create_task(
+            _request(stopping, address, 'slow', b'2', _LOST_WITHIN_S)
+        )
+        await asyncio.sleep(_SLOW_S / 2)
+        async with asyncio.timeout(_LOST_WITHIN_S):
+            while server.active_requests:
+                await asyncio.sleep(0)
+        server.close()
+        assert await response == b'2'
+        stopping.close()
+
+
+async def test_a_link_is_not_opened_to_a_peer_that_reads_nothing() -> None:
+    """Guards against requests to a suspended peer, which reads them later.
+
+    Its kernel accepts connections and bytes.
+    """
+    silent = socket.create_server(('127.0.0.1', 0))
+    dialled = links.PeerLinks()
+    with silent, pytest.raises(links.PeerUnreachableError):
+        await _request(dialled, silent.getsockname(), 'quick', b'', 5.0)
+    dialled.close()
