Let no kernel send a request to a server after its deadline

An instance that is stopped while it writes a request cannot close the connection, and its kernel went on sending for up to 2.5 s, also after the time that the request names as left. The kernel's limit for unacknowledged bytes is now the time that is left, if that is shorter. test_no_kernel_sends_a_request_after_its_deadline failed before.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -138,7 +138,7 @@
     def of(self, frame: Frame) -> float:
         """Returns when a frame that is read now was due, on this clock."""
         now_s = elapsed_s()
-        if not frame.written_s:
+        if not 0 < frame.written_s < inf:
             return now_s
         drift_s = (now_s - self._measured_s) * _CLOCK_RATE_MARGIN
         self._shortest_s = min(
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -39,6 +39,7 @@
 )
 from yuccadale_edge._internal.system_view import SystemView
 from yuccadale_edge._internal.transport.client_connection import (
+    UNACKNOWLEDGED_S,
     Answer,
     AnswerLostError,
     NotSentError,
@@ -352,7 +353,11 @@
                 self.rate_limits.count_sent(server)
                 async with asyncio.timeout(max(0, left_s)):
                     answer = await connection.exchange(
-                        encoded, self._codec.answer_matcher(request.request_id)
+                        encoded,
+                        self._codec.answer_matcher(request.request_id),
+                        # No kernel sends it after its deadline, also if this
+                        # process is stopped.
+                        min(left_s, UNACKNOWLEDGED_S),
                     )
                 if not self._codec.names_request(answer):
                     connection.close()
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -18,7 +18,7 @@
 
 # The connection ends after this time with unacknowledged bytes. This detects a
 # machine that lost power and sends no reset.
-_UNACKNOWLEDGED_S = 2.5
+UNACKNOWLEDGED_S = 2.5
 _MS_PER_S = 1000
 # Closing resets the connection and discards what the kernel has not sent yet.
 # Otherwise the kernel goes on sending for a closed connection.
@@ -105,13 +105,13 @@
         sock = transport.get_extra_info('socket')
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        self._limit_unacknowledged(_UNACKNOWLEDGED_S)
+        self._limit_unacknowledged(UNACKNOWLEDGED_S)
 
     async def exchange(
         self,
         request: bytes,
         matches: AnswerMatcher,
-        unacknowledged_s: float = _UNACKNOWLEDGED_S,
+        unacknowledged_s: float = UNACKNOWLEDGED_S,
     ) -> Answer:
         """Sends a request and returns the answer that matches it.
 
@@ -233,7 +233,8 @@
         sock.setsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
-            int(limit_s * _MS_PER_S),
+            # 0 would stand for the limit of the system.
+            max(1, int(limit_s * _MS_PER_S)),
         )
 
     def _end_exchange(
--- /dev/null
+++ b/tests/edge/test_dispatch.py
@@ -0,0 +1,38 @@
+"""How requests are sent to servers."""
+
+from contextlib import asynccontextmanager
+from unittest.mock import AsyncMock, Mock
+
+import pytest
+
+from yuccadale_edge._internal.clock import elapsed_s
+from yuccadale_edge._internal.routing.dispatch import Dispatcher
+from yuccadale_edge._internal.transport.client_connection import (
+    UNACKNOWLEDGED_S,
+    AnswerLostError,
+)
+
+
+@pytest.mark.parametrize('left_s', [0.5, 60.0])
+async def test_no_kernel_sends_a_request_after_its_deadline(
+    left_s: float,
+) -> None:
+    """Guards against a request that reaches a server after its deadline.
+
+    The kernel of a process that is stopped went on sending it for 2.5 s.
+    """
+    connection = Mock(exchange=AsyncMock(side_effect=AnswerLostError))
+
+    @asynccontextmanager
+    async def acquire(*_args: object):
+        yield connection
+
+    pool = Mock(acquire=acquire)
+    dispatcher = Dispatcher(
+        Mock(), pool, Mock(), Mock(), Mock(), Mock(), Mock()
+    )
+    await dispatcher._send(
+        Mock(), Mock(), Mock(service='ledger'), elapsed_s() + left_s, 0
+    )
+    (_, _, limit_s) = connection.exchange.await_args.args
+    assert 0 < limit_s <= min(left_s, UNACKNOWLEDGED_S)
