--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -113,7 +113,8 @@
             self.table,
             calls,
             system_view,
-            may_act,
+            # Also asked for calls that waited for others.
+            self._may_call,
             self._publish_changes,
             metrics,
         )
@@ -122,9 +123,6 @@
         self._record_retry_s: float = 0
         self._recorded = True
         self._ending = False
-        # The previous leader, and until when its unanswered grants may last.
-        self._previous_epoch = 0
-        self._assumed_until_s: float = 0
 
     @property
     def keys_moving(self) -> bool:
@@ -147,8 +145,6 @@
                     held.port,
                 )
         self.speeds.assume(record.speed_by_server)
-        self._previous_epoch = record.epoch
-        self._assumed_until_s = latest_end_s
         self.table.load(segments_of(record, latest_end_s))
         if record.all_calls_answered:
             # The stored record must no longer say so once a call is sent.
@@ -193,12 +189,12 @@
 
     def withdraw_calls(self) -> None:
         """Stops sending calls, and gives up those in flight."""
-        self._ending = True
+        self.stop_calls()
         self._runner.withdraw()
 
     async def unconfirmed_grants(self) -> list[UnconfirmedGrant]:
         """Stops sending calls; returns grants that servers may still apply."""
-        self._ending = True
+        self.stop_calls()
         await self._runner.finish(_CALL_END_S)
         return self.table.unconfirmed_grants(elapsed_s())
 
@@ -206,25 +202,29 @@
         self, epoch: int, unconfirmed_grants: list[UnconfirmedGrant]
     ) -> None:
         """Applies the previous leader's report on its unanswered grants."""
-        if epoch != self._previous_epoch:
-            return
-        self.table.replace_assumed_grants(
-            self._assumed_until_s, unconfirmed_grants, elapsed_s()
+        replaced = self.table.replace_assumed_grants(
+            epoch, unconfirmed_grants, elapsed_s()
         )
         _log.info(
-            'previous leader reported its unconfirmed grants',
+            'previous leader reported its unconfirmed grants'
+            if replaced
+            else 'report of unconfirmed grants ignored, others led since',
             service=self.service,
             epoch=epoch,
             left=len(unconfirmed_grants),
         )
 
+    def stop_calls(self) -> None:
+        """Sends no more calls, nor those that wait for others to end."""
+        self._ending = True
+
     def resume_calls(self) -> None:
         """Sends calls again after ``finish_calls``."""
         self._ending = False
 
     async def finish_calls(self) -> tuple[str, bytes]:
         """Stops sending calls; returns key and content of the row to store."""
-        self._ending = True
+        self.stop_calls()
         await self._runner.finish(_CALL_END_S)
         self.table.reserve_fences()
         record = record_of(
@@ -418,7 +418,7 @@
         holder = intended_owner if intended_owner in usable else None
         stable = segment.target is None and segment.owner is not None
         unconfirmed = any(
-            lease.late_until_s > now_s
+            lease.unanswered_until_s > now_s
             for lease in segment.lease_by_holder.values()
         )
         moved_s = self._moved_s_by_range.get((segment.first, segment.last), 0)
