Elect a leader by votes after a restore lost the leader's row

Callers' keys had no owner for 18 s after a restore in whose outage the leader died, and two instances that had just started had no leader for 12 s after any restore.

After a restore the row of the leader and its electors is gone, so a candidate waited for the longest lease by promises (12.1 s). In the second case the elector refused its promises because it had started less than 10 s before, which is by design: with an older elector the leader goes on through the restore.

A leader now tells in its answers to reports which electors its row names, and how long ago a renewal confirmed that. After a restore a candidate requests the votes of these electors if they are those of the era before and were confirmed at most 11 s before it noticed the restore; otherwise it waits as before. Who holds a newer row that the candidate does not know cannot act: a set that the row no longer names remains required for promises for 23.1 s, is kept in the row and inherited by each next leader. Until then the last lease by promises from before the restore is over. A row is replaced only if its latest known version was read, since its sets are inherited; an unreadable row is not replaced early by a restarted leader.

The world has instances that are cut off from the others and from the store, as a new fault.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -491,6 +491,9 @@
     def _update_for(self, report: Report) -> LeaderUpdate:
         update = self._new_update()
         update.source_ages = self._system_view.source_ages()
+        update.electors = self._leadership.known_electors.confirmation(
+            report.electors_since
+        )
         for table in SOURCE_TABLES:
             after = report.version_by_table.get(table, 0)
             if self._needs_rows(report.entry.instance, table, after):
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
@@ -10,8 +10,9 @@
 When the store is restored from an older copy, the row may be that of an earlier
 leader, or be missing. Each era of the store therefore has a row of its own. A
 leader that lives writes that row as soon as it reaches the store. A candidate
-does not know who led last, nor its electors, so it waits for the longest lease
-by promises. Epochs begin anew above those of all earlier eras.
+requests the votes of the electors that the leader confirmed to it shortly
+before the restore; without them it waits for the longest lease by promises.
+Epochs begin anew above those of all earlier eras.
 """
 
 import asyncio
@@ -22,8 +23,12 @@
 import structlog
 
 from yuccadale_edge._internal.clock import elapsed_s
+from yuccadale_edge._internal.membership.elector_sets import (
+    KnownElectors,
+    RequiredElectors,
+)
 from yuccadale_edge._internal.membership.electorate import Electorate
-from yuccadale_edge._internal.membership.messages import Elector, LeaderInfo
+from yuccadale_edge._internal.membership.messages import Electors, LeaderInfo
 from yuccadale_edge._internal.membership.promises import (
     MAX_PROMISED_LEASE_S,
     promised_lease_end_s,
@@ -92,11 +97,14 @@
         resigned: whether the leader has given the lease up.
         electors: instances of which a majority can extend the lease by
             promises, or vote for a replacement.
+        former_electors: sets of which a majority is required for promises as
+            well.
     """
 
     leader: LeaderInfo
     resigned: bool = False
-    electors: tuple[Elector, ...] = ()
+    electors: Electors = ()
+    former_electors: tuple[Electors, ...] = ()
 
 
 _encode = msgspec.json.Encoder().encode
@@ -132,6 +140,7 @@
             without a row in the era of the store.
         deposed: whether another instance replaced this one as leader.
         row_electors: electors of the row that was read last.
+        known_electors: electors of the leader's row before a restore.
     """
 
     def __init__(
@@ -140,13 +149,17 @@
         me: LeaderInfo,
         contact: StoreContact,
         electorate: Electorate,
-        electors: Callable[[], tuple[Elector, ...]],
+        electors: Callable[[], Electors],
     ) -> None:
         self.leader: LeaderInfo | None = None
         self.row_by_key: dict[str, StoredRow] = {}
         self.version = 0
         self.deposed = False
-        self.row_electors: tuple[Elector, ...] = ()
+        self.row_electors: Electors = ()
+        self.known_electors = KnownElectors(elapsed_s)
+        self._former_electors: tuple[Electors, ...] = ()
+        # Version of the row that was read last.
+        self._read_version = 0
         self._store = store
         self._me = me
         self._contact = contact
@@ -161,9 +174,7 @@
         # Whether the stored row cannot be read.
         self._row_lost = False
         self._write_lock = asyncio.Lock()
-        # Every elector set that the stored row may have, including writes
-        # whose outcome is unknown.
-        self._elector_sets: list[tuple[Elector, ...]] = []
+        self._required_electors = RequiredElectors(elapsed_s)
 
     @property
     def epoch(self) -> int:
@@ -221,15 +232,23 @@
         row = self._read_leader_row(rows)
         if row is None:
             return
+        self._read_version = row.version
         content = _decode_row(row)
         self._row_lost = content is None
         if content is None:
             self._resigned = False
             self.row_electors = ()
+            self._former_electors = ()
             return
         self._resigned = content.resigned
         self.row_electors = content.electors
-        self.accept_leader(content.leader)
+        self._former_electors = content.former_electors
+        if self.accept_leader(content.leader) and self.leading():
+            # A claim without an answer was applied after all.
+            self._required_electors.add(content.electors)
+            self._required_electors.inherit(
+                content.former_electors, elapsed_s()
+            )
 
     def observe_version(self, version: int) -> None:
         """Records a version of the leader's row, and when it was first seen.
@@ -286,16 +305,16 @@
         if self._is_row_free():
             return version
         unchanged_s = elapsed_s() - self._version_changed_s
-        if unchanged_s <= TAKEOVER_S + handicap_s:
+        if not self._is_row_read() or unchanged_s <= TAKEOVER_S + handicap_s:
             return None
         if unchanged_s > TAKEOVER_WITHOUT_VOTES_S:
             return version
-        if self._row_lost or number_of(version) == 0:
-            # The leader may act by promises of electors that are unknown.
+        electors = self._voters(version)
+        if electors is None:
             return None
-        if not self.row_electors:
+        if not electors:
             return version
-        if await self._electorate.request_votes(self.row_electors, version):
+        if await self._electorate.request_votes(electors, version):
             return version
         _log.warning(
             'no majority votes to replace the leader',
@@ -320,11 +339,19 @@
         key = leader_key(era_of(version))
         epoch = self._next_epoch(era_of(version))
         mine = msgspec.structs.replace(self._me, epoch=epoch)
-        electors = self._choose_electors()
+        required = self._required_electors
+        required.clear()
+        if number_of(version):
+            required.inherit(
+                (self.row_electors, *self._former_electors), began_s
+            )
+        electors = required.limit(self._choose_electors())
+        required.add(electors)
+        row = LeaderRow(
+            mine, electors=electors, former_electors=required.others(electors)
+        )
         written = await self._store.write(
-            OWN_TABLE,
-            {key: _encode(LeaderRow(mine, electors=electors))},
-            {key: version},
+            OWN_TABLE, {key: _encode(row)}, {key: version}
         )
         self._contact.record_answer()
         if isinstance(written, WriteConflict):
@@ -337,7 +364,7 @@
         self._row_lost = False
         self.leader = mine
         self.deposed = False
-        self._extend_lease(began_s, electors)
+        self._extend_lease(began_s, electors, written)
         _log.info(
             'leadership taken',
             epoch=mine.epoch,
@@ -372,11 +399,13 @@
                 self._depose(self.version)
                 return False
             key = leader_key(self.era)
-            electors = self._choose_electors()
-            row = LeaderRow(self.leader, resign, electors)
+            required = self._required_electors
+            electors = required.limit(self._choose_electors())
+            required.add(electors)
+            row = LeaderRow(
+                self.leader, resign, electors, required.others(electors)
+            )
             rows = {key: _encode(row), **(puts or {})}
-            if electors not in self._elector_sets:
-                self._elector_sets.append(electors)
             written = await self._store.write(
                 OWN_TABLE, rows, {key: self.version}
             )
@@ -388,7 +417,7 @@
                 self._enter_era(era_of(written))
                 return False
             self.version = written
-            self._extend_lease(began_s, electors)
+            self._extend_lease(began_s, electors, written)
             if resign:
                 self._lease_until_s = 0
             return True
@@ -424,15 +453,16 @@
     async def _request_promises(self) -> None:
         requested_s = elapsed_s()
         until_s = promised_lease_end_s(requested_s, self._renewed_s)
-        if until_s <= requested_s or not self._elector_sets:
+        sets = self._required_electors.sets()
+        if until_s <= requested_s or not sets:
             return
-        sets = list(self._elector_sets)
         version = self.version
         if not await self._electorate.request_promises(
             sets, self.epoch, version
         ):
             return
-        if sets != self._elector_sets or version != self.version:
+        added = set(self._required_electors.sets()).difference(sets)
+        if added or version != self.version:
             # The row or its electors changed meanwhile; the next round retries.
             return
         if self._promised_until_s < requested_s:
@@ -460,11 +490,30 @@
         return max(earlier, key=_era_of_row, default=None)
 
     def _extend_lease(
-        self, began_s: float, electors: tuple[Elector, ...]
+        self, began_s: float, electors: Electors, version: int
     ) -> None:
         self._renewed_s = began_s
         self._lease_until_s = began_s + LEASE_S
-        self._elector_sets = [electors]
+        self._required_electors.confirm(electors, began_s)
+        self.known_electors.record_renewal(version, electors, began_s)
+
+    def _voters(self, version: int) -> Electors | None:
+        """Returns the electors who may replace a version of the row.
+
+        Returns:
+            None if the leader may act by promises of electors that are
+            unknown; empty if it may not act by promises.
+        """
+        if number_of(version) == 0:
+            return (
+                self.known_electors.before_restore(
+                    version, self._version_changed_s
+                )
+                or None
+            )
+        if self._row_lost:
+            return None
+        return self.row_electors
 
     def _was_replaceable(self) -> bool:
         """Whether another instance may have led before the latest restore.
@@ -506,7 +555,7 @@
         if mine and not content.resigned:
             # An earlier renewal without a response was applied after all.
             self.version = row.version
-            self._elector_sets = [content.electors]
+            self._required_electors.add(content.electors)
             return
         self._depose(row.version)
         self.accept_leader(content.leader)
@@ -541,8 +590,15 @@
         if number_of(self.version) == 0:
             # In a later era the row of the leader was lost.
             return self.era <= FIRST_ERA
+        if self._row_lost or not self._is_row_read():
+            return False
         return self._resigned or self._led_before_restart()
 
+    def _is_row_read(self) -> bool:
+        """Whether the content of the latest known version was read."""
+        number = number_of(self.version)
+        return number == 0 or self.version == self._read_version
+
     def _led_before_restart(self) -> bool:
         """Whether the leader was an earlier incarnation at this address."""
         return self.leader is not None and (
--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -351,7 +351,9 @@
         return (leader.host, leader.port) == self._settings.contact_address
 
     async def _send_report(self, leader: LeaderInfo) -> None:
-        body = _encode(self._reporter.report())
+        report = self._reporter.report()
+        report.electors_since = self._leadership.known_electors.since
+        body = _encode(report)
         asked_s = elapsed_s()
         response = await self._links.request(
             (leader.host, leader.port),
@@ -365,6 +367,10 @@
             self._system_view.confirm_sources(
                 response.update.source_ages, asked_s
             )
+            if response.update.electors is not None:
+                self._leadership.known_electors.confirm(
+                    response.update.electors, asked_s
+                )
             return
         redirect = response.not_leading or NotLeading(None)
         for source in redirect.sources:
--- a/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
@@ -65,6 +65,25 @@
         return self.host, self.port
 
 
+Electors = tuple[Elector, ...]
+
+
+class ConfirmedElectors(msgspec.Struct, array_like=True, frozen=True):
+    """The electors of the leader's row, as its last renewal confirmed them.
+
+    Attributes:
+        version: version of the row.
+        since: version since which the leader has named these electors.
+        age_s: time since the renewal began.
+        electors: None if the receiver has them.
+    """
+
+    version: int
+    since: int
+    age_s: float
+    electors: Electors | None
+
+
 class SourceRow(msgspec.Struct, array_like=True):
     """A row of a source table as it is sent.
 
@@ -173,6 +192,7 @@
         owners: owners of keys, by service.
         source_ages: confirmations of the source tables. Only a response to a
             report has them, since a broadcast may arrive late.
+        electors: of the leader's row, in the response to a report.
     """
 
     leader: LeaderInfo
@@ -182,6 +202,7 @@
     roster: Roster | None = None
     owners: list[OwnersUpdate] = []
     source_ages: list[SourceAge] = []
+    electors: ConfirmedElectors | None = None
 
 
 class NotLeading(msgspec.Struct, array_like=True):
@@ -257,6 +278,8 @@
         unreachable: ids of servers that it could not reach.
         configuration_version: version that the operators gave the
             configuration in force there, 0 without one.
+        electors_since: version since which the leader's row has named the
+            electors that it knows, 0 if it knows none.
     """
 
     entry: RosterEntry
@@ -267,6 +290,7 @@
     times: list[ServiceTime]
     unreachable: list[str]
     configuration_version: int = 0
+    electors_since: int = 0
 
 
 class ReportResponse(msgspec.Struct, array_like=True):
--- a/tests/builders/leadership_world.py
+++ b/tests/builders/leadership_world.py
@@ -251,6 +251,7 @@
         if leader is not None:
             # The leader's updates carry the version of its row.
             self.leadership.observe_version(leader.leadership.version)
+            await self._report_to(leader)
         await self.leadership.refresh()
         if self.leadership.leading():
             return
@@ -258,6 +259,18 @@
         if version is not None:
             await self.leadership.claim(version)
 
+    async def _report_to(self, leader: 'SimulatedInstance') -> None:
+        """Gets the electors from the leader, as with each report."""
+        known = self.leadership.known_electors
+        requested_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(self._world.random.choice(_DELAYS_S))
+        confirmed = leader.leadership.known_electors.confirmation(known.since)
+        await asyncio.sleep(self._world.random.choice(_DELAYS_S))
+        if confirmed is not None and not self._world.is_partitioned(
+            self.name, leader.name
+        ):
+            known.confirm(confirmed, requested_s)
+
     async def _store_answers(self) -> bool:
         return await self.leadership.store_answers()
 
@@ -321,7 +334,11 @@
             self._lose_answers,
         )
         if restores:
-            actions += (self._copy_store, self._restore_store)
+            actions += (
+                self._copy_store,
+                self._restore_store,
+                self._isolate_some,
+            )
         for _ in range(steps):
             self.random.choice(actions)()
             await asyncio.sleep(self.random.choice((0.2, 0.7, 1.5, 4.0)))
@@ -434,6 +451,11 @@
             set(self.random.sample(names, self.random.randint(1, 3)))
         ]
 
+    def _isolate_some(self) -> None:
+        """Cuts some instances off from the others and from the store."""
+        self._partition_network()
+        self.without_store = set(self.partitions[0])
+
     def _heal_network(self) -> None:
         self.partitions = []
 
--- a/tests/edge/test_leadership.py
+++ b/tests/edge/test_leadership.py
@@ -18,8 +18,10 @@
 )
 from tests.builders.virtual_time import first_problems, in_virtual_time
 from yuccadale_edge._internal.membership import (
+    elector_sets,
     electorate,
     leadership,
+    messages,
     promises,
 )
 from yuccadale_edge._internal.store_versions import number_of
@@ -155,12 +157,37 @@
     patch.setattr(leadership, 'leader_key', lambda _era: leadership.LEADER_KEY)
 
 
+def _drop_former_electors(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(elector_sets, 'FORMER_REQUIRED_S', 0)
+
+
+def _inherit_no_electors(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(elector_sets.RequiredElectors, 'inherit', lambda *_sets: None)
+
+
+def _replace_lost_row_without_votes(patch: pytest.MonkeyPatch) -> None:
+    original = electorate.Electorate.request_votes
+
+    async def request_votes(
+        self: electorate.Electorate,
+        electors: messages.Electors,
+        version: int,
+    ) -> bool:
+        voted = await original(self, electors, version)
+        return voted or number_of(version) == 0
+
+    patch.setattr(electorate.Electorate, 'request_votes', request_votes)
+
+
 RESTORE_RULES = (
     RemovedRule('epochs rise with the era', _begin_epochs_anew),
     RemovedRule(
         'a lost row is not replaced at once', _replace_lost_row_at_once
     ),
     RemovedRule('each era has a row of its own', _trust_restored_row),
+    RemovedRule('former electors stay required', _drop_former_electors),
+    RemovedRule('a new leader inherits electors', _inherit_no_electors),
+    RemovedRule('a lost row needs votes', _replace_lost_row_without_votes),
 )
 
 
--- a/tests/edge/test_new_instances.py
+++ b/tests/edge/test_new_instances.py
@@ -12,7 +12,9 @@
 
 from tests.builders.leadership_world import use_virtual_clock
 from tests.builders.virtual_time import in_virtual_time
+from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.broadcaster import Broadcaster
+from yuccadale_edge._internal.membership.elector_sets import KnownElectors
 from yuccadale_edge._internal.membership.links import PeerUnreachableError
 from yuccadale_edge._internal.membership.member import Member
 from yuccadale_edge._internal.membership.messages import Elector, LeaderInfo
@@ -30,6 +32,7 @@
     def __init__(self, *electors: Elector) -> None:
         self.leader = LeaderInfo(3, 'lost', '10.0.0.9', 1, 7)
         self.row_electors = electors
+        self.known_electors = KnownElectors(elapsed_s)
         self.epoch = 3
         self.row_by_key: dict[str, object] = {}
 
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -244,6 +244,40 @@
         assert not problems
 
 
+def _acting(system: PlatformSystem) -> list[str]:
+    """Returns the instances that may send grants now."""
+    return [
+        name
+        for name in system.task_by_name
+        if system.instance_by_name[name]._leadership.may_act()
+    ]
+
+
+@pytest.mark.parametrize('killed', ('nobody', 'leader'))
+async def test_an_instance_leads_soon_after_a_restore(killed: str) -> None:
+    """Guards against 12 s without a leader.
+
+    The restored store names neither the last leader nor its electors. An
+    instance that has just started gives no promise in the outage.
+    """
+    async with platform_system() as system:
+        names = [await system.add_instance(zone) for zone in ('a', 'b')]
+        copy = system.store.state.copy()
+        await system.wait_until_served(names[0], *KEYS)
+        await asyncio.sleep(2.0)
+        leader = _acting(system)[0]
+        epoch = system.instance_by_name[leader]._leadership.epoch
+        if killed == 'leader':
+            await system.kill(leader)
+        await _restore(system, copy, outage_s=2.0)
+        assert not _acting(system)
+        async with asyncio.timeout(4.0):
+            while not _acting(system):
+                await asyncio.sleep(0.05)
+        successor = system.instance_by_name[_acting(system)[0]]
+        assert successor._leadership.epoch > epoch
+
+
 async def test_lost_history_is_read_with_pauses() -> None:
     """Guards against a store that is asked without a pause after a loss."""
     async with platform_system() as system:
