Ask one part whether a server takes requests now

The entry of a server and failed connections each answered a part of the question, in the view, the dispatcher, the report, the plan of keys and the call runner. ServerAvailability answers it for all of them, so that a new kind of statement has one place. The plan asks the view, which checks what the plan checked itself. Failed connections stay recorded by server id, as before: they say nothing about the incarnation.

No change of behaviour. tests/edge/test_call_runner.py, test_new_instances, test_server_list, tests/platform/test_refused_connections.py, test_limits_of_all_instances.py and test_left_servers.py pass.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/reports.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/reports.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from collections.abc import Callable
 
-from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.messages import (
     KeyWork,
     Report,
@@ -37,7 +36,6 @@
 
     def report(self) -> Report:
         """Returns the observations since the last report."""
-        now_s = elapsed_s()
         work = [
             KeyWork(service, weights, self._requests_by_service[service])
             for service, weights in self._work_by_service.items()
@@ -45,12 +43,6 @@
         ]
         self._work_by_service = {}
         self._requests_by_service.clear()
-        until_by_server = self._system_view.unreachable_until_by_server
-        unreachable = [
-            server_id
-            for server_id, until_s in until_by_server.items()
-            if until_s > now_s
-        ]
         return Report(
             self.roster_entry(),
             self._system_view.version_by_table(),
@@ -61,7 +53,7 @@
             },
             work,
             self._time_totals(),
-            unreachable,
+            self._system_view.availability.unreachable_ids(),
             self._system_view.configuration_version(),
         )
 
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -268,16 +268,14 @@
             self._handle_unsent(call, 'another server answered')
 
     def _mark_unreachable(self, holder: Holder, reason: str) -> None:
-        until = self._system_view.unreachable_until_by_server
-        now_s = elapsed_s()
-        if until.get(holder.server_id, 0) < now_s:
+        availability = self._system_view.availability
+        if availability.mark_unreachable(holder.server_id, _UNREACHABLE_S):
             _log.warning(
                 'server unreachable for ownership calls',
                 server=holder.server_id,
                 reason=reason,
                 for_s=_UNREACHABLE_S,
             )
-        until[holder.server_id] = now_s + _UNREACHABLE_S
 
 
 def _described(subject: OwnershipCall | LeaseEnd) -> dict[str, str | int]:
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -11,7 +11,7 @@
 import structlog
 
 from yuccadale_edge._internal.clock import elapsed_s
-from yuccadale_edge._internal.model import KEY_COUNT, Server, ServerState
+from yuccadale_edge._internal.model import KEY_COUNT, Server
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.balance import Move, Span
 from yuccadale_edge._internal.ownership.call_runner import (
@@ -314,8 +314,7 @@
         )
 
     def _reachable(self, holder: Holder) -> bool:
-        until = self._system_view.unreachable_until_by_server
-        return until.get(holder.server_id, 0) < elapsed_s()
+        return self._system_view.availability.is_reachable(holder.server_id)
 
     def _end_restarted(self) -> None:
         for holder in self.table.holders():
@@ -328,25 +327,26 @@
                 self._runner.mark_restarted(holder, server)
 
     def _usable(self) -> dict[Holder, Server]:
-        ready = {
+        usable = {
             Holder(server.server_id, server.incarnation): server
             for server in self._system_view.servers.of(self.service)
-            if server.state == ServerState.ready
+            if self._system_view.usable(server)
         }
         return {
             holder: server
-            for holder, server in ready.items()
-            if self._reachable(holder) and holder not in self._runner.ended
+            for holder, server in usable.items()
+            if holder not in self._runner.ended
         }
 
     def _needs_plan(self) -> bool:
         servers = self._system_view.servers.server_by_id
+        availability = self._system_view.availability
         for segment in self.table.segments:
             intended_owner = segment.intended_owner
             if intended_owner is None:
                 return bool(servers)
             server = servers.get(intended_owner.server_id)
-            if server is None or server.state != ServerState.ready:
+            if server is None or availability.is_leaving(server):
                 return True
         return False
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -472,9 +472,8 @@
         )
 
     def _mark_unreachable(self, server: Server, reason: str) -> None:
-        until = self._system_view.unreachable_until_by_server
-        now_s = elapsed_s()
-        if until.get(server.server_id, 0) < now_s:
+        availability = self._system_view.availability
+        if availability.mark_unreachable(server.server_id, _UNREACHABLE_S):
             _log.warning(
                 'server unreachable',
                 server=server.server_id,
@@ -482,7 +481,6 @@
                 reason=reason,
                 for_s=_UNREACHABLE_S,
             )
-        until[server.server_id] = now_s + _UNREACHABLE_S
         self._pool.close_idle(server.address)
 
     def _probe(self, server: Server) -> None:
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -26,6 +26,7 @@
     ServerState,
 )
 from yuccadale_edge._internal.ownership.segments import Holder
+from yuccadale_edge._internal.server_availability import ServerAvailability
 from yuccadale_edge._internal.source_status import SourceAge, SourceStatus
 from yuccadale_edge._internal.store import Rows, StoredRow
 from yuccadale_edge._internal.store_versions import era_of, version_text
@@ -404,7 +405,7 @@
         self.owners_by_service: dict[str, OwnerMap] = {}
         self.instance_by_name: dict[str, Instance] = {}
         self.membership_version = (0, 0)
-        self.unreachable_until_by_server: dict[str, float] = {}
+        self.availability = ServerAvailability(elapsed_s)
         self._decode_configuration = decode_configuration
         self._changed = asyncio.Event()
         # Whether the store was restored, and has an older configuration than
@@ -554,10 +555,7 @@
 
     def usable(self, server: Server) -> bool:
         """Whether new requests may be sent to a server."""
-        if server.state != ServerState.ready:
-            return False
-        until = self.unreachable_until_by_server.get(server.server_id, 0)
-        return until < elapsed_s()
+        return self.availability.accepts_requests(server)
 
     def keyed_services(self) -> list[str]:
         """Returns the services whose servers divide the keys."""
