Send nothing to a server whose answers say that it leaves

The header was read nowhere.

An instance that receives or passes on such an answer stops sending at once, also from queues, and tells the others over the links. What is sent is checked again on an open connection, just before the request is written, so that no wait lies between the check and the request. The statement belongs to the incarnation and outlasts its entry.

The exchange of limits is divided, so that both use its timing.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -10,11 +10,16 @@
 from yuccadale_edge._internal.membership.electorate import Electorate
 from yuccadale_edge._internal.membership.leader import Leader
 from yuccadale_edge._internal.membership.leadership import Leadership
-from yuccadale_edge._internal.membership.limit_exchange import LimitExchange
+from yuccadale_edge._internal.membership.leaving_exchange import (
+    exchange_leaving,
+)
+from yuccadale_edge._internal.membership.limit_exchange import exchange_limits
 from yuccadale_edge._internal.membership.links import PeerLinks
 from yuccadale_edge._internal.membership.member import REPORT_INTERVAL_S, Member
 from yuccadale_edge._internal.membership.messages import (
     LEADER_UPDATE_TOPIC,
+    LEAVING_RELAY_TOPIC,
+    LEAVING_TOPIC,
     LIMITS_RELAY_TOPIC,
     LIMITS_TOPIC,
     NOMINATION_TOPIC,
@@ -85,10 +90,14 @@
             dispatcher.rate_limits.planning_rate,
         )
         self.read_wait_s = self._member.read_wait_s
-        self._limit_exchange = LimitExchange(
+        self._limit_exchange = exchange_limits(
             dispatcher.rate_limits, system_view, broadcaster
         )
         self.exchange_limits = self._limit_exchange.run
+        self._leaving_exchange = exchange_leaving(
+            system_view, broadcaster, leadership.leading
+        )
+        self.exchange_leaving = self._leaving_exchange.run
 
     def reconfigure(self, settings: Settings) -> None:
         """Applies changed settings; addresses need a restart."""
@@ -187,6 +196,8 @@
             NOMINATION_TOPIC: self._member.handle_nomination,
             LIMITS_TOPIC: self._limit_exchange.handle,
             LIMITS_RELAY_TOPIC: self._limit_exchange.handle_relay,
+            LEAVING_TOPIC: self._leaving_exchange.handle,
+            LEAVING_RELAY_TOPIC: self._leaving_exchange.handle_relay,
         }.get(topic)
         if handler is None:
             _log.warning('message of a peer has an unknown topic', topic=topic)
--- a/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
@@ -21,6 +21,8 @@
 NOMINATION_TOPIC = 'nominate'
 LIMITS_TOPIC = 'limits'
 LIMITS_RELAY_TOPIC = 'limits relay'
+LEAVING_TOPIC = 'leaving'
+LEAVING_RELAY_TOPIC = 'leaving relay'
 
 # Compression gains little for smaller rows.
 _COMPRESS_ABOVE_BYTES = 1500
--- a/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
@@ -66,6 +66,9 @@
             InvalidLimitError: the limit is no usable number.
         """
 
+    def says_it_leaves(self, answer: Answer) -> bool:
+        """Whether the server says that it leaves."""
+
     def reply(self, answer: Answer) -> Reply:
         """Converts a server's answer to a reply to the caller."""
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -18,10 +18,7 @@
 from yuccadale_edge._internal.model import Place, Server
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.segments import Holder
-from yuccadale_edge._internal.routing.codec import (
-    InvalidLimitError,
-    RequestCodec,
-)
+from yuccadale_edge._internal.routing.codec import RequestCodec
 from yuccadale_edge._internal.routing.forwarding import Forwarder
 from yuccadale_edge._internal.routing.pacing import ReturnTimes
 from yuccadale_edge._internal.routing.rate_limits import RateLimits
@@ -37,6 +34,7 @@
     ServerQueue,
     ServiceTimes,
 )
+from yuccadale_edge._internal.routing.server_statements import ServerStatements
 from yuccadale_edge._internal.system_view import SystemView
 from yuccadale_edge._internal.transport.client_connection import (
     Answer,
@@ -90,6 +88,9 @@
         self._forwarder = forwarder
         self._retry_budget_for = retry_budget_for
         self.rate_limits = RateLimits(metrics, elapsed_s)
+        self.statements = ServerStatements(
+            system_view, codec, metrics, self.rate_limits, self._refuse_queued
+        )
         self._queue_by_holder: dict[Holder, ServerQueue] = {}
         self._limit_used_until_s: dict[Holder, float] = {}
         self._returns_by_service: dict[str, ReturnTimes] = {}
@@ -119,6 +120,8 @@
             for server in self._system_view.servers.server_by_id.values()
         }
         self.rate_limits.keep_only(known)
+        self._system_view.availability.forget_ended(known)
+        self._refuse_queued()
         for holder in self._limit_used_until_s.keys() - known:
             self._limit_used_until_s.pop(holder)
         for holder in list(self._queue_by_holder):
@@ -167,6 +170,12 @@
 
     def _no_server(self, service: str) -> Refused:
         """Returns the refusal for a service without a server to choose."""
+        if self._system_view.all_leave(service):
+            return Refused(
+                ResultCode.server_draining,
+                'all servers of the service leave',
+                _UNREACHABLE_S,
+            )
         usable = [
             server
             for server in self._system_view.servers.of(service)
@@ -290,6 +299,7 @@
             )
             result = await self._forwarder.forward(sender, forwarded)
             if result is not None:
+                self.statements.observe_forwarded(result)
                 return result
 
     def _record_limit_use(self, server: Server, result: Result) -> None:
@@ -304,6 +314,9 @@
     async def _queue_and_send(
         self, server: Server, request: RoutedRequest, deadline_s: float
     ) -> Result:
+        refused = self.statements.refusal(server)
+        if refused is not None:
+            return refused
         queue = self._queue(server)
         queued_s = elapsed_s()
         try:
@@ -319,7 +332,7 @@
                     server, queue, request, deadline_s, waited_ms
                 )
         except AdmissionError as refusal:
-            return Refused(
+            return self.statements.refusal(server) or Refused(
                 refusal.code,
                 f'{queue.running} running, {queue.waiting} queued',
                 max(
@@ -329,6 +342,13 @@
                 server.server_id,
             )
 
+    def _refuse_queued(self) -> None:
+        """Refuses queued requests that may no longer be sent."""
+        for holder, queue in self._queue_by_holder.items():
+            code = self.statements.refusal_code(holder)
+            if code is not None:
+                queue.refuse_waiting(code)
+
     def _until_target_s(self, request: RoutedRequest) -> float:
         return max(0, request.until_target_ms / _MS_PER_S)
 
@@ -345,6 +365,9 @@
             async with self._pool.acquire(
                 server.address, _CONNECT_TIMEOUT_S
             ) as connection:
+                refused = self.statements.refusal(server)
+                if refused is not None:
+                    return refused
                 left_s = deadline_s - elapsed_s()
                 encoded = self._codec.encode_request(
                     request, server, left_s * _MS_PER_S
@@ -383,7 +406,7 @@
                 attempts=1,
             )
         service_s = elapsed_s() - sent_s
-        self._observe_limit(server, answer, sent_s)
+        self.statements.observe(server, answer, sent_s)
         if self._codec.not_executed(answer):
             return self._not_executed(server, queue, request, answer)
         self._record_service_time(server, queue, request, service_s)
@@ -395,22 +418,9 @@
             1,
             waited_ms,
             service_s * _MS_PER_S,
+            server.incarnation,
         )
 
-    def _observe_limit(
-        self, server: Server, answer: Answer, sent_s: float
-    ) -> None:
-        limits = self.rate_limits
-        if self._codec.is_misdirected(answer):
-            # Another server may have answered at this address.
-            return
-        try:
-            per_s = self._codec.named_limit(answer)
-        except InvalidLimitError as error:
-            limits.count_invalid(server, str(error))
-            return
-        limits.observe(server, per_s, sent_s)
-
     def _not_executed(
         self,
         server: Server,
@@ -528,4 +538,5 @@
         ResultCode.server_refused_token,
         ResultCode.server_unreachable,
         ResultCode.server_limited,
+        ResultCode.server_draining,
     }
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -59,6 +59,8 @@
 # Share of the remaining time that a request waits for its key to get an owner.
 _MOVE_WAIT_SHARE = 0.5
 _MAX_TRIES = 6
+# Return of a caller when all servers of a service leave.
+_NEXT_SERVER_S = 1.0
 # Delay before a request is sent again after load shedding: a full server has
 # capacity after some ms, and one that sheds a share of its requests may accept
 # the next one.
@@ -368,6 +370,12 @@
                 routed.server_id = owner.holder.server_id
                 routed.incarnation = owner.holder.incarnation
                 return None
+            if self._system_view.all_leave(routed.service):
+                return Refused(
+                    ResultCode.server_draining,
+                    'all servers of the service leave',
+                    _NEXT_SERVER_S,
+                )
             available_in_s = max(owner.available_at_s - now_s, 0)
             if waited_s + available_in_s > max_wait_s:
                 return Refused(
@@ -395,6 +403,7 @@
                 return await self._dispatcher.serve(routed)
             result = await self._forwarder.forward(sender, routed)
             if result is not None:
+                self._dispatcher.statements.observe_forwarded(result)
                 return result
 
     def _sender_key(self, routed: RoutedRequest) -> tuple[str, str]:
@@ -419,6 +428,7 @@
             ResultCode.server_refused_token,
             ResultCode.server_shedding,
             ResultCode.server_unreachable,
+            ResultCode.server_draining,
         }
 
     def _routed_request(
--- a/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
@@ -72,6 +72,7 @@
         attempts: how many times the request was sent to a server.
         waited_ms: time in the queue of the server.
         service_ms: time from sending the request to its answer.
+        incarnation: of the server.
     """
 
     status: int
@@ -81,6 +82,7 @@
     attempts: int
     waited_ms: float
     service_ms: float
+    incarnation: int = 0
 
     @property
     def answer(self) -> Answer:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
@@ -249,14 +249,16 @@
     def close(self) -> None:
         """Refuses all queued requests; the server is no longer registered."""
         self.closed = True
+        self.refuse_waiting(ResultCode.slot_moving)
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def refuse_waiting(self, code: ResultCode) -> None:
+        """Refuses all queued requests."""
         for queued in self._waiting:
             if not queued.admission.done():
-                queued.admission.set_exception(
-                    AdmissionError(ResultCode.slot_moving, 0)
-                )
+                queued.admission.set_exception(AdmissionError(code, 0))
         self._waiting.clear()
-        if self._timer is not None:
-            self._timer.cancel()
 
     def _slot_wait_s(self, rank: float) -> float:
         if self.running < self.limit and not self._waiting:
--- a/packages/edge/src/yuccadale_edge/_internal/server_availability.py
+++ b/packages/edge/src/yuccadale_edge/_internal/server_availability.py
@@ -1,12 +1,47 @@
-"""Whether a request may go to a server now, from this instance."""
+"""Whether a request may go to a server now, from this instance.
 
-from collections.abc import Callable
+What a server says in its answers counts for its incarnation and holds against
+its entry, which the store may deliver late or not at all.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import msgspec
+import structlog
 
 from yuccadale_edge._internal.model import Server, ServerState
+from yuccadale_edge._internal.ownership.segments import Holder
+
+_log = structlog.get_logger()
+
+# An entry may be missing for a while and return; a statement is forgotten when
+# its server was not registered for this long.
+_RETENTION_S = 120.0
+
+
+class LeavingNotice(msgspec.Struct, array_like=True, frozen=True):
+    """What an instance tells the others about a server that leaves."""
+
+    server_id: str
+    incarnation: int
+
+
+@dataclass(slots=True)
+class _Leaving:
+    """A statement of a server that it leaves.
+
+    Attributes:
+        direct: whether an answer to this instance said so.
+        known_s: when its server was last known to be registered.
+    """
+
+    direct: bool
+    known_s: float
 
 
 class ServerAvailability:
-    """What entries of servers and attempts to connect say."""
+    """What entries and answers of servers and attempts to connect say."""
 
     def __init__(self, now: Callable[[], float]) -> None:
         """Creates the state of one instance.
@@ -17,6 +52,8 @@
         self._now = now
         # A failed connection says nothing about the incarnation.
         self._unreachable_until_s_by_id: dict[str, float] = {}
+        self._leaving_by_holder: dict[Holder, _Leaving] = {}
+        self._untold: set[Holder] = set()
 
     def accepts_requests(self, server: Server) -> bool:
         """Whether new requests may be sent to a server."""
@@ -26,7 +63,12 @@
 
     def is_leaving(self, server: Server) -> bool:
         """Whether a server has said that it leaves."""
-        return server.state != ServerState.ready
+        holder = Holder(server.server_id, server.incarnation)
+        return server.state != ServerState.ready or self.said_it_leaves(holder)
+
+    def said_it_leaves(self, holder: Holder) -> bool:
+        """Whether an answer of a server has said that it leaves."""
+        return holder in self._leaving_by_holder
 
     def is_reachable(self, server_id: str) -> bool:
         """Whether no connection to a server has failed lately."""
@@ -54,3 +96,69 @@
         was_reachable = self.is_reachable(server_id)
         self._unreachable_until_s_by_id[server_id] = self._now() + for_s
         return was_reachable
+
+    def mark_leaving(self, holder: Holder) -> bool:
+        """Records that an answer of a server says that it leaves.
+
+        Returns:
+            Whether that was not known.
+        """
+        known = self._leaving_by_holder.get(holder)
+        if known is None:
+            self._untold.add(holder)
+        elif known.direct:
+            return False
+        return self._record_leaving(holder, direct=True)
+
+    def apply_leaving(self, notices: Iterable[LeavingNotice]) -> bool:
+        """Applies what another instance tells.
+
+        Returns:
+            Whether any of it was not known.
+        """
+        holders = [Holder(one.server_id, one.incarnation) for one in notices]
+        return any(
+            [self._record_leaving(holder, direct=False) for holder in holders]
+        )
+
+    def take_leaving(
+        self, *, repeat: bool, all_known: bool
+    ) -> list[LeavingNotice]:
+        """Returns the servers that leave to tell the other instances.
+
+        Args:
+            repeat: add those that were told before.
+            all_known: also those that other instances told.
+        """
+        holders = set(self._untold)
+        self._untold.clear()
+        if repeat:
+            holders.update(
+                holder
+                for holder, leaving in self._leaving_by_holder.items()
+                if leaving.direct or all_known
+            )
+        return [LeavingNotice(*holder) for holder in sorted(holders)]
+
+    def forget_ended(self, registered: set[Holder]) -> None:
+        """Forgets statements of incarnations that have ended long ago."""
+        now_s = self._now()
+        for holder, leaving in list(self._leaving_by_holder.items()):
+            if holder in registered:
+                leaving.known_s = now_s
+            elif now_s - leaving.known_s > _RETENTION_S:
+                self._leaving_by_holder.pop(holder)
+
+    def _record_leaving(self, holder: Holder, *, direct: bool) -> bool:
+        known = self._leaving_by_holder.get(holder)
+        if known is not None:
+            known.direct = known.direct or direct
+            return False
+        self._leaving_by_holder[holder] = _Leaving(direct, self._now())
+        _log.info(
+            'server says that it leaves',
+            server=holder.server_id,
+            incarnation=holder.incarnation,
+            from_answer=direct,
+        )
+        return True
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -557,6 +557,11 @@
         """Whether new requests may be sent to a server."""
         return self.availability.accepts_requests(server)
 
+    def all_leave(self, service: str) -> bool:
+        """Whether a service has servers, and all have said that they leave."""
+        servers = self.servers.of(service)
+        return bool(servers) and all(map(self.availability.is_leaving, servers))
+
     def keyed_services(self) -> list[str]:
         """Returns the services whose servers divide the keys."""
         if self.configuration is None:
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -16,12 +16,17 @@
 from tests.builders.limit_record import LimitRecord
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.broadcaster import Broadcaster
-from yuccadale_edge._internal.membership.limit_exchange import LimitExchange
+from yuccadale_edge._internal.membership.leaving_exchange import (
+    exchange_leaving,
+)
+from yuccadale_edge._internal.membership.limit_exchange import exchange_limits
 from yuccadale_edge._internal.membership.links import (
     LinkLostError,
     PeerUnreachableError,
 )
 from yuccadale_edge._internal.membership.messages import (
+    LEAVING_RELAY_TOPIC,
+    LEAVING_TOPIC,
     LIMITS_RELAY_TOPIC,
     LIMITS_TOPIC,
 )
@@ -83,11 +88,13 @@
 
     Attributes:
         limit_text: what it names, None for nothing.
+        leaving: whether its answers say that it leaves.
         record: limits and arrivals.
     """
 
     server: Server
     limit_text: str | None = None
+    leaving: bool = False
     service_s: float = 0.05
     record: LimitRecord = field(default_factory=lambda: LimitRecord(SETTLING_S))
 
@@ -103,25 +110,62 @@
         headers = [(b'x-attempt-id', request_id)]
         if self.limit_text is not None:
             headers.append((b'server-limit', self.limit_text.encode()))
+        if self.leaving:
+            headers.append((b'server-leaving', b'1'))
         return Answer(200, headers)
 
 
+@dataclass
+class SendRecord:
+    """The requests of one instance to the incarnations of the server.
+
+    Attributes:
+        sent: incarnation and time of each request.
+        leaving_s_by_incarnation: when an answer that the instance received or
+            passed on first said that the server leaves.
+    """
+
+    sent: list[tuple[int, float]] = field(default_factory=list)
+    leaving_s_by_incarnation: dict[int, float] = field(default_factory=dict)
+
+    def record(self, incarnation: int) -> None:
+        """Records a request that is sent now."""
+        self.sent.append((incarnation, elapsed_s()))
+
+    def note_leaving(self, incarnation: int) -> None:
+        """Records an answer that says that the server leaves."""
+        self.leaving_s_by_incarnation.setdefault(incarnation, elapsed_s())
+
+    def late(self, allowed_s: float) -> list[str]:
+        """Returns the requests that were sent too long after that answer."""
+        leaving_s = self.leaving_s_by_incarnation
+        return [
+            f'sent {at_s - leaving_s[incarnation]:.2f} s after the answer'
+            for incarnation, at_s in self.sent
+            if at_s - leaving_s.get(incarnation, inf) > allowed_s
+        ]
+
+
 class SimulatedConnection:
     """A connection of one instance to the server."""
 
-    def __init__(self, server: LimitedServer) -> None:
-        self._server = server
+    def __init__(self, node: 'SimulatedInstance') -> None:
+        self._node = node
+        self._server = node.world.server
 
     async def exchange(self, request: bytes, matches: AnswerMatcher) -> Answer:
         """Sends a request; fails if the server has started again meanwhile."""
         expected = f'x-expect-instance: {self._server.server.server_id}\r\n'
         assert expected.encode() in request
         before = self._server.server.incarnation
+        self._node.sends.record(before)
         request_id = request.split(b'X-Attempt-Id: ')[1].split(b'\r\n')[0]
         answer = await self._server.answer(request_id)
         if self._server.server.incarnation != before:
             raise AnswerLostError('closed')
         assert matches(answer)
+        if any(name == b'server-leaving' for name, _ in answer.headers):
+            self._node.sends.note_leaving(before)
         return answer
 
 
@@ -138,7 +182,7 @@
         """Provides a connection, new or not."""
         if not self._node.running and force_new is False:
             raise NotSentError('the instance has ended')
-        yield SimulatedConnection(self._node.world.server)
+        yield SimulatedConnection(self._node)
 
     def close_idle(self, address: Address) -> None:
         """Closes nothing: connections hold no state here."""
@@ -202,6 +246,8 @@
         handle = {
             LIMITS_TOPIC: peer.exchange.handle,
             LIMITS_RELAY_TOPIC: peer.exchange.handle_relay,
+            LEAVING_TOPIC: peer.leaving_exchange.handle,
+            LEAVING_RELAY_TOPIC: peer.leaving_exchange.handle_relay,
         }[topic]
         handle(body)
 
@@ -213,6 +259,7 @@
         running: whether the process lives.
         cut: other instances that it cannot reach.
         heard_s: when it last heard the leader.
+        sends: its requests to the server.
     """
 
     def __init__(self, world: 'LimitWorld', entry: Instance) -> None:
@@ -221,6 +268,7 @@
         self.running = True
         self.cut: set[str] = set()
         self.heard_s = elapsed_s()
+        self.sends = SendRecord()
         place = Place(
             entry.data_centre,
             REGION_BY_DATA_CENTRE[entry.data_centre],
@@ -270,13 +318,14 @@
             _record_nothing,
             StopGuard(elapsed_s),
         )
-        self.exchange = LimitExchange(
-            self.dispatcher.rate_limits,
-            self.view,
-            Broadcaster(settings, self.view, links),
+        broadcaster = Broadcaster(settings, self.view, links)
+        self.exchange = exchange_limits(
+            self.dispatcher.rate_limits, self.view, broadcaster
         )
+        self.leaving_exchange = exchange_leaving(self.view, broadcaster, bool)
         self._tasks = [
             asyncio.create_task(self.exchange.run()),
+            asyncio.create_task(self.leaving_exchange.run()),
             asyncio.create_task(self._maintain()),
         ]
 
@@ -353,6 +402,7 @@
         self.loses_messages = False
         self.notices = 0
         self.outcomes = Outcomes()
+        self.ended_nodes: list[SimulatedInstance] = []
         self.server = LimitedServer(
             Server(
                 's',
@@ -398,6 +448,10 @@
         """Returns the instance through which the server is reached."""
         return max(self.nodes, key=SimulatedInstance.limit_share)
 
+    def say_it_leaves(self) -> None:
+        """Lets all answers of the server say that it leaves."""
+        self.server.leaving = True
+
     async def load(
         self, per_s: float, for_s: float, *, keyed: bool | None = None
     ) -> None:
@@ -454,6 +508,8 @@
         )
         if isinstance(result, Served):
             self.outcomes.served_s.append(elapsed_s())
+            if (b'server-leaving', b'1') in result.headers:
+                node.sends.note_leaving(result.incarnation)
         else:
             self.outcomes.refused.append((elapsed_s(), result))
 
@@ -496,6 +552,7 @@
 
     async def _restart_server(self) -> None:
         known = self.server.server
+        self.server.leaving = False
         self.server.server = replace(known, incarnation=known.incarnation + 1)
         # The new process names no limit until it is in need again.
         self.server.name_limit(inf)
@@ -508,6 +565,7 @@
         await asyncio.sleep(self.random.choice(_PAUSES_S))
         index = self.nodes.index(node)
         self.nodes[index] = SimulatedInstance(self, node.entry)
+        self.ended_nodes.append(node)
         self.nodes[index].learn_server()
 
     async def _isolate_instance(self) -> None:
--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from math import inf
 from types import MappingProxyType
 
 import msgspec
@@ -38,6 +39,10 @@
         send_extra_answers: send a second answer shortly after each answer.
         shed_next: number of requests to refuse although there is capacity.
         limit_text: the limit that its answers name, None to name none.
+        leaving: whether all its answers say that it leaves.
+        left_answer_s: when an answer first said so, on a monotonic clock.
+        pause_text: the pause that refusals of a full server ask for.
+        pause_answer_s: when a refusal first asked for it, on that clock.
         arrivals_s: when requests arrived, on a monotonic clock.
         executions: number of executions by request id.
         accepted_grants: first key, last key and fence of each grant.
@@ -55,6 +60,10 @@
     full: bool = False
     shed_next: int = 0
     limit_text: str | None = None
+    leaving: bool = False
+    left_answer_s: float = inf
+    pause_text: str | None = None
+    pause_answer_s: float = inf
     arrivals_s: list[float] = field(default_factory=list)
     health_path: str = '/healthz'
     address: str = ''
@@ -73,11 +82,22 @@
             for grant in self.grants
         )
 
-    def limit_headers(self) -> dict[str, str]:
-        """Returns the headers that name its limit."""
-        if self.limit_text is None:
+    def statement_headers(self) -> dict[str, str]:
+        """Returns the headers of all answers that say how it is."""
+        headers: dict[str, str] = {}
+        if self.limit_text is not None:
+            headers['Server-Limit'] = self.limit_text
+        if self.leaving:
+            headers['Server-Leaving'] = '1'
+            self.left_answer_s = min(self.left_answer_s, time.monotonic())
+        return headers
+
+    def pause_headers(self) -> dict[str, str]:
+        """Returns the headers of a refusal that ask for a pause."""
+        if self.pause_text is None:
             return {}
-        return {'Server-Limit': self.limit_text}
+        self.pause_answer_s = min(self.pause_answer_s, time.monotonic())
+        return {'Retry-After': self.pause_text}
 
     def entry(self, state: str = 'ready') -> dict:
         """Returns its entry in the store."""
@@ -204,7 +224,7 @@
                 'X-Attempt-Id': request_id,
                 'X-Server-Signature': f'{server.server_id}.{request_id}',
             }
-            | server.limit_headers(),
+            | server.statement_headers(),
         )
         if server.send_extra_answers and request.transport is not None:
             asyncio.get_running_loop().call_later(
@@ -227,7 +247,7 @@
     not_executed = {
         'X-Not-Executed': '1',
         'X-Instance-Id': server.server_id,
-    } | server.limit_headers()
+    } | server.statement_headers()
     if not _is_expected(server, request):
         return web.Response(status=421, headers=not_executed)
     if server.keyed and not server.holds(key):
@@ -236,7 +256,9 @@
         server.shed_next -= 1
         return web.Response(status=503, headers={'X-Not-Executed': '1'})
     if server.full:
-        return web.Response(status=503, headers=not_executed)
+        return web.Response(
+            status=503, headers=not_executed | server.pause_headers()
+        )
     return None
 
 
--- /dev/null
+++ b/tests/platform/test_server_statements.py
@@ -0,0 +1,104 @@
+"""Servers that say in their answers that they leave.
+
+Trials of issue 29: two instances, 20 requests a second, and servers whose
+entries say all the while that they are ready.
+"""
+
+import asyncio
+import itertools
+from dataclasses import dataclass
+from math import inf
+
+import pytest
+
+from tests.builders.platform_servers import PlatformServer
+from tests.builders.platform_system import PlatformSystem, platform_system
+
+REQUESTS_PER_S = 20
+KEYS = (0, 20000, 40000, 65535)
+# A server that leaves gets no requests later than this after it said so.
+DRAIN_S = 2.0
+MARGIN_S = 0.1
+_NUMBERS = itertools.count()
+
+
+@dataclass(frozen=True)
+class Reply:
+    """What a caller got, and when, on the clock of the loop."""
+
+    status: int
+    ended_s: float
+    took_s: float
+    retry_after_s: float
+
+    @property
+    def returns_s(self) -> float:
+        """When the caller may come back."""
+        return self.ended_s + self.retry_after_s
+
+
+async def _send(
+    system: PlatformSystem, name: str, path: str, key: int | None
+) -> Reply:
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    status, _, headers = await system.send_request(
+        name, path, key=key, request_id=f'said-{next(_NUMBERS)}'
+    )
+    now_s = loop.time()
+    retry_after_s = float(headers.get('retry-after', inf))
+    return Reply(status, now_s, now_s - began_s, retry_after_s)
+
+
+async def _play_load(
+    system: PlatformSystem, names: list[str], path: str, for_s: float
+) -> list[Reply]:
+    """Sends requests in turn through the instances."""
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    tasks: list[asyncio.Task[Reply]] = []
+    for number in range(int(REQUESTS_PER_S * for_s)):
+        await asyncio.sleep(
+            max(0, began_s + number / REQUESTS_PER_S - loop.time())
+        )
+        key = None
+        if path == '/keyed/x':
+            key = KEYS[number // len(names) % len(KEYS)]
+        name = names[number % len(names)]
+        tasks.append(asyncio.create_task(_send(system, name, path, key)))
+    return await asyncio.gather(*tasks)
+
+
+def _most_used(system: PlatformSystem, *, keyed: bool) -> PlatformServer:
+    servers = [
+        server
+        for server in system.server_by_id.values()
+        if server.keyed == keyed
+    ]
+    return max(servers, key=lambda server: len(server.arrivals_s))
+
+
+def _count_between(times_s: list[float], begin_s: float, end_s: float) -> int:
+    return sum(begin_s < one < end_s for one in times_s)
+
+
+@pytest.mark.parametrize('path', ['/open/x', '/once/x', '/keyed/x'])
+async def test_a_server_that_says_it_leaves_gets_no_more_requests(
+    path: str,
+) -> None:
+    """Guards against a server that leaves and is used while its entry is ready.
+
+    It got 72 to 78 requests later than 2.1 s after its first such answer.
+    """
+    async with platform_system(keyed=2, unkeyed=2) as system:
+        names = [await system.add_instance() for _ in range(2)]
+        for name in names:
+            await system.wait_until_served(name, *KEYS)
+        await _play_load(system, names, path, 1)
+        server = _most_used(system, keyed=path == '/keyed/x')
+        server.leaving = True
+        replies = await _play_load(system, names, path, DRAIN_S + 3)
+        assert server.left_answer_s < inf
+        late_s = server.left_answer_s + DRAIN_S + MARGIN_S
+        assert not _count_between(server.arrivals_s, late_s, inf)
+        assert {reply.status for reply in replies} == {200}
