Keep the pause that a refusal of a server asks for

Retry-After of servers was read nowhere; the sender asked again after 30 ms, for each request.

The instance that gets such a refusal now sends nothing until the longest end that was named. It checks so when a request is routed, refuses what is queued, and checks again on the open connection. Requests for keys are refused at once with the end of the pause, spread over half of what the server can run; the others go to other servers within the retry budget. The horizon of booked returns counts from the first free moment, since all returns after 5 s would fall on one moment otherwise.

--- a/packages/core/src/yuccadale_core/_internal/codes.py
+++ b/packages/core/src/yuccadale_core/_internal/codes.py
@@ -47,6 +47,7 @@
     caller_gone = 3009
     instance_draining = 3010
     server_limited = 3011
+    server_paused = 3012
 
     server_refused_token = 4001
     server_unreachable = 4002
@@ -228,6 +229,12 @@
             'The server limits the requests a second that it takes.',
             _SEND_AGAIN,
         ),
+        ResultCode.server_paused: CodeEntry(
+            503,
+            _NOT_RUN,
+            'The server has asked for no requests until Retry-After.',
+            _SEND_AGAIN,
+        ),
         ResultCode.server_refused_token: CodeEntry(
             503,
             _NOT_RUN,
--- a/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
@@ -26,6 +26,10 @@
     """A server named a limit that is no number of requests a second."""
 
 
+class InvalidPauseError(ValueError):
+    """A server asked for a pause with a value that is no duration."""
+
+
 class RequestCodec(Protocol):
     """Decodes and encodes requests and answers."""
 
@@ -66,6 +70,16 @@
             InvalidLimitError: the limit is no usable number.
         """
 
+    def requested_pause_s(self, answer: Answer) -> float | None:
+        """Returns for how long the server wants no requests from here.
+
+        Returns:
+            None if the answer does not ask for a pause.
+
+        Raises:
+            InvalidPauseError: the duration cannot be read.
+        """
+
     def says_it_leaves(self, answer: Answer) -> bool:
         """Whether the server says that it leaves."""
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -89,7 +89,12 @@
         self._retry_budget_for = retry_budget_for
         self.rate_limits = RateLimits(metrics, elapsed_s)
         self.statements = ServerStatements(
-            system_view, codec, metrics, self.rate_limits, self._refuse_queued
+            system_view,
+            codec,
+            metrics,
+            self.rate_limits,
+            self.service_times,
+            self._refuse_queued,
         )
         self._queue_by_holder: dict[Holder, ServerQueue] = {}
         self._limit_used_until_s: dict[Holder, float] = {}
@@ -115,12 +120,11 @@
 
         The others may send again after their limit changed.
         """
-        known = {
-            _holder(server)
-            for server in self._system_view.servers.server_by_id.values()
-        }
+        known = set(
+            map(_holder, self._system_view.servers.server_by_id.values())
+        )
         self.rate_limits.keep_only(known)
-        self._system_view.availability.forget_ended(known)
+        self.statements.keep_only(known)
         self._refuse_queued()
         for holder in self._limit_used_until_s.keys() - known:
             self._limit_used_until_s.pop(holder)
@@ -138,7 +142,7 @@
         tried: set[str] = set()
         server = self._choose_server(request, tried)
         if server is None:
-            return self._no_server(request.service)
+            return self._no_server(request)
         best: Result | None = None
         attempts = 0
         while server is not None:
@@ -168,8 +172,9 @@
             request, result.attempts
         )
 
-    def _no_server(self, service: str) -> Refused:
+    def _no_server(self, request: RoutedRequest) -> Refused:
         """Returns the refusal for a service without a server to choose."""
+        service = request.service
         if self._system_view.all_leave(service):
             return Refused(
                 ResultCode.server_draining,
@@ -181,6 +186,9 @@
             for server in self._system_view.servers.of(service)
             if self._system_view.usable(server)
         ]
+        paused = self.statements.first_return(usable, request)
+        if paused is not None:
+            return paused
         if usable:
             return Refused(
                 ResultCode.server_limited,
@@ -267,8 +275,13 @@
         )
 
     def _may_choose(self, server: Server) -> bool:
-        until_s = self._limit_used_until_s.get(_holder(server), 0)
-        return self._system_view.usable(server) and until_s <= elapsed_s()
+        holder = _holder(server)
+        until_s = self._limit_used_until_s.get(holder, 0)
+        return (
+            self._system_view.usable(server)
+            and until_s <= elapsed_s()
+            and self.statements.refusal_code(holder) is None
+        )
 
     async def _serve_at(
         self, server: Server, request: RoutedRequest, deadline_s: float
@@ -314,7 +327,7 @@
     async def _queue_and_send(
         self, server: Server, request: RoutedRequest, deadline_s: float
     ) -> Result:
-        refused = self.statements.refusal(server)
+        refused = self.statements.refusal(server, request)
         if refused is not None:
             return refused
         queue = self._queue(server)
@@ -332,7 +345,7 @@
                     server, queue, request, deadline_s, waited_ms
                 )
         except AdmissionError as refusal:
-            return self.statements.refusal(server) or Refused(
+            return self.statements.refusal(server, request) or Refused(
                 refusal.code,
                 f'{queue.running} running, {queue.waiting} queued',
                 max(
@@ -365,7 +378,7 @@
             async with self._pool.acquire(
                 server.address, _CONNECT_TIMEOUT_S
             ) as connection:
-                refused = self.statements.refusal(server)
+                refused = self.statements.refusal(server, request)
                 if refused is not None:
                     return refused
                 left_s = deadline_s - elapsed_s()
@@ -429,6 +442,10 @@
         answer: Answer,
     ) -> Refused:
         wrong = self._codec.is_misdirected(answer)
+        paused = self.statements.refusal(server, request)
+        if paused is not None and not wrong:
+            paused.attempts = 1
+            return paused
         code = ResultCode.server_shedding
         if wrong:
             code = ResultCode.server_refused_token
@@ -494,6 +511,8 @@
         self._pool.close_idle(server.address)
 
     def _probe(self, server: Server) -> None:
+        if self.statements.refusal_code(_holder(server)) is not None:
+            return
         task = asyncio.create_task(self._check_connection(server))
         self._probes.add(task)
         task.add_done_callback(self._probes.discard)
@@ -539,4 +558,5 @@
         ResultCode.server_unreachable,
         ResultCode.server_limited,
         ResultCode.server_draining,
+        ResultCode.server_paused,
     }
--- a/packages/edge/src/yuccadale_edge/_internal/routing/pacing.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/pacing.py
@@ -120,7 +120,7 @@
         now_s = self._now()
         interval_s = 1 / per_s
         earliest_s = now_s + delay_s + interval_s
-        horizon_s = max(
+        horizon_s = delay_s + max(
             _RETURN_HORIZON_S, interval_s * _RETURN_HORIZON_INTERVALS
         )
         self._last_s = max(self._last_s + interval_s, earliest_s)
--- a/packages/edge/src/yuccadale_edge/_internal/server_availability.py
+++ b/packages/edge/src/yuccadale_edge/_internal/server_availability.py
@@ -54,6 +54,7 @@
         self._unreachable_until_s_by_id: dict[str, float] = {}
         self._leaving_by_holder: dict[Holder, _Leaving] = {}
         self._untold: set[Holder] = set()
+        self._paused_until_s_by_holder: dict[Holder, float] = {}
 
     def accepts_requests(self, server: Server) -> bool:
         """Whether new requests may be sent to a server."""
@@ -70,6 +71,11 @@
         """Whether an answer of a server has said that it leaves."""
         return holder in self._leaving_by_holder
 
+    def pause_left_s(self, holder: Holder) -> float:
+        """Returns for how long a server wants no requests from here."""
+        until_s = self._paused_until_s_by_holder.get(holder, 0)
+        return max(0, until_s - self._now())
+
     def is_reachable(self, server_id: str) -> bool:
         """Whether no connection to a server has failed lately."""
         return self._unreachable_until_s_by_id.get(server_id, 0) < self._now()
@@ -97,6 +103,18 @@
         self._unreachable_until_s_by_id[server_id] = self._now() + for_s
         return was_reachable
 
+    def mark_paused(self, holder: Holder, for_s: float) -> bool:
+        """Records that a server wants no requests from this instance.
+
+        Returns:
+            Whether it took requests before.
+        """
+        left_s = self.pause_left_s(holder)
+        self._paused_until_s_by_holder[holder] = self._now() + max(
+            for_s, left_s
+        )
+        return not left_s
+
     def mark_leaving(self, holder: Holder) -> bool:
         """Records that an answer of a server says that it leaves.
 
@@ -141,8 +159,13 @@
         return [LeavingNotice(*holder) for holder in sorted(holders)]
 
     def forget_ended(self, registered: set[Holder]) -> None:
-        """Forgets statements of incarnations that have ended long ago."""
+        """Forgets pauses and servers that have ended, these after a while."""
         now_s = self._now()
+        self._paused_until_s_by_holder = {
+            holder: until_s
+            for holder, until_s in self._paused_until_s_by_holder.items()
+            if until_s > now_s
+        }
         for holder, leaving in list(self._leaving_by_holder.items()):
             if holder in registered:
                 leaving.known_s = now_s
--- a/packages/edge/src/yuccadale_edge/instance.py
+++ b/packages/edge/src/yuccadale_edge/instance.py
@@ -25,7 +25,10 @@
     CallKind,
     OwnershipCall,
 )
-from yuccadale_edge._internal.routing.codec import InvalidLimitError
+from yuccadale_edge._internal.routing.codec import (
+    InvalidLimitError,
+    InvalidPauseError,
+)
 from yuccadale_edge._internal.routing.requests import (
     CallerRequest,
     RoutedRequest,
@@ -88,6 +91,7 @@
     'HistoryLostError',
     'Instance',
     'InvalidLimitError',
+    'InvalidPauseError',
     'InvalidRowError',
     'Machine',
     'NotSentError',
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -78,6 +78,7 @@
 _LEADER_TIMEOUT_S = 1.0
 _MAINTENANCE_S = 0.2
 _SLOTS = 4
+_REFUSED = 503
 _PAUSES_S = (0.1, 0.5, 2.0, 5.0)
 _LIMITS_PER_S = (0, 2, 6.5, 17.5, 40)
 
@@ -89,12 +90,14 @@
     Attributes:
         limit_text: what it names, None for nothing.
         leaving: whether its answers say that it leaves.
+        pause_s: the pause that it asks for while it refuses all requests.
         record: limits and arrivals.
     """
 
     server: Server
     limit_text: str | None = None
     leaving: bool = False
+    pause_s: float | None = None
     service_s: float = 0.05
     record: LimitRecord = field(default_factory=lambda: LimitRecord(SETTLING_S))
 
@@ -106,6 +109,15 @@
     async def answer(self, request_id: bytes) -> Answer:
         """Runs a request."""
         self.record.arrivals_s.append(elapsed_s())
+        if self.pause_s is not None:
+            return Answer(
+                _REFUSED,
+                [
+                    (b'x-attempt-id', request_id),
+                    (b'x-not-executed', b'1'),
+                    (b'retry-after', str(self.pause_s).encode()),
+                ],
+            )
         await asyncio.sleep(self.service_s)
         headers = [(b'x-attempt-id', request_id)]
         if self.limit_text is not None:
@@ -123,10 +135,12 @@
         sent: incarnation and time of each request.
         leaving_s_by_incarnation: when an answer that the instance received or
             passed on first said that the server leaves.
+        pauses: incarnation, begin and end of each pause it was asked for.
     """
 
     sent: list[tuple[int, float]] = field(default_factory=list)
     leaving_s_by_incarnation: dict[int, float] = field(default_factory=dict)
+    pauses: list[tuple[int, float, float]] = field(default_factory=list)
 
     def record(self, incarnation: int) -> None:
         """Records a request that is sent now."""
@@ -136,6 +150,27 @@
         """Records an answer that says that the server leaves."""
         self.leaving_s_by_incarnation.setdefault(incarnation, elapsed_s())
 
+    def note_pause(self, incarnation: int, for_s: float) -> None:
+        """Records a refusal that asks for a pause."""
+        now_s = elapsed_s()
+        self.pauses.append((incarnation, now_s, now_s + for_s))
+
+    def excess_in_pauses(self, crossing_s: float, allowed: int) -> list[str]:
+        """Returns the pauses with too many requests.
+
+        Args:
+            crossing_s: requests before may have been on their way.
+            allowed: requests after that.
+        """
+        counts = [
+            sum(
+                sent_to == incarnation and begin_s + crossing_s < at_s < end_s
+                for sent_to, at_s in self.sent
+            )
+            for incarnation, begin_s, end_s in self.pauses
+        ]
+        return [f'{count} in a pause' for count in counts if count > allowed]
+
     def late(self, allowed_s: float) -> list[str]:
         """Returns the requests that were sent too long after that answer."""
         leaving_s = self.leaving_s_by_incarnation
@@ -166,6 +201,13 @@
         assert matches(answer)
         if any(name == b'server-leaving' for name, _ in answer.headers):
             self._node.sends.note_leaving(before)
+        known = self._node.view.servers.server_by_id[
+            self._server.server.server_id
+        ]
+        paused = self._server.pause_s is not None
+        # An answer of a process that is not known yet counts for the former.
+        if answer.status == _REFUSED and paused and known.incarnation == before:
+            self._node.sends.note_pause(before, self._server.pause_s)
         return answer
 
 
--- a/tests/platform/test_server_statements.py
+++ b/tests/platform/test_server_statements.py
@@ -1,4 +1,4 @@
-"""Servers that say in their answers that they leave.
+"""Servers that say in their answers that they leave, or ask for a pause.
 
 Trials of issue 29: two instances, 20 requests a second, and servers whose
 entries say all the while that they are ready.
@@ -11,6 +11,7 @@
 
 import pytest
 
+from tests.builders.limit_record import most_in_window
 from tests.builders.platform_servers import PlatformServer
 from tests.builders.platform_system import PlatformSystem, platform_system
 
@@ -19,6 +20,12 @@
 # A server that leaves gets no requests later than this after it said so.
 DRAIN_S = 2.0
 MARGIN_S = 0.1
+PAUSE_S = 4.0
+# Requests that are on their way when a server asks for a pause.
+CROSSING_S = 0.5
+ALLOWED_IN_PAUSE = 2
+REFUSED_WITHIN_S = 0.2
+MOMENT_S = 0.1
 _NUMBERS = itertools.count()
 
 
@@ -102,3 +109,47 @@
         late_s = server.left_answer_s + DRAIN_S + MARGIN_S
         assert not _count_between(server.arrivals_s, late_s, inf)
         assert {reply.status for reply in replies} == {200}
+
+
+async def test_a_server_that_asks_for_a_pause_gets_no_requests() -> None:
+    """Guards against requests in the pause that a refusal of a server names.
+
+    A server with keys got 90 between 0.7 and 4 s after it.
+    """
+    async with platform_system(keyed=1) as system:
+        names = [await system.add_instance() for _ in range(2)]
+        for name in names:
+            await system.wait_until_served(name, *KEYS)
+        server = system.server_by_id['k0']
+        server.pause_text = str(PAUSE_S)
+        server.full = True
+        grants = len(server.accepted_grants)
+        replies = await _play_load(system, names, '/keyed/x', PAUSE_S - 0.5)
+        begin_s = server.pause_answer_s + CROSSING_S
+        end_s = server.pause_answer_s + PAUSE_S
+        in_pause = _count_between(server.arrivals_s, begin_s, end_s)
+        assert in_pause <= ALLOWED_IN_PAUSE
+        assert len(server.accepted_grants) > grants
+    assert {reply.status for reply in replies} == {503}
+    in_time = [reply.took_s < REFUSED_WITHIN_S for reply in replies]
+    assert sum(in_time) > len(in_time) * 0.9
+    # The first refusals may cross the one that names the pause.
+    told = replies[int(REQUESTS_PER_S * CROSSING_S) :]
+    assert all(reply.returns_s >= end_s - 0.05 for reply in told)
+    returns_s = sorted(reply.returns_s for reply in told)
+    assert most_in_window(returns_s, MOMENT_S) < len(returns_s) / 3
+
+
+async def test_work_without_keys_goes_to_others_in_a_pause() -> None:
+    """Guards against refusals while another server of the service is free."""
+    async with platform_system(keyed=0, unkeyed=2) as system:
+        names = [await system.add_instance() for _ in range(2)]
+        await _play_load(system, names, '/once/x', 1)
+        server = _most_used(system, keyed=False)
+        server.pause_text = str(PAUSE_S)
+        server.full = True
+        replies = await _play_load(system, names, '/once/x', PAUSE_S - 0.5)
+        begin_s = server.pause_answer_s + CROSSING_S
+        in_pause = _count_between(server.arrivals_s, begin_s, inf)
+        assert in_pause <= ALLOWED_IN_PAUSE
+    assert {reply.status for reply in replies} == {200}
