Test what ends a statement of a server, and what does not

A statement that was forgotten could still be told to others: its server was dropped from what is known, but not from what is still to be told. tests/edge/test_server_availability.py found it. A queue in front of a server that leaves is played in virtual time, and found to drain when the checks are removed.

--- a/packages/edge/src/yuccadale_edge/_internal/server_availability.py
+++ b/packages/edge/src/yuccadale_edge/_internal/server_availability.py
@@ -171,6 +171,7 @@
                 leaving.known_s = now_s
             elif now_s - leaving.known_s > _RETENTION_S:
                 self._leaving_by_holder.pop(holder)
+        self._untold &= self._leaving_by_holder.keys()
 
     def _record_leaving(self, holder: Holder, *, direct: bool) -> bool:
         known = self._leaving_by_holder.get(holder)
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -19,6 +19,7 @@
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership import notice_exchange
 from yuccadale_edge._internal.ownership.segments import Holder
+from yuccadale_edge._internal.routing.dispatch import Dispatcher
 from yuccadale_edge._internal.routing.request_router import RequestRouter
 from yuccadale_edge._internal.routing.server_statements import ServerStatements
 from yuccadale_edge._internal.server_availability import ServerAvailability
@@ -31,6 +32,8 @@
 # The aim inside the users' bound: requests that are queued or on their way.
 SENT_WITHIN_S = 0.5
 REFUSED_WITHIN_S = 0.1
+MOMENT_S = 0.001
+SLOW_SERVICE_S = 0.1
 
 
 @pytest.fixture(autouse=True)
@@ -161,6 +164,37 @@
     return await router._dispatcher.serve(routed)  # type: ignore[arg-type]
 
 
+async def _sent_after_the_answer() -> list[str]:
+    """Returns what a full server gets after it has said that it leaves."""
+    async with limit_world(5, 1) as world:
+        world.server.service_s = SLOW_SERVICE_S
+        await world.load(DEMAND_PER_S, 2, keyed=True)
+        world.say_it_leaves()
+        await world.load(DEMAND_PER_S, 2, keyed=True)
+        # Requests that are sent in the same moment are on their way.
+        return world.nodes[0].sends.late(MOMENT_S)
+
+
+@in_virtual_time
+async def test_queued_requests_are_not_sent() -> None:
+    """Guards against a queue that drains into a server that leaves."""
+    assert not await _sent_after_the_answer()
+
+
+def test_queued_requests_that_are_sent_are_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a check whose queue is empty."""
+    monkeypatch.setattr(Dispatcher, '_refuse_queued', lambda _: None)
+    monkeypatch.setattr(ServerStatements, 'refusal', lambda *_: None)
+
+    @in_virtual_time
+    async def play() -> None:
+        assert await _sent_after_the_answer()
+
+    play()
+
+
 @in_virtual_time
 async def test_an_instance_that_starts_later_is_told() -> None:
     """Guards against a new instance that has to ask the leaving server."""
