Test that the store does not end what a server has said

An entry that is confirmed, that is removed and returns, and a store that is away leave a server that leaves without requests; a leader that takes over plans its keys away.

--- a/tests/platform/test_server_statements.py
+++ b/tests/platform/test_server_statements.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from math import inf
 
@@ -111,6 +112,68 @@
         assert {reply.status for reply in replies} == {200}
 
 
+async def _confirm_entry(system: PlatformSystem, server_id: str) -> None:
+    entry = system.server_by_id[server_id].entry()
+    entry['status']['sequence'] += 1
+    system.store.state.put('servers', server_id, entry)
+    await system.store.state.notify_feeds()
+
+
+async def _remove_entry_for_a_while(
+    system: PlatformSystem, server_id: str
+) -> None:
+    system.store.state.remove('servers', server_id)
+    await system.store.state.notify_feeds()
+    await asyncio.sleep(0.5)
+    await _confirm_entry(system, server_id)
+
+
+async def _stop_store(system: PlatformSystem, server_id: str) -> None:
+    assert server_id
+    system.store.faults.down = True
+
+
+@pytest.mark.parametrize(
+    'change', [_confirm_entry, _remove_entry_for_a_while, _stop_store]
+)
+@pytest.mark.parametrize('path', ['/once/x', '/keyed/x'])
+async def test_the_store_does_not_end_a_statement(
+    path: str,
+    change: Callable[[PlatformSystem, str], Awaitable[None]],
+) -> None:
+    """Guards against an entry that is believed after the server has spoken."""
+    async with platform_system(keyed=2, unkeyed=2) as system:
+        names = [await system.add_instance() for _ in range(2)]
+        for name in names:
+            await system.wait_until_served(name, *KEYS)
+        await _play_load(system, names, path, 1)
+        server = _most_used(system, keyed=path == '/keyed/x')
+        server.leaving = True
+        await _play_load(system, names, path, 0.5)
+        await change(system, server.server_id)
+        await _play_load(system, names, path, DRAIN_S + 2)
+        late_s = server.left_answer_s + DRAIN_S + MARGIN_S
+        assert not _count_between(server.arrivals_s, late_s, inf)
+
+
+async def test_the_next_leader_plans_the_keys_of_a_leaving_server_away() -> (
+    None
+):
+    """Guards against keys that stay since the leader that was told is lost."""
+    async with platform_system(keyed=2) as system:
+        names = [await system.add_instance() for _ in range(3)]
+        for name in names:
+            await system.wait_until_served(name, *KEYS)
+        server = system.server_by_id['k0']
+        server.leaving = True
+        await _play_load(system, names, '/keyed/x', 0.2)
+        await system.kill(names[0])
+        for survivor in names[1:]:
+            await system.wait_until_served(survivor, *KEYS)
+        late_s = server.left_answer_s + DRAIN_S + MARGIN_S
+        assert not _count_between(server.arrivals_s, late_s, inf)
+
+
 async def test_a_server_that_asks_for_a_pause_gets_no_requests() -> None:
     """Guards against requests in the pause that a refusal of a server names.
 
