--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -18,10 +18,7 @@
 from yuccadale_edge._internal.model import Place, Server
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.segments import Holder
-from yuccadale_edge._internal.routing.codec import (
-    InvalidLimitError,
-    RequestCodec,
-)
+from yuccadale_edge._internal.routing.codec import RequestCodec
 from yuccadale_edge._internal.routing.forwarding import Forwarder
 from yuccadale_edge._internal.routing.pacing import ReturnTimes
 from yuccadale_edge._internal.routing.rate_limits import RateLimits
@@ -37,6 +34,7 @@
     ServerQueue,
     ServiceTimes,
 )
+from yuccadale_edge._internal.routing.server_statements import ServerStatements
 from yuccadale_edge._internal.system_view import SystemView
 from yuccadale_edge._internal.transport.client_connection import (
     UNACKNOWLEDGED_S,
@@ -91,6 +89,14 @@
         self._forwarder = forwarder
         self._retry_budget_for = retry_budget_for
         self.rate_limits = RateLimits(metrics, elapsed_s)
+        self.statements = ServerStatements(
+            system_view,
+            codec,
+            metrics,
+            self.rate_limits,
+            self.service_times,
+            self._refuse_queued,
+        )
         self._queue_by_holder: dict[Holder, ServerQueue] = {}
         self._limit_used_until_s: dict[Holder, float] = {}
         self._returns_by_service: dict[str, ReturnTimes] = {}
@@ -115,11 +121,12 @@
 
         The others may send again after their limit changed.
         """
-        known = {
-            _holder(server)
-            for server in self._system_view.servers.server_by_id.values()
-        }
+        known = set(
+            map(_holder, self._system_view.servers.server_by_id.values())
+        )
         self.rate_limits.keep_only(known)
+        self.statements.keep_only(known)
+        self._refuse_queued()
         for holder in self._limit_used_until_s.keys() - known:
             self._limit_used_until_s.pop(holder)
         for holder in list(self._queue_by_holder):
@@ -136,7 +143,7 @@
         tried: set[str] = set()
         server = self._choose_server(request, tried)
         if server is None:
-            return self._no_server(request.service)
+            return self._no_server(request)
         best: Result | None = None
         attempts = 0
         while server is not None:
@@ -166,13 +173,23 @@
             request, result.attempts
         )
 
-    def _no_server(self, service: str) -> Refused:
+    def _no_server(self, request: RoutedRequest) -> Refused:
         """Returns the refusal for a service without a server to choose."""
+        service = request.service
+        if self._system_view.all_leave(service):
+            return Refused(
+                ResultCode.server_draining,
+                'all servers of the service leave',
+                _UNREACHABLE_S,
+            )
         usable = [
             server
             for server in self._system_view.servers.of(service)
             if self._system_view.usable(server)
         ]
+        paused = self.statements.first_return(usable, request)
+        if paused is not None:
+            return paused
         if usable:
             return Refused(
                 ResultCode.server_limited,
@@ -259,8 +276,13 @@
         )
 
     def _may_choose(self, server: Server) -> bool:
-        until_s = self._limit_used_until_s.get(_holder(server), 0)
-        return self._system_view.usable(server) and until_s <= elapsed_s()
+        holder = _holder(server)
+        until_s = self._limit_used_until_s.get(holder, 0)
+        return (
+            self._system_view.usable(server)
+            and until_s <= elapsed_s()
+            and self.statements.refusal_code(holder) is None
+        )
 
     async def _serve_at(
         self, server: Server, request: RoutedRequest, deadline_s: float
@@ -291,6 +313,7 @@
             )
             result = await self._forwarder.forward(sender, forwarded)
             if result is not None:
+                self.statements.observe_forwarded(result)
                 return result
 
     def _record_limit_use(self, server: Server, result: Result) -> None:
@@ -305,6 +328,9 @@
     async def _queue_and_send(
         self, server: Server, request: RoutedRequest, deadline_s: float
     ) -> Result:
+        refused = self.statements.refusal(server, request)
+        if refused is not None:
+            return refused
         queue = self._queue(server)
         queued_s = elapsed_s()
         try:
@@ -320,7 +346,7 @@
                     server, queue, request, deadline_s, waited_ms
                 )
         except AdmissionError as refusal:
-            return Refused(
+            return self.statements.refusal(server, request) or Refused(
                 refusal.code,
                 f'{queue.running} running, {queue.waiting} queued',
                 max(
@@ -330,6 +356,13 @@
                 server.server_id,
             )
 
+    def _refuse_queued(self) -> None:
+        """Refuses queued requests that may no longer be sent."""
+        for holder, queue in self._queue_by_holder.items():
+            code = self.statements.refusal_code(holder)
+            if code is not None:
+                queue.refuse_waiting(code)
+
     def _until_target_s(self, request: RoutedRequest) -> float:
         return max(0, request.until_target_ms / _MS_PER_S)
 
@@ -346,6 +379,9 @@
             async with self._pool.acquire(
                 server.address, _CONNECT_TIMEOUT_S
             ) as connection:
+                refused = self.statements.refusal(server, request)
+                if refused is not None:
+                    return refused
                 left_s = deadline_s - elapsed_s()
                 encoded = self._codec.encode_request(
                     request, server, left_s * _MS_PER_S
@@ -388,7 +424,7 @@
                 attempts=1,
             )
         service_s = elapsed_s() - sent_s
-        self._observe_limit(server, answer, sent_s)
+        self.statements.observe(server, answer, sent_s)
         if self._codec.not_executed(answer):
             return self._not_executed(server, queue, request, answer)
         self._record_service_time(server, queue, request, service_s)
@@ -400,22 +436,9 @@
             1,
             waited_ms,
             service_s * _MS_PER_S,
+            server.incarnation,
         )
 
-    def _observe_limit(
-        self, server: Server, answer: Answer, sent_s: float
-    ) -> None:
-        limits = self.rate_limits
-        if self._codec.is_misdirected(answer):
-            # Another server may have answered at this address.
-            return
-        try:
-            per_s = self._codec.named_limit(answer)
-        except InvalidLimitError as error:
-            limits.count_invalid(server, str(error))
-            return
-        limits.observe(server, per_s, sent_s)
-
     def _not_executed(
         self,
         server: Server,
@@ -424,6 +447,10 @@
         answer: Answer,
     ) -> Refused:
         wrong = self._codec.is_misdirected(answer)
+        paused = self.statements.refusal(server, request)
+        if paused is not None and not wrong:
+            paused.attempts = 1
+            return paused
         code = ResultCode.server_shedding
         if wrong:
             code = ResultCode.server_refused_token
@@ -477,9 +504,8 @@
         )
 
     def _mark_unreachable(self, server: Server, reason: str) -> None:
-        until = self._system_view.unreachable_until_by_server
-        now_s = elapsed_s()
-        if until.get(server.server_id, 0) < now_s:
+        availability = self._system_view.availability
+        if availability.mark_unreachable(server.server_id, _UNREACHABLE_S):
             _log.warning(
                 'server unreachable',
                 server=server.server_id,
@@ -487,10 +513,11 @@
                 reason=reason,
                 for_s=_UNREACHABLE_S,
             )
-        until[server.server_id] = now_s + _UNREACHABLE_S
         self._pool.close_idle(server.address)
 
     def _probe(self, server: Server) -> None:
+        if self.statements.refusal_code(_holder(server)) is not None:
+            return
         task = asyncio.create_task(self._check_connection(server))
         self._probes.add(task)
         task.add_done_callback(self._probes.discard)
@@ -535,4 +562,6 @@
         ResultCode.server_refused_token,
         ResultCode.server_unreachable,
         ResultCode.server_limited,
+        ResultCode.server_draining,
+        ResultCode.server_paused,
     }
