Play suspended instances and late messages in the leader's election

An instance stands still between a check and a write, between the electors' answers and its claim, or while it is asked; promises and votes arrive up to 6 s late. 60 histories show no two leaders that may act. Without one of four rules, two of them new in this list, such histories find two: the lease and the promises count from their request, not from the answer.

--- a/tests/builders/leadership_world.py
+++ b/tests/builders/leadership_world.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 from typing import Any
@@ -56,6 +56,10 @@
 # Longest delay until a write without an answer is applied.
 _MAX_WRITE_DELAY_S = 6.0
 _LOST_ANSWER_SHARE = 0.2
+# Messages that arrive within a longer time.
+_LATE_MESSAGE_SHARE = 0.2
+_MAX_MESSAGE_DELAY_S = 6.0
+_FREEZE_CHECK_S = 0.01
 _LOOKS_PER_REPORT = 2
 
 
@@ -161,6 +165,7 @@
         written = world.rows.write(puts, expected)
         era = world.rows.era
         await asyncio.sleep(world.random.choice(_DELAYS_S))
+        await world.thawed(self._name)
         if era < self._era:
             raise StoreOutcomeUnknownError('the store was restored')
         self._era = era
@@ -170,6 +175,7 @@
 
     async def _reach_store(self) -> None:
         await asyncio.sleep(self._world.random.choice(_DELAYS_S))
+        await self._world.thawed(self._name)
         if not self._world.reaches_store(self._name):
             await asyncio.sleep(self._world.random.choice(_DELAYS_S))
             raise StoreUnavailableError('the store is not reachable')
@@ -195,6 +201,10 @@
         peer = world.peer_at(address)
         if peer is None or world.is_partitioned(self._name, peer.name):
             raise PeerUnreachableError('peer is not reachable')
+        if world.delays_messages:
+            return decode(
+                await self._request_late(peer, topic, body, timeout_s)
+            )
         await asyncio.sleep(world.random.choice(_DELAYS_S))
         async with asyncio.timeout(timeout_s):
             if topic == PROMISE_TOPIC:
@@ -206,6 +216,41 @@
             raise LinkLostError('network partition before the response')
         return decode(answer)
 
+    async def _request_late(
+        self,
+        peer: 'SimulatedInstance',
+        topic: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> bytes:
+        """Sends a request that is handled even if its sender gave it up."""
+        world = self._world
+        handling = world.start_task(self._handle_late(peer, topic, body))
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await asyncio.shield(handling)
+        except TimeoutError as error:
+            raise LinkLostError('no response in time') from error
+        await world.thawed(self._name)
+        return response
+
+    async def _handle_late(
+        self, peer: 'SimulatedInstance', topic: str, body: bytes
+    ) -> bytes:
+        world = self._world
+        late = world.random.random() < _LATE_MESSAGE_SHARE
+        longest_s = _MAX_MESSAGE_DELAY_S if late else max(_DELAYS_S)
+        await asyncio.sleep(world.random.random() * longest_s)
+        await world.thawed(peer.name)
+        if world.peer_by_name.get(peer.name) is not peer:
+            raise LinkLostError('the peer was restarted')
+        if topic == PROMISE_TOPIC:
+            response = await peer.electorate.handle_promise_request(body)
+        else:
+            response = peer.electorate.handle_vote_request(body)
+        await asyncio.sleep(world.random.choice(_DELAYS_S))
+        return response
+
 
 class SimulatedInstance:
     """One incarnation of an instance."""
@@ -283,6 +328,9 @@
         partitions: sets of instances that reach only one another.
         problems: times at which two instances could act.
         equal_incarnations: whether all instances get the same incarnation.
+        delays_messages: whether some messages arrive after their senders gave
+            them up.
+        frozen: names of the instances that stand still.
     """
 
     def __init__(self, seed: int, instances: int = 5) -> None:
@@ -297,17 +345,24 @@
         self.peer_by_name: dict[str, SimulatedInstance] = {}
         self.problems: list[str] = []
         self.equal_incarnations = False
+        self.delays_messages = False
+        self.frozen: set[str] = set()
+        self._tasks: set[asyncio.Task[bytes]] = set()
         self._incarnations = 0
         self._copies: list[StoredRows] = []
         self._leader_by_epoch: dict[int, tuple[str, int]] = {}
 
-    async def run(self, steps: int, *, restores: bool = False) -> list[str]:
+    async def run(
+        self, steps: int, *, restores: bool = False, freezes: bool = False
+    ) -> list[str]:
         """Runs random faults; returns the problems found.
 
         Args:
             steps: number of faults.
             restores: whether the store is also restored from older copies.
+            freezes: whether instances also stand still, and messages are late.
         """
+        self.delays_messages = freezes
         await self.start_all()
         watch = asyncio.create_task(self.watch())
         await asyncio.sleep(self.random.choice((3.0, 12.0)))
@@ -322,6 +377,8 @@
         )
         if restores:
             actions += (self._copy_store, self._restore_store)
+        if freezes:
+            actions += (self._freeze_leader, self._freeze_some, self._thaw)
         for _ in range(steps):
             self.random.choice(actions)()
             await asyncio.sleep(self.random.choice((0.2, 0.7, 1.5, 4.0)))
@@ -380,6 +437,20 @@
                     )
             await asyncio.sleep(_WATCH_INTERVAL_S)
 
+    async def thawed(self, name: str) -> None:
+        """Waits while an instance stands still."""
+        while name in self.frozen:
+            await asyncio.sleep(_FREEZE_CHECK_S)
+
+    def start_task(
+        self, coroutine: Coroutine[Any, Any, bytes]
+    ) -> asyncio.Task[bytes]:
+        """Handles a message whatever becomes of its sender."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+        return task
+
     def acting(self) -> str | None:
         """Returns the instance that may act now."""
         for name, peer in self.peer_by_name.items():
@@ -415,6 +486,12 @@
                 return peer
         return None
 
+    def _end_task(self, task: asyncio.Task[bytes]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            # The sender may not wait for it any more.
+            task.exception()
+
     def _disconnect_store_from_all(self) -> None:
         self.without_store = set(self.address_by_name)
 
@@ -434,6 +511,18 @@
             set(self.random.sample(names, self.random.randint(1, 3)))
         ]
 
+    def _freeze_leader(self) -> None:
+        leader = self.acting()
+        if leader is not None:
+            self.frozen.add(leader)
+
+    def _freeze_some(self) -> None:
+        names = sorted(self.address_by_name)
+        self.frozen.update(self.random.sample(names, self.random.randint(1, 2)))
+
+    def _thaw(self) -> None:
+        self.frozen.clear()
+
     def _heal_network(self) -> None:
         self.partitions = []
 
--- a/tests/edge/test_leadership.py
+++ b/tests/edge/test_leadership.py
@@ -22,8 +22,11 @@
     leadership,
     promises,
 )
+from yuccadale_edge._internal.membership.messages import Elector
 from yuccadale_edge._internal.store_versions import number_of
 
+Electors = tuple[Elector, ...]
+
 HISTORIES = 60
 STEPS = 40
 # The removal of a rule has to be found within this many histories.
@@ -67,6 +70,22 @@
     assert not _find_restore_problems(range(HISTORIES))
 
 
+def _find_freeze_problems(seeds: Iterable[int]) -> list[str]:
+    return first_problems(
+        seeds, lambda seed: LeadershipWorld(seed).run(STEPS, freezes=True)
+    )
+
+
+def test_frozen_instances_and_late_messages_give_one_leader() -> None:
+    """Guards against two leaders after a process was suspended.
+
+    A leader stands still between a check and a write, a candidate between the
+    votes and its claim, an elector while it is asked. Promises and votes arrive
+    after their senders gave them up.
+    """
+    assert not _find_freeze_problems(range(HISTORIES))
+
+
 @dataclass(frozen=True)
 class RemovedRule:
     """A rule of the election, and how a test removes it."""
@@ -173,6 +192,49 @@
     assert _find_restore_problems(range(HISTORIES_TO_FIND))
 
 
+def _count_lease_from_answer(patch: pytest.MonkeyPatch) -> None:
+    original = leadership.Leadership._extend_lease
+
+    def extend(
+        known: leadership.Leadership, _began_s: float, electors: Electors
+    ) -> None:
+        original(known, leadership.elapsed_s(), electors)
+
+    patch.setattr(leadership.Leadership, '_extend_lease', extend)
+
+
+def _count_promises_from_answers(patch: pytest.MonkeyPatch) -> None:
+    original = leadership.Leadership._request_promises
+
+    async def request(known: leadership.Leadership) -> None:
+        before_s = known._promised_until_s
+        await original(known)
+        if known._promised_until_s > before_s:
+            known._promised_until_s = (
+                leadership.elapsed_s() + promises.PROMISE_S * 0.98
+            )
+
+    patch.setattr(leadership.Leadership, '_request_promises', request)
+
+
+FREEZE_RULES = (
+    RemovedRule('a lease counts from its request', _count_lease_from_answer),
+    RemovedRule(
+        'promises count from their request', _count_promises_from_answers
+    ),
+    *RULES[:2],
+)
+
+
+@pytest.mark.parametrize('rule', FREEZE_RULES, ids=lambda rule: rule.name)
+def test_each_rule_on_freezes_is_needed(
+    rule: RemovedRule, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a rule that has no effect or is not tested."""
+    rule.remove(monkeypatch)
+    assert _find_freeze_problems(range(HISTORIES_TO_FIND))
+
+
 async def _start_world(world: LeadershipWorld) -> asyncio.Task[None]:
     await world.start_all()
     watch = asyncio.create_task(world.watch())
