Keep no rows of stopped stores in the memory of the tests

test_a_large_table_is_read_in_pages failed once in the whole suite beside load: the first page did not come within the 0.9 s of the store's client. Store and client share the process of the test.

Cause of slow reads: aiohttp caches the handlers of up to 1024 applications with middlewares, and the store of the tests injects its faults by one. So the rows of each store that had answered stayed in memory, and each full garbage collection went through them. The failed run itself was not kept.

Change: the store wraps its handlers instead.

Test: test_a_stopped_store_does_not_stay_in_memory; it fails on both loops without the change. The stand-ins of platform and server in yuccadale_standins have middlewares too and are not changed.

--- a/tests/builders/platform_store.py
+++ b/tests/builders/platform_store.py
@@ -3,13 +3,14 @@
 import asyncio
 import time
 from base64 import b64decode, b64encode
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import NamedTuple
 
 import msgspec
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from yuccadale_standins.serving import drop_connection, listening
 
@@ -144,10 +145,13 @@
 ) -> AsyncIterator[RunningStore]:
     """Serves the rows of a store at an address with faults of its own."""
     faults = StoreFaults()
-    application = web.Application(middlewares=[_inject_faults(state, faults)])
-    application.router.add_post('/v1/rows-tx', _transaction(state))
-    application.router.add_get('/v1/rows-get', _get(state))
-    application.router.add_get('/v1/rows-feed', _feed(state, faults))
+    with_faults = _fault_injection(state, faults)
+    application = web.Application()
+    application.router.add_post('/v1/rows-tx', with_faults(_transaction(state)))
+    application.router.add_get('/v1/rows-get', with_faults(_get(state)))
+    application.router.add_get(
+        '/v1/rows-feed', with_faults(_feed(state, faults))
+    )
     async with listening(application, port) as listener:
         host, _, listener_port = listener.address.rpartition(':')
         yield RunningStore((host, int(listener_port)), state, faults)
@@ -173,22 +177,32 @@
     return {'Store-Era': str(state.era)}
 
 
-def _inject_faults(state: PlatformStoreState, faults: StoreFaults):
-    @web.middleware
-    async def apply(request, handler):
-        state.call_count += 1
-        if faults.down:
-            return web.Response(status=503, headers=_era_header(state))
-        response = await handler(request)
-        response.headers.update(_era_header(state))
-        if faults.down:
-            # The call began before the store went down, such as a feed.
-            return drop_connection(request)
-        if faults.drop_answers and request.method == 'POST':
-            return drop_connection(request)
-        return response
-
-    return apply
+def _fault_injection(
+    state: PlatformStoreState, faults: StoreFaults
+) -> Callable[[Handler], Handler]:
+    """Returns a wrapper for handlers.
+
+    It is no middleware: aiohttp caches the handlers of 1024 applications with
+    middlewares, so that the rows of stopped stores would stay in memory.
+    """
+
+    def with_faults(handler: Handler) -> Handler:
+        async def handle(request: web.Request) -> web.StreamResponse:
+            state.call_count += 1
+            if faults.down:
+                return web.Response(status=503, headers=_era_header(state))
+            response = await handler(request)
+            response.headers.update(_era_header(state))
+            if faults.down:
+                # The call began before the store went down, such as a feed.
+                return drop_connection(request)
+            if faults.drop_answers and request.method == 'POST':
+                return drop_connection(request)
+            return response
+
+        return handle
+
+    return with_faults
 
 
 def _transaction(state: PlatformStoreState):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,12 +1,18 @@
 """The adapter's store client: conditions, feeds and failures."""
 
 import asyncio
+import gc
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from weakref import ref
 
 import pytest
 
-from tests.builders.platform_store import RunningStore, running_store
+from tests.builders.platform_store import (
+    PlatformStoreState,
+    RunningStore,
+    running_store,
+)
 from yuccadale_edge.instance import (
     CONFIGURATION_TABLE,
     ClientPool,
@@ -30,6 +36,14 @@
         yield PlatformStore(running.address, pool), running
 
 
+async def _run_and_stop_store() -> ref[PlatformStoreState]:
+    """Returns a reference to the rows of a store that has answered."""
+    async with _store() as (store, running):
+        running.state.put('servers', 'row', b'{}')
+        await store.read('servers')
+        return ref(running.state)
+
+
 async def test_a_write_is_applied_only_if_its_condition_holds() -> None:
     """Guards against two leaders whose writes both succeed."""
     async with _store() as (store, _):
@@ -91,6 +105,16 @@
         assert [row.key for row in rows.rows] == keys
 
 
+async def test_a_stopped_store_does_not_stay_in_memory() -> None:
+    """Guards against garbage collections that outlast the store's timeouts.
+
+    Each went through the rows of all stores that earlier tests had run.
+    """
+    stopped = await _run_and_stop_store()
+    gc.collect()
+    assert stopped() is None
+
+
 async def test_a_feed_returns_changes_and_removals() -> None:
     """Guards against a removed row that is not reported."""
     async with _store() as (store, running):
