Count the estimates of a minute when differences by chance are judged

Keys of calm services went on moving between servers for as long as the load lasted, although it was even: a moved key is unavailable for a moment.

Cause: a difference counts as real when it is larger than the largest one that is likely among the servers at one moment. But each average gives new estimates, one each half-life, and with hundreds of them a minute the largest difference by chance is larger.

Change: the number of independent estimates in a minute counts too.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/balance.py
@@ -36,6 +36,8 @@
 # Observations are scaled up instead of decaying the old ones; the scale starts
 # anew when it exceeds this.
 _MAX_SCALE = 64.0
+# Differences by chance are as large as the largest one in this time.
+_CHANCE_PERIOD_S = 60.0
 # Work of a request before any was observed.
 _TYPICAL_WORK_S = 0.1
 # A move of this share of a server's keys needs a difference that is larger than
@@ -146,6 +148,7 @@
                 for key, scaled in self._scaled_by_key.items()
             },
             variance,
+            _CHANCE_PERIOD_S / self._half_life_s,
         )
 
     def _start_scale_anew(self) -> None:
@@ -164,12 +167,17 @@
 
     Attributes:
         variance: variance of a load's estimate, for each unit of load.
+        estimates: number of independent estimates in a minute.
     """
 
     def __init__(
-        self, weight_by_key: Mapping[int, float], variance: float = 0
+        self,
+        weight_by_key: Mapping[int, float],
+        variance: float = 0,
+        estimates: float = 1,
     ) -> None:
         self.variance = variance
+        self.estimates = estimates
         self._keys = sorted(weight_by_key)
         weights = [weight_by_key[key] for key in self._keys]
         self._sums = [
@@ -363,11 +371,12 @@
     ) -> bool:
         """Whether a difference from the fair load is unlikely by chance.
 
-        With more servers, larger differences occur by chance. A move of a few
-        keys costs little if the difference was one.
+        With more servers and more estimates, larger differences occur by
+        chance. A move of a few keys costs little if the difference was one.
         """
         deviation = sqrt(self._fair_load(holder) * self._profile.variance)
-        largest_by_chance = sqrt(2 * log(max(2, len(self._load_by_holder))))
+        estimates = len(self._load_by_holder) * self._profile.estimates
+        largest_by_chance = sqrt(2 * log(max(2, estimates)))
         many_keys = KEY_COUNT / len(self._load_by_holder) * _MANY_KEYS_SHARE
         certainty = min(1, keys / many_keys)
         deviations = _FEW_KEYS_DEVIATIONS + certainty * (
--- a/tests/edge/test_moves_under_load.py
+++ b/tests/edge/test_moves_under_load.py
@@ -19,6 +19,8 @@
 # mean 3 s after keys became hot.
 MAX_MOVED_WHEN_CALM = 0.1
 MAX_IMBALANCE = 1.5
+# Keys that move in a minute after the load has become even.
+MAX_MOVED_WHEN_EVEN = 0.01
 # Other keys that move when servers are lost, over the keys of these.
 MAX_UNFORCED = 0.15
 FOUND_WITHIN_S = 3
@@ -73,6 +75,21 @@
         assert replay.imbalance(60.0) < _SETTLED_IMBALANCE
 
 
+def test_even_load_moves_hardly_any_keys() -> None:
+    """Guards against moves for differences that occur by chance each minute.
+
+    They repeated for as long as the load lasted.
+    """
+    for seed in range(2):
+        replay = _replay('escoadouro', seed)
+        replay.run(8.0, 30.0)
+        before = replay.measures.moved_share
+        replay.run(30.0, 90.0)
+        moved = replay.measures.moved_share - before
+        assert moved < MAX_MOVED_WHEN_EVEN
+        assert replay.imbalance(90.0) < MAX_IMBALANCE
+
+
 @pytest.mark.parametrize('size', sorted(SIZES))
 def test_a_new_leader_moves_hardly_any_keys(size: str) -> None:
     """Guards against moves by a leader that has observed no load yet.
