--- a/tests/edge/test_leadership.py
+++ b/tests/edge/test_leadership.py
@@ -222,9 +222,12 @@
     original = leadership.Leadership._extend_lease
 
     def extend(
-        known: leadership.Leadership, _began_s: float, electors: Electors
+        known: leadership.Leadership,
+        _began_s: float,
+        electors: Electors,
+        version: int,
     ) -> None:
-        original(known, leadership.elapsed_s(), electors)
+        original(known, leadership.elapsed_s(), electors, version)
 
     patch.setattr(leadership.Leadership, '_extend_lease', extend)
 
