Keep the grace period of a server whose removal is read again

Callers were refused for want of a server just after a restore: an instance that read the whole table while the leader's removals arrived removed a live server at once, and with it the grace period that the leader's message had given. Seen once, in the whole suite on at a load of about 12 to 20: test_a_server_that_is_missing_in_the_copy_stays_in_use[uvloop] got {200, 503}; its log has 'server entry removed' on the second instance after both had read the table.

A removal that is read again leaves the pending one as it is. The new test of test_server_list.py failed before.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -459,7 +459,7 @@
                 )
 
     def call_not_sent(self, call: OwnershipCall) -> None:
-        """Handles a call of which no byte was sent."""
+        """Handles a call that its server has not read and never will."""
         self._end_call(call)
 
     def retry_call_after(
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -359,8 +359,8 @@
             server.state != ServerState.ready,
             now_s,
         )
-        if removal_grace:
-            self._removal_s_by_id[server_id] = elapsed_s() + REMOVAL_GRACE_S
+        if removal_grace or server_id in self._removal_s_by_id:
+            self._removal_s_by_id.setdefault(server_id, now_s + REMOVAL_GRACE_S)
             return False
         self.server_by_id.pop(server_id)
         _log.info('server entry removed', server=server_id)
--- a/tests/edge/test_server_list.py
+++ b/tests/edge/test_server_list.py
@@ -37,6 +37,26 @@
     assert 's' not in servers.server_by_id
 
 
+def test_a_removal_that_is_read_again_does_not_end_the_grace_period(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a live server that is dropped after a restore.
+
+    The leader's removal came with a grace period, and the whole table that this
+    instance read then without one.
+    """
+    now_s = 100.0
+    monkeypatch.setattr(system_view, 'elapsed_s', lambda: now_s)
+    servers = system_view.ServerList(_decode)
+    servers.apply(StoredRow('s', b'{}', 1), removal_grace=False)
+    servers.apply(StoredRow('s', b'', 2, removed=True), removal_grace=True)
+    now_s += 1
+    servers.apply(StoredRow('s', b'', 3, removed=True), removal_grace=False)
+    assert 's' in servers.server_by_id
+    now_s += DRAIN_S - 1.3
+    assert servers.remove_after_grace()
+
+
 def test_older_row_does_not_replace_a_newer_one() -> None:
     """Guards against an old row that restores a removed server."""
     servers = system_view.ServerList(_decode)
