Retry a grant soon that waits for the release of a lapsed lease

A renewal that was held back was due again after 1.4 s only. Read by a review; no test shows an effect, since the release ends within milliseconds unless the server hangs.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -210,6 +210,7 @@
             is_grant = call.kind == CallKind.grant
             if is_grant and not self._lapsed.begin_grant(call):
                 self._table.call_not_sent(call)
+                self._table.retry_call_after(call, _RETRY_UNSENT_S, elapsed_s())
                 return
             try:
                 await self._attempt(address, call)
