Give the dispatcher of a test what servers say of themselves

Merged with the statements of servers, the test's stand-in of the view answered that the server leaves, so that no request was sent. The check is the same.

--- a/tests/edge/test_dispatch.py
+++ b/tests/edge/test_dispatch.py
@@ -7,6 +7,7 @@
 
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
+from yuccadale_edge._internal.server_availability import ServerAvailability
 from yuccadale_edge._internal.transport.client_connection import (
     UNACKNOWLEDGED_S,
     AnswerLostError,
@@ -28,11 +29,16 @@
         yield connection
 
     pool = Mock(acquire=acquire)
+    system_view = Mock(availability=ServerAvailability(elapsed_s))
     dispatcher = Dispatcher(
-        Mock(), pool, Mock(), Mock(), Mock(), Mock(), Mock()
+        system_view, pool, Mock(), Mock(), Mock(), Mock(), Mock()
     )
     await dispatcher._send(
-        Mock(), Mock(), Mock(service='ledger'), elapsed_s() + left_s, 0
+        Mock(server_id='s', incarnation=1),
+        Mock(),
+        Mock(service='ledger'),
+        elapsed_s() + left_s,
+        0,
     )
     (_, _, limit_s) = connection.exchange.await_args.args
     assert 0 < limit_s <= min(left_s, UNACKNOWLEDGED_S)
