--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -188,7 +188,9 @@
         self._node = node
         self._server = node.world.server
 
-    async def exchange(self, request: bytes, matches: AnswerMatcher) -> Answer:
+    async def exchange(
+        self, request: bytes, matches: AnswerMatcher, _unacknowledged_s: float
+    ) -> Answer:
         """Sends a request; fails if the server has started again meanwhile."""
         expected = f'x-expect-instance: {self._server.server.server_id}\r\n'
         assert expected.encode() in request
