Start the sending processes of two tests by one builder

call_sender and link_sender had the same code to start their process, to wait until it is ready and to end it. The tests that use them, test_late_arrivals.py and test_late_requests.py, pass unchanged.

--- a/tests/builders/call_sender.py
+++ b/tests/builders/call_sender.py
@@ -6,16 +6,18 @@
 """
 
 import asyncio
-import os
 import sys
 import time
-from asyncio.subprocess import PIPE, Process
+from asyncio.subprocess import Process
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from pathlib import Path
 
 import uvloop
 
+from tests.builders.sender_process import (
+    request_sending,
+    sender_process,
+)
 from yuccadale_edge.instance import (
     AnswerLostError,
     CallKind,
@@ -27,7 +29,6 @@
 from yuccadale_platform.adapter import PlatformServerCalls
 
 LEASE_S = 4.5
-_ROOT = Path(__file__).parents[2]
 _ERRORS = (NotSentError, AnswerLostError, TimeoutError)
 
 
@@ -59,31 +60,15 @@
     address: tuple[str, int], fence: int
 ) -> AsyncIterator[Process]:
     """Runs the process while the block runs; it is ready at the begin."""
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        '-m',
-        'tests.builders.call_sender',
-        *(str(part) for part in (*address, fence)),
-        stdin=PIPE,
-        stdout=PIPE,
-        cwd=_ROOT,
-        env=os.environ | {'UV_USE_IO_URING': '0'},
-    )
-    try:
-        assert process.stdout is not None
-        assert await process.stdout.readline() == b'ready\n'
+    async with sender_process(
+        'tests.builders.call_sender', *address, fence
+    ) as process:
         yield process
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
 
 
 async def request_call(process: Process, kind: str, fence: int) -> float:
     """Lets the process send a call; returns the time just before that."""
-    assert process.stdin is not None and process.stdout is not None
-    process.stdin.write(f'{kind} {fence}\n'.encode())
-    return float(await process.stdout.readline())
+    return await request_sending(process, f'{kind} {fence}')
 
 
 if __name__ == '__main__':
--- a/tests/builders/link_sender.py
+++ b/tests/builders/link_sender.py
@@ -6,16 +6,18 @@
 """
 
 import asyncio
-import os
 import sys
 import time
-from asyncio.subprocess import PIPE, Process
+from asyncio.subprocess import Process
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from pathlib import Path
 
 import uvloop
 
+from tests.builders.sender_process import (
+    request_sending,
+    sender_process,
+)
 from yuccadale_edge._internal.membership.links import (
     LinkLostError,
     PeerLinks,
@@ -23,7 +25,6 @@
 )
 
 FIRST_BODY = b'first'
-_ROOT = Path(__file__).parents[2]
 _FIRST_WAIT_S = 5.0
 
 
@@ -59,31 +60,15 @@
 @asynccontextmanager
 async def link_sender(address: tuple[str, int]) -> AsyncIterator[Process]:
     """Runs the process while the block runs; it is ready at the begin."""
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        '-m',
-        'tests.builders.link_sender',
-        *(str(part) for part in address),
-        stdin=PIPE,
-        stdout=PIPE,
-        cwd=_ROOT,
-        env=os.environ | {'UV_USE_IO_URING': '0'},
-    )
-    try:
-        assert process.stdout is not None
-        assert await process.stdout.readline() == b'ready\n'
+    async with sender_process(
+        'tests.builders.link_sender', *address
+    ) as process:
         yield process
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
 
 
 async def send_request(process: Process, wait_s: float) -> float:
     """Lets the process send a request; returns the time just before that."""
-    assert process.stdin is not None and process.stdout is not None
-    process.stdin.write(f'{wait_s}\n'.encode())
-    return float(await process.stdout.readline())
+    return await request_sending(process, str(wait_s))
 
 
 if __name__ == '__main__':
