--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'lib'))
+sys.path.insert(0, str(FOLDER.parent))
 
 from standins import (  # noqa: E402
     Caller,
--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = '127.0.0.1'
 ROUTE_HOST = 'shop.example'
 # As in the example of DEPLOY.md.
@@ -439,11 +439,16 @@
 
 @dataclass
 class Answer:
-    """What a caller got; the status is 0 without a complete answer."""
+    """What a caller got; the status is 0 without a complete answer.
+
+    Attributes:
+        cut: whether the connection ended without an answer.
+    """
 
     status: int
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b''
+    cut: bool = False
 
 
 class Caller:
@@ -454,6 +459,11 @@
         self._record = record
         self._streams: tuple | None = None
 
+    @property
+    def connected(self) -> bool:
+        """Whether the next request goes on a kept connection."""
+        return self._streams is not None
+
     async def call(
         self,
         method: str,
@@ -481,6 +491,7 @@
         except (TimeoutError, *_CLOSED) as error:
             self.close()
             self._record.add('no-answer', id=request_id, reason=repr(error))
+            answer.cut = not isinstance(error, TimeoutError)
             return answer
         self._record.add(
             'answered',
