--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,9 @@
-"""Retries after the loss of a sender exceed the attempts of a route."""
+"""A planned stop breaks off a request that it accepted late."""
 
 import asyncio
-import random
+import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -10,9 +11,9 @@
 
 from standins import (  # noqa: E402
     HOST,
-    Caller,
+    ROUTE_HOST,
+    Message,
     Record,
-    Router,
     Server,
     configuration,
     deployment,
@@ -23,151 +24,124 @@
 )
 
 ZONES = {'lodz-a': 'pl-central'}
-INSTANCES = 3
-SERVERS = 10
-SLOTS = 4
-CALLERS = 32
-WORK_S = 0.8
-TIMEOUT_S = 5
-MAX_ATTEMPTS = 2
-# Lost answers: share of the servers, part of their answers, and for how long.
-FAULTY_SERVERS = 5
-LOST_PART = 0.4
-LOST_S = 4.0
-KILLS = 6
-# Between two kills.
-PAUSE_S = 9.0
-RESTART_S = 0.5
-# So many requests may exceed their attempts.
-ALLOWED = 3
-
-
-class Losses:
-    """Whether answers are lost now."""
-
-    on = False
-
-
-class ForgetfulServer(Server):
-    """Runs requests and loses some of its answers."""
-
-    losses: Losses
-    random: random.Random
-
-    async def answer(self, writer, request_id, status, body) -> None:
-        if self.losses.on and self.random.random() < LOST_PART:
-            self.record.add(
-                'answer-lost', server=self.server_id, id=request_id
-            )
-            raise ConnectionResetError
-        await super().answer(writer, request_id, status, body)
-
-
-async def lost_answers(router: Router) -> float:
-    """Returns how many lost answers an instance has counted as the sender."""
-    reader, writer = await asyncio.open_connection(
-        HOST, router.ports['metrics']
-    )
+INSTANCES = 2
+TIMEOUT_S = 8
+# Times after SIGTERM, or after the moment without it.
+FIRST_SENT_S = 2.0
+SECOND_SENT_S = 3.2
+# Work of the requests; both end within their time limits.
+FIRST_WORK_S = 2.0
+SECOND_WORK_S = 3.0
+# The rule excuses requests that were sent sooner after SIGTERM.
+EXCUSED_UNTIL_S = 3.0
+STOPPED_WITHIN_S = 8.0
+
+
+class ReportServer(Server):
+    """A server whose requests name how long they work."""
+
+    async def run(self, request: Message) -> bytes:
+        await asyncio.sleep(float(request.target.split('/')[2]))
+        return f'{request.first_line} at {self.server_id}'.encode()
+
+
+def encode(path: str, request_id: str) -> bytes:
+    """Encodes a request of a caller."""
+    return (
+        f'GET {path} HTTP/1.1\r\nHost: {ROUTE_HOST}\r\n'
+        f'X-Attempt-Id: {request_id}\r\n'
+        f'X-Deadline-Ms: {TIMEOUT_S * 1000}\r\n\r\n'
+    ).encode()
+
+
+async def read_answers(
+    reader: asyncio.StreamReader,
+    record: Record,
+    answer_by_id: dict[str, Message],
+) -> None:
+    """Reads the answers, in the order of the requests."""
     try:
-        writer.write(b'GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n')
-        lines = (await read_message(reader)).body.decode().splitlines()
-    finally:
-        writer.close()
-    return sum(
-        float(line.rpartition(' ')[2])
-        for line in lines
-        if 'answer_lost' in line and not line.startswith('#')
-    )
-
-
-async def kill_sender(routers: list[Router], record: Record) -> None:
-    """Kills the instance that lost most answers, and starts it again."""
-    counts = [await lost_answers(router) for router in routers]
-    router = routers[counts.index(max(counts))]
-    record.add('kill', instance=router.name, answers_lost=counts)
-    await router.kill()
-    await asyncio.sleep(RESTART_S)
-    await router.start()
-    await router.wait_until_ready()
+        for request_id in ('before', 'first', 'second'):
+            answer = await read_message(reader)
+            answer_by_id[request_id] = answer
+            record.add(
+                'answered',
+                id=request_id,
+                status=answer.status,
+                code=answer.headers.get('yuccadale-code', '-'),
+                signature=answer.headers.get('x-server-signature', '-'),
+                connection=answer.headers.get('connection', '-'),
+            )
+    except (EOFError, ConnectionError) as error:
+        record.add('connection-ended', reason=repr(error))
 
 
 async def play(record: Record) -> list[str]:
-    losses = Losses()
-    servers = []
-    for number in range(SERVERS):
-        kind = ForgetfulServer if number < FAULTY_SERVERS else Server
-        server = kind(
-            f'i-{number}', 'stage', 'lodz-a', record, slots=SLOTS, work_s=WORK_S
-        )
-        server.losses = losses
-        server.random = random.Random(number)
-        servers.append(server)
+    servers = [
+        ReportServer(f'i-{number}', 'stage', 'lodz-a', record, slots=4)
+        for number in range(2)
+    ]
+    changes = {
+        'kind': 'safe',
+        'timeout': f'{TIMEOUT_S}s',
+        'target_latency': f'{TIMEOUT_S}s',
+    }
     config = configuration(
-        browse=route(
-            prefix='/browse/',
-            kind='safe',
-            timeout=f'{TIMEOUT_S}s',
-            target_latency=f'{TIMEOUT_S}s',
-            max_attempts=MAX_ATTEMPTS,
-        )
+        list=route(prefix='/list/', **changes),
+        report=route(prefix='/report/', **changes),
     )
-    served = 0
-    ids: list[str] = []
     async with deployment(config, servers, ZONES, ['lodz-a'] * INSTANCES) as (
         _,
         routers,
     ):
-
-        async def call_all(caller_number: int) -> None:
-            nonlocal served
-            number = 0
-            while True:
-                router = routers[(caller_number + number) % INSTANCES]
-                caller = Caller(router.ports['callers'], record)
-                number += 1
-                request_id = f'browse-{caller_number}-{number}'
-                ids.append(request_id)
-                try:
-                    answer = await caller.call(
-                        'GET',
-                        f'/browse/{number}',
-                        request_id,
-                        deadline_ms=TIMEOUT_S * 1000,
-                    )
-                    served += answer.status == 200
-                except OSError:
-                    await asyncio.sleep(0.2)
-                finally:
-                    caller.close()
-
-        calls = [
-            asyncio.create_task(call_all(number)) for number in range(CALLERS)
-        ]
-        for _ in range(KILLS):
-            await asyncio.sleep(PAUSE_S - LOST_S)
-            losses.on = trouble()
-            await asyncio.sleep(LOST_S)
-            losses.on = False
-            if trouble():
-                await kill_sender(routers, record)
-        await asyncio.sleep(3)
-        for call in calls:
-            call.cancel()
-        await asyncio.gather(*calls, return_exceptions=True)
-    if not served:
-        raise RuntimeError('no request was served')
-    broken = []
-    for request_id in ids:
-        used = {
-            server.server_id: f'{server.runs[request_id][0]:.3f}'
-            for server in servers
-            if request_id in server.runs
-        }
-        if len(used) > MAX_ATTEMPTS:
-            record.add('too-many', id=request_id, servers=used)
-            broken.append(f'BUDGET: {request_id} ran at {used}')
-    record.add('served', count=served, of=len(ids), too_many=len(broken))
-    return broken if len(broken) > ALLOWED else []
+        stopped = routers[0]
+        reader, writer = await asyncio.open_connection(
+            HOST, stopped.ports['callers']
+        )
+        # The connection is in use before the stop.
+        for number in range(5):
+            writer.write(encode('/list/0.05', f'list-{number}'))
+            await read_message(reader)
+            writer.write(encode('/report/0.05', f'report-{number}'))
+            await read_message(reader)
+        answer_by_id: dict[str, Message] = {}
+        reading = asyncio.create_task(
+            read_answers(reader, record, answer_by_id)
+        )
+        writer.write(encode(f'/list/{FIRST_SENT_S + 0.5}', 'before'))
+        record.add('sent', id='before')
+        await asyncio.sleep(0.2)
+        if trouble():
+            stopped.signal(signal.SIGTERM)
+        stop_s = record.add('sigterm' if trouble() else 'no-sigterm')
+        await asyncio.sleep(FIRST_SENT_S)
+        writer.write(encode(f'/list/{FIRST_WORK_S}', 'first'))
+        record.add('sent', id='first')
+        await asyncio.sleep(SECOND_SENT_S - FIRST_SENT_S)
+        writer.write(encode(f'/report/{SECOND_WORK_S}', 'second'))
+        sent_s = record.add('sent', id='second', after=SECOND_SENT_S)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(STOPPED_WITHIN_S):
+                await reading
+        reading.cancel()
+        ended_s = record.now_s()
+        writer.close()
+    runs = [
+        started_s
+        for server in servers
+        for started_s in server.runs.get('second', ())
+    ]
+    record.add('second', runs=len(runs), sent_after=round(sent_s - stop_s, 3))
+    if not runs or sent_s - stop_s <= EXCUSED_UNTIL_S:
+        return []
+    answer = answer_by_id.get('second')
+    if answer is not None and 'x-server-signature' in answer.headers:
+        return []
+    return [
+        'LOST: the request sent '
+        f'{sent_s - stop_s:.2f} s after SIGTERM was passed on and broken off '
+        f'{ended_s - sent_s:.2f} s after it was sent'
+    ]
 
 
 main(play, FOLDER)
--- a/review/standins.py
+++ b/review/standins.py
@@ -37,6 +37,10 @@
     'budget_slack': '60',
     'hold_max': '10000ms',
 }
+# Limit of a machine, as in the example of DEPLOY.md.
+MEMORY_MB = 300
+# The platform restarts a process after a short delay.
+RESTART_S = 0.5
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
@@ -546,7 +550,6 @@
         regions: dict[str, str],
         store: Store,
         directory: Path,
-        memory_mb: int = 300,
     ) -> None:
         self.name = name
         self.process: asyncio.subprocess.Process | None = None
@@ -562,7 +565,7 @@
         lines += [f'{one} = {HOST}:{port}' for one, port in self.ports.items()]
         lines += ['seeds =', f'store = {HOST}:{store.port}', '']
         lines += ['[machine]', 'cores = 1', 'core_share = 0.86']
-        lines += [f'memory_mb = {memory_mb}', 'descriptors = 4100']
+        lines += [f'memory_mb = {MEMORY_MB}', 'descriptors = 4100']
         lines += ['link_mbps = 1000.0', '', '[bounds]']
         lines += [f'{one} = {text}' for one, text in BOUNDS.items()]
         self._path.write_text('\n'.join(lines) + '\n')
@@ -622,6 +625,47 @@
             await self.process.wait()
 
 
+def resident_mb(pid: int) -> float:
+    """Returns the memory of a process."""
+    pages = int(Path(f'/proc/{pid}/statm').read_text().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE') / 2**20
+
+
+async def limit_memory(
+    router: Router, record: Record, ends: dict[str, int]
+) -> None:
+    """Kills a process over its limit and starts it again, as the platform.
+
+    Args:
+        ends: gets the number of its ends by name of the instance.
+    """
+    ends[router.name] = 0
+    peak_mb = 0.0
+    while True:
+        await asyncio.sleep(0.02)
+        if router.process.returncode is not None:
+            record.add('ended-by-itself', instance=router.name)
+            await asyncio.sleep(RESTART_S)
+            await router.start()
+            continue
+        used_mb = resident_mb(router.process.pid)
+        if used_mb > peak_mb * 1.2:
+            peak_mb = used_mb
+            record.add('memory', instance=router.name, mb=round(used_mb))
+        if used_mb > MEMORY_MB:
+            ends[router.name] += 1
+            record.add(
+                'killed-over-memory',
+                instance=router.name,
+                mb=round(used_mb),
+                time=ends[router.name],
+            )
+            await router.kill()
+            await asyncio.sleep(RESTART_S)
+            await router.start()
+            peak_mb = 0.0
+
+
 def route(**changes: object) -> dict:
     """Returns a route of the operator's config."""
     return {
@@ -697,6 +741,8 @@
         for server in servers:
             server.close()
         store.close()
+        # Connections end before the event loop does.
+        await asyncio.sleep(0.1)
         logs = os.environ.get('KEEP_LOGS')
         if logs:
             shutil.copytree(directory, logs, dirs_exist_ok=True)
