--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,9 +26,7 @@
 SPOILED_EACH = 20
 # The begin of another answer, which ends within a header.
 ADDITIONAL = (
-    b'HTTP/1.1 503 Service Unavailable\r\n'
-    b'X-Not-Executed: 1\r\n'
-    b'Date: Sat, 05 De'
+    b'HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nDate: Sat, 05 De'
 )
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -91,9 +91,7 @@
             server.pace = pace
             servers.append(server)
     config = configuration(
-        browse=route(
-            prefix='/browse/', kind='safe', timeout=f'{TIMEOUT_S}s'
-        )
+        browse=route(prefix='/browse/', kind='safe', timeout=f'{TIMEOUT_S}s')
     )
     ends: dict[str, int] = {}
     cut: set[str] = set()
--- a/review/standins.py
+++ b/review/standins.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Iterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -41,6 +42,9 @@
 MEMORY_MB = 300
 # The platform restarts a process after a short delay.
 RESTART_S = 0.5
+FIRST_PORT = 12_000
+BLOCK_PORTS = 200
+PORT_BLOCKS = 90
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
@@ -49,11 +53,27 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
+def _free_ports() -> Iterator[int]:
+    """Yields free ports below those of outgoing connections.
+
+    An instance that starts again needs the port that it had.
+    """
+    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS
+    for port in range(first, first + BLOCK_PORTS):
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        yield port
+
+
+_PORTS = _free_ports()
+
+
 def free_port() -> int:
     """Returns a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    return next(_PORTS)
 
 
 class Record:
@@ -222,9 +242,7 @@
         for _, key, version, content in sorted(found, key=lambda one: one[0]):
             row = {'table': table, 'part': '', 'key': key, 'ver': version}
             if content is not None:
-                rows.append(
-                    row | {'value': base64.b64encode(content).decode()}
-                )
+                rows.append(row | {'value': base64.b64encode(content).decode()})
             elif feed:
                 rows.append(row | {'deleted': True})
         return rows
@@ -426,9 +444,7 @@
                     work.cancel()
                     break
             if gone:
-                self.record.add(
-                    'dropped', server=self.server_id, id=request_id
-                )
+                self.record.add('dropped', server=self.server_id, id=request_id)
                 raise ConnectionResetError
             status, body = (504, b'') if work.cancelling() else (200, b'')
             if status == 200:
