Close a connection on which bytes of no request arrived

Cause: a server appended the begin of an answer to a complete one. The answer was matched within feed_data and the connection kept with its parser inside a head, so that the next answer continued it: status 503 and X-Not-Executed of the additional bytes, id of the real answer. The run request was sent again.

A message that begins while no request is pending now closes the connection, whether it completes or not. An idle connection with unread bytes in the kernel is not reused either. Both hold for servers, grants and the store.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -99,6 +100,18 @@
             and not self._transport.is_closing()
         )
 
+    def is_readable(self) -> bool:
+        """Whether bytes, or the end, arrived that were not read yet.
+
+        On an idle connection they belong to no request. The event loop may
+        not have had the time to read them.
+        """
+        assert self._transport is not None
+        descriptor = self._transport.get_extra_info('socket').fileno()
+        poller = select.poll()
+        poller.register(descriptor, select.POLLIN)
+        return bool(poller.poll(0))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and sets the options of the socket."""
         self._transport = transport  # type: ignore[assignment]
@@ -149,7 +162,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Feeds the parser; closes the connection if no request is pending."""
-        if self._waiter is None or self._waiter.done():
+        if not self._pending:
             self.close()
             return
         self._unparsed_bytes += len(chunk)
@@ -182,8 +195,14 @@
         self._fail(AnswerLostError(detail))
 
     def on_message_begin(self) -> None:
-        """Resets the state of the previous answer."""
+        """Resets the state of the previous answer.
+
+        An answer that begins behind the one to the request belongs to no
+        request. It may be incomplete, and the next answer would continue it.
+        """
         self._reset_answer()
+        if not self._pending:
+            self.close()
 
     def on_status(self, _reason: bytes) -> None:
         """Ignores the reason phrase."""
@@ -260,6 +279,11 @@
         self._framed = False
         self._body_until_close = False
 
+    @property
+    def _pending(self) -> bool:
+        """Whether a request waits for its answer."""
+        return self._waiter is not None and not self._waiter.done()
+
     def _finish(self) -> None:
         waiter = self._waiter
         if waiter is None or waiter.done():
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
@@ -99,7 +99,7 @@
         now = self._loop.time()
         while idle:
             connection = idle.pop()
-            if _usable(connection, now):
+            if _usable(connection, now) and not connection.is_readable():
                 return connection
             connection.close()
         return None
--- a/tests/builders/raw_server.py
+++ b/tests/builders/raw_server.py
@@ -1,11 +1,14 @@
 """A TCP server that runs a script on each connection to simulate faults."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+Address = tuple[str, int]
+Accept = Callable[[], Awaitable[socket.socket]]
 
 
 @dataclass
@@ -60,3 +63,25 @@
         yield raw
     finally:
         server.close()
+
+
+@asynccontextmanager
+async def accepting_socket() -> AsyncIterator[tuple[Address, Accept]]:
+    """Yields an address, and a function that accepts its next connection.
+
+    The sockets are used directly: what a test sends is in the kernel before
+    the event loop reads again.
+    """
+    accepted: list[socket.socket] = []
+    loop = asyncio.get_running_loop()
+    with socket.create_server(('127.0.0.1', 0)) as listening:
+        listening.setblocking(False)
+
+        async def accept() -> socket.socket:
+            peer, _ = await loop.sock_accept(listening)
+            accepted.append(peer)
+            return peer
+
+        yield listening.getsockname(), accept
+        for peer in accepted:
+            peer.close()
--- a/tests/edge/test_client_pool.py
+++ b/tests/edge/test_client_pool.py
@@ -1,13 +1,18 @@
 """Connections to servers and the store that stall or end."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from types import MappingProxyType
 
 import pytest
 
-from tests.builders.raw_server import RawServer, Script, run_raw_server
+from tests.builders.raw_server import (
+    RawServer,
+    Script,
+    accepting_socket,
+    run_raw_server,
+)
 from yuccadale_edge._internal.transport.client_connection import (
     Answer,
     AnswerMalformedError,
@@ -166,3 +171,87 @@
         async with pool.acquire((host, int(port)), _TIMEOUT_S) as connection:
             answer = await connection.exchange(_REQUEST, _is_own)
         assert answer.body == body
+
+
+_REFUSAL = (
+    b'HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n'
+)
+_ADDITIONAL = MappingProxyType(
+    {
+        'a byte': _REFUSAL[:1],
+        'a part of a status line': _REFUSAL[:14],
+        'a status line': _REFUSAL[:19],
+        'a part of a header': _REFUSAL[:28],
+        'headers': _REFUSAL[:-2],
+        'an answer': _REFUSAL,
+        'an interim answer': b'HTTP/1.1 102 Processing\r\n\r\n',
+        'an answer without its body': (
+            b'HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\n'
+            b'transfer-encoding: chunked\r\n\r\n'
+        ),
+        'no HTTP': b'\x00\xff',
+    }
+)
+
+
+def _appends_to_first_answer(
+    additional: bytes,
+) -> Callable[[RawServer], Script]:
+    """Returns a maker of scripts; the first answer has additional bytes."""
+
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            while True:
+                await raw.read_request(reader)
+                is_first = len(raw.heads) == 1
+                writer.write(_OK + additional if is_first else _OK)
+
+        return script
+
+    return make_script
+
+
+@pytest.mark.parametrize('part', sorted(_ADDITIONAL))
+async def test_bytes_behind_an_answer_do_not_begin_the_next_one(
+    part: str,
+) -> None:
+    """Guards against an unsafe request that runs twice (review case 1).
+
+    The next answer continued the additional head, so that a request which had
+    run counted as refused.
+    """
+    script = _appends_to_first_answer(_ADDITIONAL[part])
+    async with run_raw_server(script) as raw:
+        host, _, port = raw.address.rpartition(':')
+        address = (host, int(port))
+        pool = ClientPool(asyncio.get_running_loop())
+        for _ in range(3):
+            answer = await _send(pool, address)
+            assert answer.status == 200
+            assert answer.header(b'x-not-executed') is None
+        assert raw.connections == 2
+        pool.close_idle(address)
+
+
+async def test_an_idle_connection_with_unread_bytes_is_not_used_again() -> None:
+    """Guards against an answer that is read after the next request was sent.
+
+    Bytes can be in the kernel while the event loop has not read them yet.
+    """
+    async with accepting_socket() as (address, accept):
+        pool = ClientPool(asyncio.get_running_loop())
+        first = asyncio.create_task(_send(pool, address))
+        peer = await accept()
+        await asyncio.get_running_loop().sock_recv(peer, len(_REQUEST))
+        peer.sendall(_OK)
+        await first
+        peer.sendall(_REFUSAL)
+        second = asyncio.create_task(_send(pool, address))
+        async with asyncio.timeout(_TIMEOUT_S):
+            other = await accept()
+        await asyncio.get_running_loop().sock_recv(other, len(_REQUEST))
+        other.sendall(_OK)
+        assert (await second).status == 200
+        pool.close_idle(address)
