Bound the bytes that an instance holds for others

Causes: each answer was bounded, all together were not; and an answer that was given up lasted until the next garbage collection, since a connection and its parser refer to each other.

One account now counts answers that are read, bodies of callers and replies that callers do not read. When it is full, new bodies are refused, answers of a known length wait unread, and of the rest the largest is given up. So sound answers, which are small or have a length, are not given up for the faulty ones.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -57,6 +57,7 @@
     SystemView,
 )
 from yuccadale_edge._internal.transport.client_pool import Address, ClientPool
+from yuccadale_edge._internal.transport.held_bytes import HeldBytes
 from yuccadale_edge._internal.transport.server_connection import (
     CallerMessage,
     Handler,
@@ -81,6 +82,9 @@
 # copied for its server, and again for another instance.
 _BODIES_SHARE = 0.2
 _BYTES_PER_MB = 1_000_000
+# Share of the process's memory for all bytes that are held for others. Joining
+# an answer, or passing it to another instance, copies it for a moment.
+_HELD_SHARE = 0.4
 _OK = 200
 _UNAVAILABLE = 503
 _NOT_FOUND = 404
@@ -126,7 +130,9 @@
         self._read_settings = read_settings
         self._adapter = adapter
         self._metrics = Metrics()
-        self._pool = ClientPool(asyncio.get_running_loop())
+        memory_bytes = settings.machine.memory_mb * _BYTES_PER_MB
+        self._held = HeldBytes(memory_bytes * _HELD_SHARE)
+        self._pool = ClientPool(asyncio.get_running_loop(), self._held)
         self._links = PeerLinks()
         self._system_view = SystemView(
             adapter.decode_configuration,
@@ -212,7 +218,8 @@
         self._callers = ListenerState(
             self._router.handle,
             self._limits,
-            settings.machine.memory_mb * _BYTES_PER_MB * _BODIES_SHARE,
+            memory_bytes * _BODIES_SHARE,
+            self._held,
         )
         self._peers = PeerServer(
             self._answer_peer, self._cluster.handle_message, self._metrics
@@ -321,6 +328,8 @@
             self._pool.close_expired()
             self._metrics.gauge('held_body_bytes', self._callers.held_bytes)
             self._metrics.gauge('refused_bodies', self._callers.refused_bodies)
+            self._metrics.gauge('held_bytes', self._held.size)
+            self._metrics.gauge('given_up_bodies', self._held.given_up)
             self._dispatcher.maintain_queues()
             servers = self._system_view.servers
             if servers.remove_after_grace() | servers.accept_held():
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -15,6 +15,8 @@
 
 import httptools
 
+from yuccadale_edge._internal.transport.held_bytes import HeldBytes, Holding
+
 Headers = list[tuple[bytes, bytes]]
 
 # The connection ends after this time with unacknowledged bytes. This detects a
@@ -75,8 +77,12 @@
 class ClientConnection(asyncio.Protocol):
     """Sends requests to one server and reads their answers."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, held: HeldBytes
+    ) -> None:
         self._loop = loop
+        self._held = held
+        self._holding: Holding | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[Answer] | None = None
@@ -149,10 +155,12 @@
         self.used = True
         self._limit_unacknowledged(unacknowledged_s)
         transport.write(request)
-        try:
-            return await self._waiter
-        finally:
-            self._end_exchange(self._waiter, transport)
+        with self._held.holding(self._give_up_answer) as holding:
+            self._holding = holding
+            try:
+                return await self._waiter
+            finally:
+                self._end_exchange(self._waiter, transport)
 
     def close(self) -> None:
         """Resets the connection; what was not sent yet is discarded."""
@@ -203,6 +211,8 @@
         self._reset_answer()
         if not self._pending:
             self.close()
+        elif self._holding is not None:
+            self._holding.restart()
 
     def on_status(self, _reason: bytes) -> None:
         """Ignores the reason phrase."""
@@ -213,6 +223,8 @@
         self._headers.append((lowered, text))
         if lowered in {b'content-length', b'transfer-encoding'}:
             self._framed = True
+        if lowered == b'content-length' and text.strip().isdigit():
+            self._announced_bytes = int(text)
 
     def on_headers_complete(self) -> None:
         """Determines how the body is delimited."""
@@ -223,15 +235,20 @@
             and status >= _FIRST_FINAL_STATUS
             and status not in _NO_BODY_STATUSES
         )
+        self._reserve_body()
 
     def on_body(self, chunk: bytes) -> None:
         """Collects a piece of the body."""
         self._unparsed_bytes = 0
+        if not self._pending:
+            return
         self._body_bytes += len(chunk)
         if self._body_bytes > _MAX_ANSWER_BYTES:
             self._fail(AnswerMalformedError('the answer is too large'))
             return
         self._pieces.append(chunk)
+        if self._holding is not None:
+            self._holding.grow_to(self._body_bytes)
 
     def on_message_complete(self) -> None:
         """Completes the answer unless it is interim."""
@@ -243,6 +260,28 @@
         else:
             self._pass_over()
 
+    def _reserve_body(self) -> None:
+        """Reserves room for a body of a known length, or waits unread."""
+        if not self._announced_bytes or self._holding is None:
+            return
+        if self._announced_bytes > _MAX_ANSWER_BYTES:
+            self._fail(AnswerMalformedError('the answer is too large'))
+            return
+        assert self._transport is not None
+        if not self._holding.reserve(self._announced_bytes, self._read_on):
+            self._transport.pause_reading()
+
+    def _read_on(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _give_up_answer(self) -> None:
+        self._fail(
+            AnswerMalformedError(
+                'the answer has no known end, and memory is used up'
+            )
+        )
+
     def _limit_unacknowledged(self, limit_s: float) -> None:
         if limit_s == self._unacknowledged_s:
             return
@@ -261,10 +300,14 @@
     ) -> None:
         self._waiter = None
         self._matches = None
+        self._holding = None
         # The server may have answered before it read the whole request.
         unread = transport.get_write_buffer_size() > 0
         if unread or not waiter.done() or waiter.cancelled():
             self.close()
+        # The parser refers to this object: what it keeps would last until the
+        # next garbage collection.
+        self._reset_answer()
 
     def _socket_error(self) -> int:
         # uvloop reports a reset after data as EOF.
@@ -276,6 +319,7 @@
         self._headers: Headers = []
         self._pieces: list[bytes] = []
         self._body_bytes = 0
+        self._announced_bytes = 0
         self._framed = False
         self._body_until_close = False
 
@@ -318,4 +362,5 @@
         waiter = self._waiter
         if waiter is not None and not waiter.done():
             waiter.set_exception(error)
+        self._reset_answer()
         self.close()
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
@@ -8,6 +8,7 @@
     ClientConnection,
     NotSentError,
 )
+from yuccadale_edge._internal.transport.held_bytes import HeldBytes
 
 Address = tuple[str, int]
 
@@ -26,8 +27,17 @@
     failure, a cancellation or unexpected bytes.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, held: HeldBytes | None = None
+    ) -> None:
+        """Creates a pool.
+
+        Args:
+            loop: the event loop of its connections.
+            held: account of the answers that are read; unbounded by default.
+        """
         self._loop = loop
+        self._held = HeldBytes() if held is None else held
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
         self.opened = 0
 
@@ -110,7 +120,7 @@
         try:
             async with asyncio.timeout(connect_timeout_s):
                 _, connection = await self._loop.create_connection(
-                    lambda: ClientConnection(self._loop), *address
+                    lambda: ClientConnection(self._loop, self._held), *address
                 )
         except _CONNECT_ERRORS as error:
             raise NotSentError(f'cannot connect: {error!r}') from error
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -8,6 +8,7 @@
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from math import inf
@@ -17,6 +18,11 @@
 
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.transport.client_connection import Headers
+from yuccadale_edge._internal.transport.held_bytes import (
+    SMALL_BYTES,
+    HeldBytes,
+    Holding,
+)
 
 _log = structlog.get_logger()
 
@@ -87,6 +93,7 @@
         max_held_bytes: bodies of all requests that are read or handled.
         held_bytes: their present size, as announced or as read so far.
         refused_bodies: number of requests refused for the bound.
+        held: account of all bytes that the process holds for others.
     """
 
     def __init__(
@@ -94,10 +101,12 @@
         handler: Handler,
         limits: ServerLimits,
         max_held_bytes: float = inf,
+        held: HeldBytes | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.max_held_bytes = max_held_bytes
+        self.held = HeldBytes() if held is None else held
         self.held_bytes = 0
         self.refused_bodies = 0
         self.connections: set[ServerConnection] = set()
@@ -108,24 +117,31 @@
 
         A body that is larger than the bound is accepted when it is alone.
         """
-        if self.held_bytes and self.held_bytes + size > self.max_held_bytes:
+        if not self._has_room(size):
             self.refused_bodies += 1
             _log.warning(
                 'request body refused', size=size, held_bytes=self.held_bytes
             )
             return False
         self.held_bytes += size
+        self.held.charge(size)
         return True
 
     def release(self, size: int) -> None:
         """Counts bytes of a body that is no longer kept."""
         self.held_bytes -= size
+        self.held.charge(-size)
 
     def abort(self) -> None:
         """Aborts all connections."""
         for connection in list(self.connections):
             connection.abort()
 
+    def _has_room(self, size: int) -> bool:
+        if self.held_bytes and self.held_bytes + size > self.max_held_bytes:
+            return False
+        return size <= SMALL_BYTES or self.held.has_room(size)
+
 
 class ServerConnection(asyncio.Protocol):
     """One connection of a caller."""
@@ -153,6 +169,8 @@
         self._arrived_s: float = 0
         self._reject_status: int | None = None
         self._final_answer: asyncio.Task[Reply] | None = None
+        self._resources = ExitStack()
+        self._unwritten: Holding | None = None
 
     @property
     def busy(self) -> bool:
@@ -165,11 +183,15 @@
         sock = transport.get_extra_info('socket')
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._listener.connections.add(self)
+        self._unwritten = self._resources.enter_context(
+            self._listener.held.holding(self.abort)
+        )
         self._start_idle_timer(self._listener.limits.idle_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the handling of unanswered requests."""
         self._listener.connections.discard(self)
+        self._resources.close()
         self._closing = True
         if self._timer is not None:
             self._timer.cancel()
@@ -183,6 +205,7 @@
         self._writing_paused = True
         if self._transport is not None:
             self._transport.pause_reading()
+        self._count_unwritten()
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._loop.call_later(
@@ -195,6 +218,7 @@
         if self._timer is not None and not self._closing:
             self._timer.cancel()
         self._write_answers()
+        self._count_unwritten()
 
     def eof_received(self) -> bool:
         """Treats a half-closed connection as closed."""
@@ -337,6 +361,17 @@
 
     def _flush(self, _task: asyncio.Task[Reply]) -> None:
         self._write_answers()
+        self._count_unwritten()
+
+    def _count_unwritten(self) -> None:
+        """Counts replies that the caller has not read yet."""
+        if self._unwritten is None or self._closing:
+            return
+        size = sum(map(_reply_size, self._answers))
+        if self._writing_paused and self._transport is not None:
+            size += self._transport.get_write_buffer_size()
+        if size != self._unwritten.size:
+            self._unwritten.resize(size)
 
     def _may_write(self) -> bool:
         return not self._closing and not self._writing_paused
@@ -436,6 +471,13 @@
         )
 
 
+def _reply_size(answer: asyncio.Task[Reply]) -> int:
+    """Returns the size of a reply's body; 0 while there is none."""
+    if not answer.done() or answer.cancelled() or answer.exception():
+        return 0
+    return len(answer.result().body)
+
+
 def encode_reply(reply: Reply, *, last: bool) -> bytes:
     """Encodes an answer; ``last`` closes the connection after it."""
     try:
--- a/tests/edge/test_client_pool.py
+++ b/tests/edge/test_client_pool.py
@@ -1,6 +1,8 @@
 """Connections to servers and the store that stall or end."""
 
 import asyncio
+import gc
+import tracemalloc
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from types import MappingProxyType
@@ -18,6 +20,8 @@
     AnswerMalformedError,
 )
 from yuccadale_edge._internal.transport.client_pool import Address, ClientPool
+from yuccadale_edge._internal.transport.held_bytes import HeldBytes
+from yuccadale_platform.adapter import parse_address
 
 _REQUEST = b'GET /x HTTP/1.1\r\nhost: s\r\n\r\n'
 _OK = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
@@ -255,3 +259,80 @@
         other.sendall(_OK)
         assert (await second).status == 200
         pool.close_idle(address)
+
+
+_ENDLESS_BODY = (
+    b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+    b'8000\r\n%b\r\n' % bytes(0x8000),
+)
+_MAX_HELD = 3_000_000
+# Reads of the event loop that are parsed at once.
+_READ_BYTES = 512 * 1024
+
+
+async def _read_endless(pool: ClientPool, address: Address) -> None:
+    with pytest.raises((AnswerMalformedError, TimeoutError)):
+        await _send(pool, address, force_new=True)
+
+
+async def test_bodies_without_end_share_a_bound(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a process that exceeds its memory (review case 3).
+
+    Each body was bounded, all together were not.
+    """
+    held = HeldBytes(_MAX_HELD)
+    sizes: list[int] = []
+    charge = held.charge
+
+    def record_size(added: int) -> None:
+        charge(added)
+        sizes.append(held.size)
+
+    monkeypatch.setattr(held, 'charge', record_size)
+    endless = _sends_without_end(*_ENDLESS_BODY)
+    body = b'z' * (_MAX_HELD // 2)
+    head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
+    sound = _sends_without_end(head + body, b' ' * _ENDLESS_BYTES)
+    async with (
+        run_raw_server(lambda _raw: endless) as faulty,
+        run_raw_server(lambda _raw: sound) as other,
+    ):
+        pool = ClientPool(asyncio.get_running_loop(), held)
+        faulty_address = parse_address(faulty.address)
+        reading = [
+            asyncio.create_task(_read_endless(pool, faulty_address))
+            for _ in range(8)
+        ]
+        await asyncio.sleep(_TIMEOUT_S / 2)
+        async with pool.acquire(
+            parse_address(other.address), _TIMEOUT_S
+        ) as connection:
+            async with asyncio.timeout(_LONG_S):
+                answer = await connection.exchange(_REQUEST, _accept_any)
+        assert answer.body == body
+        await asyncio.gather(*reading)
+    assert held.given_up
+    assert max(sizes) <= _MAX_HELD + _READ_BYTES
+    assert held.size == 0
+
+
+async def test_a_failed_answer_is_freed_without_garbage_collection() -> None:
+    """Guards against bodies that outlast their requests (review case 3).
+
+    The parser and the connection refer to each other.
+    """
+    endless = _sends_without_end(*_ENDLESS_BODY)
+    gc.disable()
+    tracemalloc.start()
+    try:
+        async with run_raw_server(lambda _raw: endless) as faulty:
+            pool = ClientPool(asyncio.get_running_loop())
+            for _ in range(5):
+                await _read_endless(pool, parse_address(faulty.address))
+            traced, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert traced < _ENDLESS_BYTES
--- a/tests/edge/test_server_connection.py
+++ b/tests/edge/test_server_connection.py
@@ -226,3 +226,30 @@
             answer = await reader.readexactly(len(listener.answer))
         assert answer == listener.answer
         writer.close()
+
+
+async def test_replies_that_are_not_read_share_a_bound() -> None:
+    """Guards against callers that do not read and use up the memory."""
+    async with _running_listener() as listener:
+        # Larger than the buffers of the kernel.
+        listener.answer = b'a' * 30_000_000
+        listener.state.held.max_bytes = 50_000_000
+        silent = [await listener.connect() for _ in range(4)]
+        for _, waiting in silent:
+            waiting.transport.pause_reading()
+            waiting.write(_REQUEST)
+        async with asyncio.timeout(_LONG_S):
+            while len(listener.messages) < len(silent):
+                await asyncio.sleep(0.01)
+        assert listener.state.held.size <= listener.state.held.max_bytes
+        assert listener.state.held.given_up
+        listener.answer = _LARGE_ANSWER
+        reader, writer = await listener.connect()
+        writer.write(_REQUEST)
+        assert await _status(reader) == 200
+        for _, other in (*silent, (reader, writer)):
+            other.transport.abort()
+        async with asyncio.timeout(_LONG_S):
+            while listener.state.connections:
+                await asyncio.sleep(0.01)
+        assert listener.state.held.size == 0
