Refuse requests during a stop that may not end in time

Cause: a request whose deadline is after the end of the process was accepted while five times the mean time of its route was left. The mean says nothing of a request unlike the others, and a route without answers had 80 ms.

Once the load balancer sends no new connections, a request is accepted only if its deadline is before the end. Before, the longest answer of late counts as well. Forwarded requests are never accepted by an estimate, as the instance that forwards can choose another sender.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -281,13 +281,13 @@
     async def _drain(self, callers: asyncio.Server) -> None:
         started_s = elapsed_s()
         end_s = started_s + self._settings.bounds.grace_s - _SHUTDOWN_MARGIN_S
-        self._stop_guard.begin(end_s)
+        listen_until_s = min(started_s + _LOAD_BALANCER_GRACE_S, end_s)
+        self._stop_guard.begin(end_s, listen_until_s)
         _log.info('stopping', connections=len(self._callers.connections))
         self._callers.closing = True
         leaving = asyncio.create_task(
             supervise('leaving', partial(self._leave, end_s), self._metrics)
         )
-        listen_until_s = min(started_s + _LOAD_BALANCER_GRACE_S, end_s)
         await asyncio.sleep(max(0, listen_until_s - elapsed_s()))
         callers.close()
         while elapsed_s() < end_s + _SHUTDOWN_MARGIN_S / 2:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -33,7 +33,10 @@
     Served,
 )
 from yuccadale_edge._internal.routing.server_queue import ServiceTimes
-from yuccadale_edge._internal.routing.stop_guard import StopGuard
+from yuccadale_edge._internal.routing.stop_guard import (
+    StopGuard,
+    estimate_s,
+)
 from yuccadale_edge._internal.supervision import contained
 from yuccadale_edge._internal.system_view import (
     CONFIGURATION_TABLE,
@@ -182,10 +185,7 @@
                 )
             )
         routed.until_target_ms -= (now_s - due_s) * _MS_PER_S
-        deadline_s = self._stop_guard.bounded_deadline_s(
-            asked_until_s,
-            self._dispatcher.service_times.mean_s(routed.route),
-        )
+        deadline_s = self._stop_guard.bounded_deadline_s(asked_until_s)
         if isinstance(deadline_s, Refused):
             return encode_message(deadline_s)
         routed.remaining_ms = (deadline_s - now_s) * _MS_PER_S
@@ -262,7 +262,7 @@
         if request.deadline_s is not None:
             deadline_s = min(deadline_s, request.deadline_s)
         bounded_s = self._stop_guard.bounded_deadline_s(
-            deadline_s, self._answer_times.mean_s(route.name)
+            deadline_s, estimate_s(self._answer_times, route.name)
         )
         if isinstance(bounded_s, Refused):
             return bounded_s
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
@@ -25,6 +25,8 @@
 
 # Weight of a new service time in the moving average.
 _EWMA_WEIGHT = 0.1
+# What is left of the longest time of a route after each further answer.
+_LONGEST_DECAY = 0.99
 # Service time assumed for a route before its first answer.
 _INITIAL_SERVICE_S = 0.08
 # Delay of a request's place in the queue for each level of priority. It is
@@ -53,17 +55,26 @@
 
 
 class ServiceTimes:
-    """Moving average of the service time of each route."""
+    """Moving average and decaying maximum of the times of each route."""
 
     def __init__(self) -> None:
         self._mean_s_by_route: dict[str, float] = {}
+        self._longest_s_by_route: dict[str, float] = {}
 
     def mean_s(self, route: str) -> float:
         """Returns the expected service time in seconds."""
         return self._mean_s_by_route.get(route, _INITIAL_SERVICE_S)
 
+    def longest_s(self, route: str) -> float:
+        """Returns the longest time of late; infinite without any."""
+        return self._longest_s_by_route.get(route, inf)
+
     def record(self, route: str, took_s: float) -> None:
         """Adds a measured service time."""
+        longest_s = self._longest_s_by_route.get(route, 0)
+        self._longest_s_by_route[route] = max(
+            took_s, longest_s * _LONGEST_DECAY
+        )
         known = self._mean_s_by_route.get(route)
         if known is None:
             self._mean_s_by_route[route] = took_s
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -11,6 +11,7 @@
 import pytest
 
 from tests.builders.platform_system import HOST, PlatformSystem, platform_system
+from yuccadale_edge.instance import Bounds
 
 GRACE_S = 1.5
 INTERVAL_S = 0.1
@@ -164,3 +165,31 @@
             await asyncio.wait_for(system.task_by_name[stopped], 5)
     assert set(statuses) <= {200, _NOT_RUN}
     assert statuses.count(200) > len(statuses) * 0.8
+
+
+async def test_a_request_late_in_a_stop_is_refused_at_once() -> None:
+    """Guards against a request that is accepted and broken off.
+
+    The route's requests took a moment until then; this one takes longer than
+    the rest of the grace period (review case 5).
+    """
+    async with platform_system(keyed=0) as system:
+        name = await system.add_instance(bounds=Bounds(grace_s=4))
+        server = system.server_by_id['p0']
+        for _ in range(5):
+            await _send_on_new_connection(system, name)
+        server.work_s = 1.5
+        address = system.settings_by_name[name].caller_address
+        reader, writer = await asyncio.open_connection(*address)
+        first, second = _new_request(), _new_request()
+        system.instance_by_name[name].stop()
+        # The load balancer sends no new connections from 2.5 s on.
+        await asyncio.sleep(1.7)
+        writer.write(_request(first.request_id))
+        await asyncio.sleep(1)
+        writer.write(_request(second.request_id))
+        assert await _read_status(reader) == 200
+        assert await _read_status(reader) == _NOT_RUN
+        writer.close()
+        assert first.request_id in server.executions
+        assert second.request_id not in server.executions
