Do not end by an error for a taken port or a repeated signal

Reproduced in tests/platform/test_process.py:

- a port of the instance is in use at the start: status 1 with a traceback;
- SIGTERM during the imports: status -15;
- SIGTERM and SIGHUP repeated during a stop: status -1, as the event loop removes its handlers when it closes.

Listeners now wait for their addresses, readiness and metrics without delaying the others; the instance is ready once peers and callers can reach it. A trial that blocked the signals in the main thread failed, as other threads took them.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import gc
-import signal
 import time
-from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import AsyncExitStack, contextmanager
 from functools import partial
 
 import structlog
@@ -58,9 +57,9 @@
 )
 from yuccadale_edge._internal.transport.client_pool import Address, ClientPool
 from yuccadale_edge._internal.transport.held_bytes import HeldBytes
+from yuccadale_edge._internal.transport.listening import listen_when_free
 from yuccadale_edge._internal.transport.server_connection import (
     CallerMessage,
-    Handler,
     ListenerState,
     Reply,
     ServerConnection,
@@ -225,24 +224,36 @@
             self._answer_peer, self._cluster.handle_message, self._metrics
         )
         self._stopping = asyncio.Event()
+        self._listening = False
 
     def stop(self) -> None:
-        """Starts the shutdown, as SIGTERM does."""
+        """Starts the shutdown."""
         self._stopping.set()
 
+    def reload(self) -> None:
+        """Applies changed settings; ignores them if they are invalid."""
+        try:
+            settings = self._read_settings()
+        except (OSError, ValueError) as error:
+            _log.error('settings not reloaded', reason=str(error))
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._system_view.max_source_age_s = settings.bounds.max_source_age_s
+        self._cluster.reconfigure(settings)
+        for budget in self._retry_budget_by_service.values():
+            budget.reconfigure(settings.bounds)
+        _log.info('settings reloaded', settings=_loggable(settings))
+
     async def run(self) -> None:
-        """Serves until SIGTERM, then shuts down within the grace period."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
-        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        """Serves until ``stop``, then shuts down within the grace period."""
         async with AsyncExitStack() as stack:
-            await stack.enter_async_context(self._listeners())
-            callers = await self._listen(
-                self._settings.caller_address, self._callers
-            )
-            stack.callback(self._callers.abort)
-            stack.callback(callers.close)
+            stack.enter_context(self._status_listeners())
+            callers = await self._unless_stopped(self._listen_for_all(stack))
+            if callers is None:
+                _log.info('stopped before all addresses were free')
+                return
             stack.callback(self._links.close)
             tasks = [
                 ('membership', self._cluster.run),
@@ -262,21 +273,33 @@
             await self._drain(callers)
         _log.info('stopped')
 
-    def _reload(self) -> None:
-        """Applies changed settings; ignores them if they are invalid."""
+    async def _listen_for_all(self, stack: AsyncExitStack) -> asyncio.Server:
+        """Listens for peers and callers; returns the listener of callers."""
+        await stack.enter_async_context(
+            peer_listener(self._settings.peer_address, self._peers)
+        )
+        callers = await self._listen(
+            self._settings.caller_address, self._callers
+        )
+        stack.callback(self._callers.abort)
+        stack.callback(callers.close)
+        self._listening = True
+        return callers
+
+    async def _unless_stopped(
+        self, starting: Coroutine[None, None, asyncio.Server]
+    ) -> asyncio.Server | None:
+        """Returns the result of a step of the start; None after ``stop``."""
+        start = asyncio.create_task(starting)
+        stop = asyncio.create_task(self._stopping.wait())
         try:
-            settings = self._read_settings()
-        except (OSError, ValueError) as error:
-            _log.error('settings not reloaded', reason=str(error))
-            return
-        if settings == self._settings:
-            return
-        self._settings = settings
-        self._system_view.max_source_age_s = settings.bounds.max_source_age_s
-        self._cluster.reconfigure(settings)
-        for budget in self._retry_budget_by_service.values():
-            budget.reconfigure(settings.bounds)
-        _log.info('settings reloaded', settings=_loggable(settings))
+            await asyncio.wait(
+                (start, stop), return_when=asyncio.FIRST_COMPLETED
+            )
+            return start.result() if start.done() else None
+        finally:
+            start.cancel()
+            stop.cancel()
 
     async def _drain(self, callers: asyncio.Server) -> None:
         started_s = elapsed_s()
@@ -310,12 +333,15 @@
 
     def _ready(self) -> bool:
         return (
-            not self._stopping.is_set()
+            self._accepts_callers()
             and self._system_view.configuration is not None
             and self._system_view.is_confirmed(CONFIGURATION_TABLE)
             and bool(self._system_view.servers.server_by_id)
         )
 
+    def _accepts_callers(self) -> bool:
+        return self._listening and not self._stopping.is_set()
+
     async def _housekeeping(self) -> None:
         rounds = 0
         knowledge = KnowledgeReporter(self._system_view, self._metrics)
@@ -324,7 +350,7 @@
             knowledge.report()
             if rounds % _RELOAD_ROUNDS == 0:
                 # The settings file may change without a signal.
-                self._reload()
+                self.reload()
             self._pool.close_expired()
             self._metrics.gauge('held_body_bytes', self._callers.held_bytes)
             self._metrics.gauge('refused_bodies', self._callers.refused_bodies)
@@ -382,35 +408,57 @@
             )
         return Reply(_NOT_FOUND)
 
-    @asynccontextmanager
-    async def _listeners(self) -> AsyncIterator[None]:
-        handler: Handler = self._answer_status_request
-        listener_state = ListenerState(handler, ServerLimits())
-        addresses = (
-            self._settings.readiness_address,
-            self._settings.metrics_address,
-        )
-        listeners = [
-            await self._listen(address, listener_state) for address in addresses
+    @contextmanager
+    def _status_listeners(self) -> Iterator[None]:
+        """Answers for readiness and metrics while the block runs.
+
+        The instance serves also while their addresses are in use.
+        """
+        state = ListenerState(self._answer_status_request, ServerLimits())
+        tasks = [
+            asyncio.create_task(
+                supervise(
+                    'status listener',
+                    partial(self._answer_status, address, state),
+                    self._metrics,
+                )
+            )
+            for address in (
+                self._settings.readiness_address,
+                self._settings.metrics_address,
+            )
         ]
         try:
-            async with peer_listener(self._settings.peer_address, self._peers):
-                yield
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            state.abort()
+
+    async def _answer_status(
+        self, address: Address, state: ListenerState
+    ) -> None:
+        """Answers on one address until it is cancelled."""
+        listener = await self._listen(address, state)
+        try:
+            await asyncio.Event().wait()
         finally:
-            for listener in listeners:
-                listener.close()
-            listener_state.abort()
+            listener.close()
 
     async def _listen(
         self, address: Address, listener_state: ListenerState
     ) -> asyncio.Server:
         loop = asyncio.get_running_loop()
-        return await loop.create_server(
-            lambda: ServerConnection(loop, listener_state),
-            *address,
-            backlog=_BACKLOG,
-            reuse_address=True,
-        )
+
+        async def listen() -> asyncio.Server:
+            return await loop.create_server(
+                lambda: ServerConnection(loop, listener_state),
+                *address,
+                backlog=_BACKLOG,
+                reuse_address=True,
+            )
+
+        return await listen_when_free(listen, address)
 
 
 def _loggable(settings: Settings) -> dict[str, object]:
--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -21,6 +21,7 @@
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
+from functools import partial
 from math import inf
 from typing import TypeVar
 
@@ -31,6 +32,7 @@
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.supervision import contained
 from yuccadale_edge._internal.transport.client_pool import Address
+from yuccadale_edge._internal.transport.listening import listen_when_free
 
 _log = structlog.get_logger()
 
@@ -660,7 +662,9 @@
     address: Address, server: PeerServer
 ) -> AsyncIterator[None]:
     """Listens for peers while the block runs."""
-    listener = await asyncio.start_server(server.serve, *address)
+    listener = await listen_when_free(
+        partial(asyncio.start_server, server.serve, *address), address
+    )
     try:
         yield
     finally:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -3,17 +3,26 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
-from contextlib import suppress
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import aiohttp
+import pytest
 
 from tests.builders.platform_servers import PlatformServer, running_server
 from tests.builders.platform_store import running_store
 from tests.builders.platform_system import configuration, free_port
 
 _TIMEOUT_S = 30
+# Longer than a start takes.
+_START_S = 1.5
+_SIGNAL_PAUSE_S = 0.001
+_PURPOSES = ('callers', 'readiness', 'peers', 'metrics')
+# Nothing listens there.
+_NO_STORE = ('127.0.0.1', 1)
 _IO_URING_DESCRIPTOR = 'anon_inode:[io_uring]'
 _STARTED_A_PROCESS = 99
 # Runs the program with an audit hook that exits when it starts a process.
@@ -31,17 +40,22 @@
 sys.exit(main())
 """
 
-# Runs the program, which gets SIGHUP while it imports its modules.
+# Runs the program, which gets a signal while it imports its modules.
 _SIGNALLED_MAIN = """
 import os, runpy, signal, sys
+number = int(sys.argv.pop(1))
 def watch(event, arguments):
     if event == 'import' and arguments[0] == 'yuccadale_edge':
-        os.kill(os.getpid(), signal.SIGHUP)
+        os.kill(os.getpid(), number)
 sys.addaudithook(watch)
 runpy.run_module('yuccadale_platform', run_name='__main__')
 """
 
 
+def _free_ports() -> dict[str, int]:
+    return {purpose: free_port() for purpose in _PURPOSES}
+
+
 def _settings(store: tuple[str, int], ports: dict[str, int]) -> str:
     addresses = '\n'.join(
         f'{name} = 127.0.0.1:{port}' for name, port in ports.items()
@@ -84,10 +98,7 @@
     tmp_path: Path,
 ) -> None:
     """Guards against io_uring, child processes, and a failed shutdown."""
-    ports = {
-        name: free_port()
-        for name in ('callers', 'readiness', 'peers', 'metrics')
-    }
+    ports = _free_ports()
     async with running_store() as store:
         store.state.put('op', 'config', configuration())
         server = PlatformServer('p0', 'stage', 'a', keyed=False)
@@ -113,16 +124,90 @@
     assert status == 0
 
 
-async def test_a_reload_signal_during_the_start_does_not_end_the_process(
-    tmp_path: Path,
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+async def test_a_signal_during_the_start_does_not_end_it_by_an_error(
+    tmp_path: Path, number: signal.Signals
 ) -> None:
-    """Guards against an instance that ends when its settings change early."""
-    names = ('callers', 'readiness', 'peers', 'metrics')
+    """Guards against a process that counts as ended by itself.
+
+    Settings may change, and the instance may be stopped, at any moment.
+    """
     path = tmp_path / 'settings.ini'
-    path.write_text(
-        _settings(('127.0.0.1', 1), {name: free_port() for name in names})
-    )
+    path.write_text(_settings(_NO_STORE, _free_ports()))
     process = await asyncio.create_subprocess_exec(
-        sys.executable, '-c', _SIGNALLED_MAIN, '--check', str(path)
+        sys.executable, '-c', _SIGNALLED_MAIN, str(int(number)), '--check', path
     )
     assert await asyncio.wait_for(process.wait(), _TIMEOUT_S) == os.EX_OK
+
+
+@asynccontextmanager
+async def _running_process(
+    directory: Path, store: tuple[str, int], ports: dict[str, int]
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Runs the program; kills it after the block if it did not end."""
+    path = directory / 'edge.ini'
+    path.write_text(_settings(store, ports))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'yuccadale_platform',
+        stdout=asyncio.subprocess.DEVNULL,
+        env=os.environ | {'YUCCADALE_BOOT': str(path)},
+    )
+    try:
+        yield process
+    finally:
+        with suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+
+
+async def _end(process: asyncio.subprocess.Process) -> int:
+    process.terminate()
+    return await asyncio.wait_for(process.wait(), _TIMEOUT_S)
+
+
+@pytest.mark.parametrize('purpose', _PURPOSES)
+async def test_an_address_in_use_at_the_start_does_not_end_the_process(
+    tmp_path: Path, purpose: str
+) -> None:
+    """Guards against a process that ends since another one has its port."""
+    ports = _free_ports()
+    async with running_store() as store:
+        store.state.put('op', 'config', configuration())
+        server = PlatformServer('p0', 'stage', 'a', keyed=False)
+        async with running_server(server, store):
+            taken = socket.create_server(('127.0.0.1', ports[purpose]))
+            async with _running_process(
+                tmp_path, store.address, ports
+            ) as process:
+                with taken:
+                    await asyncio.sleep(_START_S)
+                    assert process.returncode is None
+                await _wait_until_ready(ports['readiness'])
+                assert await _end(process) == os.EX_OK
+
+
+async def test_a_process_that_waits_for_an_address_can_be_stopped(
+    tmp_path: Path,
+) -> None:
+    """Guards against a start that only SIGKILL ends."""
+    ports = _free_ports()
+    with socket.create_server(('127.0.0.1', ports['callers'])):
+        async with _running_process(tmp_path, _NO_STORE, ports) as process:
+            await asyncio.sleep(_START_S)
+            assert await _end(process) == os.EX_OK
+
+
+async def test_repeated_signals_do_not_end_a_stop_by_an_error(
+    tmp_path: Path,
+) -> None:
+    """Guards against a stop that counts as an end by itself."""
+    async with _running_process(tmp_path, _NO_STORE, _free_ports()) as process:
+        await asyncio.sleep(_START_S)
+        while process.returncode is None:
+            for number in (signal.SIGTERM, signal.SIGHUP):
+                with suppress(ProcessLookupError):
+                    process.send_signal(number)
+            await asyncio.sleep(_SIGNAL_PAUSE_S)
+        assert process.returncode == os.EX_OK
