Let the soak look for unanswered requests, memory and taken ports

A connection that ended without an answer counted as status 0 and nothing was checked of it, so that LOST could not fail there; memory was not looked at; and each instance found its ports free.

--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -4,7 +4,7 @@
 import time
 from collections import Counter
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from math import inf
 from types import MappingProxyType
@@ -16,6 +16,7 @@
 from yuccadale_standins.serving import drop_connection, listening
 
 
+_PIECE_BYTES = 64 * 1024
 _NOT_EXECUTED = MappingProxyType({'X-Not-Executed': '1'})
 
 
@@ -36,6 +37,7 @@
     Attributes:
         work_s: processing time of a request.
         drop_answers: run requests, but close their connections unanswered.
+        sends_without_end: bodies of its answers do not end.
         send_extra_answers: send a second answer shortly after each answer.
         shed_next: number of requests to refuse although there is capacity.
         limit_text: the limit that its answers name, None to name none.
@@ -56,6 +58,7 @@
     slots: int = 2
     work_s: float = 0.005
     drop_answers: bool = False
+    sends_without_end: bool = False
     send_extra_answers: bool = False
     full: bool = False
     shed_next: int = 0
@@ -74,6 +77,11 @@
     call_history: list[tuple[str, int, int, int]] = field(default_factory=list)
     running_requests: int = 0
 
+    @property
+    def fails_to_answer(self) -> bool:
+        """Whether requests run and get no whole answer."""
+        return self.drop_answers or self.sends_without_end
+
     def holds(self, key: int) -> bool:
         """Returns whether it holds a lease on a key now."""
         return any(
@@ -200,7 +208,7 @@
 
 
 def _request(server: PlatformServer):
-    async def handle(request: web.Request) -> web.Response:
+    async def handle(request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get('X-Attempt-Id', '')
         server.arrivals_s.append(time.monotonic())
         if not request_id:
@@ -215,8 +223,8 @@
             await asyncio.sleep(server.work_s)
         finally:
             server.running_requests -= 1
-        if server.drop_answers:
-            return drop_connection(request)
+        if server.fails_to_answer:
+            return await _fail_to_answer(server, request, request_id)
         body = f'{request.method} {request.path_qs} '.encode()
         response = web.Response(
             body=body + request_body,
@@ -235,6 +243,20 @@
     return handle
 
 
+async def _fail_to_answer(
+    server: PlatformServer, request: web.Request, request_id: str
+) -> web.StreamResponse:
+    """Closes the connection, or sends a body until the caller closes it."""
+    if server.drop_answers:
+        return drop_connection(request)
+    response = web.StreamResponse(headers={'X-Attempt-Id': request_id})
+    await response.prepare(request)
+    with suppress(ConnectionError):
+        while server.sends_without_end:
+            await response.write(bytes(_PIECE_BYTES))
+    return drop_connection(request)
+
+
 def _is_expected(server: PlatformServer, request: web.Request) -> bool:
     expected = request.headers.get('X-Expect-Instance', server.server_id)
     return expected == server.server_id
--- /dev/null
+++ b/tests/soak/kept_callers.py
@@ -0,0 +1,116 @@
+"""Callers that keep their connections until the instance closes them."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from tests.builders.platform_system import HOST
+from tests.soak.processes import SoakInstance
+
+_KEY_COUNT = 65536
+_LIMIT_MS = 2000
+# The limit, and what an answer may take beyond it.
+_ANSWER_TIMEOUT_S = 4.0
+_RECONNECT_S = 0.05
+_BODY_BYTES = (0, 100, 5000, 200_000)
+
+RecordAnswer = Callable[[str, str, int, str], int]
+
+
+@dataclass
+class KeptConnections:
+    """What callers on kept connections saw.
+
+    Attributes:
+        unanswered: instance by the id of each request whose connection ended,
+            or stayed silent, without its whole answer.
+    """
+
+    unanswered: dict[str, str] = field(default_factory=dict)
+
+
+def _encode(request_id: str, path: str, key: int, body: bytes) -> bytes:
+    return (
+        f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'X-Attempt-Id: {request_id}\r\nX-Deadline-Ms: {_LIMIT_MS}\r\n'
+        f'X-Shard-Key: {key}\r\nContent-Length: {len(body)}\r\n\r\n'
+    ).encode() + body
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> tuple[int, str, bool]:
+    """Returns status, body and whether the connection goes on."""
+    head = (await reader.readuntil(b'\r\n\r\n')).lower()
+    length = 0
+    for line in head.split(b'\r\n'):
+        if line.startswith(b'content-length:'):
+            length = int(line.partition(b':')[2])
+    body = await reader.readexactly(length)
+    goes_on = b'connection: close' not in head
+    return int(head.split()[1]), body.decode(errors='replace'), goes_on
+
+
+async def call_on_kept_connections(
+    instances: list[SoakInstance],
+    random_source: random.Random,
+    request_ids: Iterator[str],
+    record: RecordAnswer,
+    kept: KeptConnections,
+) -> None:
+    """Sends requests, some behind each other, until it is cancelled."""
+    while True:
+        instance = random_source.choice(instances)
+        try:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', instance.ports['callers']
+            )
+        except OSError:
+            await asyncio.sleep(_RECONNECT_S)
+            continue
+        goes_on = True
+        try:
+            while goes_on:
+                goes_on = await _send_group(
+                    (reader, writer),
+                    instance.name,
+                    random_source,
+                    request_ids,
+                    record,
+                    kept,
+                )
+                await asyncio.sleep(random_source.random() / 20)
+        finally:
+            writer.transport.abort()
+
+
+async def _send_group(
+    connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    instance: str,
+    random_source: random.Random,
+    request_ids: Iterator[str],
+    record: RecordAnswer,
+    kept: KeptConnections,
+) -> bool:
+    """Sends up to three requests at once; returns whether it may go on."""
+    reader, writer = connection
+    path_by_id: dict[str, str] = {}
+    for _ in range(random_source.choice((1, 1, 1, 2, 3))):
+        request_id = next(request_ids)
+        path_by_id[request_id] = random_source.choice(('/keyed/x', '/once/x'))
+        key = random_source.randrange(_KEY_COUNT)
+        # The servers of the soak repeat the body.
+        body = request_id.encode().ljust(random_source.choice(_BODY_BYTES))
+        writer.write(_encode(request_id, path_by_id[request_id], key, body))
+    goes_on = True
+    waiting = list(path_by_id)
+    try:
+        async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+            while waiting and goes_on:
+                status, text, goes_on = await _read_answer(reader)
+                request_id = waiting.pop(0)
+                path = path_by_id[request_id]
+                record(request_id, path, status, text.rstrip(' '))
+    except (asyncio.IncompleteReadError, OSError, TimeoutError):
+        goes_on = False
+    kept.unanswered.update(dict.fromkeys(waiting, instance))
+    return goes_on and not waiting
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -33,6 +33,7 @@
 grace = 3s
 """
 _END_TIMEOUT_S = 5.0
+_MB = 1_000_000
 
 
 @dataclass
@@ -98,6 +99,16 @@
         if self.process.returncode is not None:
             await self.start()
 
+    def resident_mb(self) -> float:
+        """Returns the resident memory of the process; 0 without one."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        try:
+            pages = Path(f'/proc/{self.process.pid}/statm').read_text()
+        except OSError:
+            return 0
+        return int(pages.split()[1]) * os.sysconf('SC_PAGE_SIZE') / _MB
+
     async def is_listening(self) -> bool:
         """Returns whether the process accepts connections."""
         try:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,13 +1,16 @@
 """A randomized soak test of instance processes with injected faults.
 
 ``python -m tests.soak.run --seeds 50 --first 1`` runs seeds by hand;
-``--instances 40`` with more processes.
+``--instances 40`` with more processes. ``--planned`` plays planned work only:
+then each request that reached a server has to get an answer.
 """
 
 import argparse
 import asyncio
+import itertools
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -24,6 +27,10 @@
 from tests.builders.platform_servers import PlatformServer, running_server
 from tests.builders.platform_store import RunningStore, running_store
 from tests.builders.platform_system import HOST, configuration
+from tests.soak.kept_callers import (
+    KeptConnections,
+    call_on_kept_connections,
+)
 from tests.soak.processes import SoakInstance, soak_instances
 from tests.soak.proxy import LoopbackProxy, running_proxy
 
@@ -42,6 +49,10 @@
 _LIMIT_S = 6.0
 # As the users allow.
 _LIMIT_SETTLING_S = 3.0
+_PORT_TAKEN_S = 1.0
+_WORK_S = (0.005, 0.05, 0.3, 0.8)
+_MEMORY_MB = 300
+_MEMORY_CHECK_S = 0.1
 _RECOVERY_TIMEOUT_S = 10.0
 # Requests for random keys that have to succeed at each instance.
 _PROBES_PER_INSTANCE = 8
@@ -71,8 +82,12 @@
         instances: list[SoakInstance],
         proxies: list[LoopbackProxy],
         session: aiohttp.ClientSession,
+        *,
+        planned: bool = False,
     ) -> None:
         self.report = SoakReport(seed)
+        self._planned = planned
+        self._kept = KeptConnections()
         self._random = random.Random(seed)
         self._store = store
         self._servers = servers
@@ -98,17 +113,16 @@
         tasks = [
             asyncio.create_task(self._send_requests()) for _ in range(CALLERS)
         ]
+        tasks.extend(
+            asyncio.create_task(self._call_on_kept_connections(number))
+            for number in range(CALLERS)
+        )
         tasks.append(asyncio.create_task(self._check_holders()))
+        tasks.append(asyncio.create_task(self._check_memory()))
         # One fault of each kind at a time, so that faults overlap.
         faults = [
-            asyncio.create_task(
-                self._inject(self._process_faults(), 'processes')
-            ),
-            asyncio.create_task(
-                self._inject(self._connection_faults(), 'connections')
-            ),
-            asyncio.create_task(self._inject(self._input_faults(), 'input')),
-            asyncio.create_task(self._inject([self._limit_server], 'limits')),
+            asyncio.create_task(self._inject(kind, name))
+            for name, kind in self._faults_by_name().items()
         ]
         await asyncio.sleep(duration_s)
         for task in (*tasks, *faults):
@@ -119,9 +133,24 @@
             _RECOVERY_TIMEOUT_S, 'not served after the faults'
         )
         self._check_executions()
+        self._check_unanswered()
         self._check_limits()
         return self.report
 
+    def _faults_by_name(self) -> dict[str, list[Fault]]:
+        if self._planned:
+            return {
+                'stops': [self._terminate, self._restart_without_port],
+                'other stops': [self._terminate, self._reload],
+                'servers': [self._drain_server, self._change_work],
+            }
+        return {
+            'processes': self._process_faults(),
+            'connections': self._connection_faults(),
+            'input': self._input_faults(),
+            'limits': [self._limit_server],
+        }
+
     def _process_faults(self) -> list[Fault]:
         return [
             self._kill,
@@ -130,8 +159,10 @@
             self._store_down,
             self._drop_store_answers,
             self._drop_answers,
+            self._send_without_end,
             self._drain_server,
             self._reload,
+            self._restart_without_port,
         ]
 
     def _connection_faults(self) -> list[Fault]:
@@ -195,15 +226,51 @@
         await instance.start()
 
     async def _terminate(self, random_source: random.Random) -> None:
-        instance = random_source.choice(self._instances)
+        await self._stop(random_source.choice(self._instances))
+
+    async def _stop(
+        self, instance: SoakInstance, taken_port: str | None = None
+    ) -> None:
+        """Stops an instance and starts it again.
+
+        Args:
+            instance: it is left alone if it is suspended or not running.
+            taken_port: purpose of the port that another program has then.
+        """
         # SIGTERM kills a process that has no handler for it yet.
         if instance.paused or not await instance.is_listening():
             return
+        if instance.terminating:
+            return
         instance.signal(signal.SIGTERM)
         instance.terminating = True
         if await instance.wait():
             self.report.problems.append(f'{instance.name} ended with an error')
-        await instance.start()
+        if taken_port is None:
+            await instance.start()
+            return
+        address = ('127.0.0.1', instance.ports[taken_port])
+        with socket.create_server(address):
+            await instance.start()
+            await asyncio.sleep(_PORT_TAKEN_S)
+
+    async def _restart_without_port(self, random_source: random.Random) -> None:
+        instance = random_source.choice(self._instances)
+        await self._stop(
+            instance,
+            random_source.choice(('callers', 'readiness', 'peers', 'metrics')),
+        )
+
+    async def _change_work(self, random_source: random.Random) -> None:
+        server = random_source.choice(self._servers)
+        server.work_s = random_source.choice(_WORK_S)
+        await asyncio.sleep(1.0)
+
+    async def _send_without_end(self, random_source: random.Random) -> None:
+        server = random_source.choice(self._servers)
+        server.sends_without_end = True
+        await asyncio.sleep(2.0)
+        server.sends_without_end = False
 
     async def _pause(self, random_source: random.Random) -> None:
         instance = random_source.choice(self._instances)
@@ -281,6 +348,7 @@
             proxy.clear_faults()
         for server in self._servers:
             server.drop_answers = False
+            server.sends_without_end = False
             self._name_limit(server, inf)
             self._store.state.put('servers', server.server_id, server.entry())
         await self._store.state.notify_feeds()
@@ -295,6 +363,16 @@
             await self._send_request(self._random.choice(self._instances))
             await asyncio.sleep(self._random.random() / 50)
 
+    async def _call_on_kept_connections(self, number: int) -> None:
+        name = f's{self.report.seed}-kept{number}'
+        await call_on_kept_connections(
+            self._instances,
+            random.Random(name),
+            (f'{name}-{count}' for count in itertools.count()),
+            self._record_answer,
+            self._kept,
+        )
+
     async def _send_request(self, instance: SoakInstance) -> int:
         self._request_count += 1
         request_id = f's{self.report.seed}-{self._request_count}'
@@ -316,6 +394,7 @@
                     request_id, path, answer.status, await answer.text()
                 )
         except (aiohttp.ClientError, TimeoutError):
+            self._kept.unanswered[request_id] = instance.name
             return self._record_answer(request_id, path, 0, '')
 
     def _record_answer(
@@ -340,6 +419,30 @@
                     self.report.problems.append(f'{key} held by {holders}')
             await asyncio.sleep(0.02)
 
+    async def _check_memory(self) -> None:
+        while True:
+            for instance in self._instances:
+                used_mb = instance.resident_mb()
+                if used_mb > _MEMORY_MB:
+                    self.report.problems.append(
+                        f'{instance.name} uses {used_mb:.0f} MB'
+                    )
+            await asyncio.sleep(_MEMORY_CHECK_S)
+
+    def _check_unanswered(self) -> None:
+        """Finds requests that reached a server and got no answer.
+
+        Only planned work excuses none of them.
+        """
+        if not self._planned:
+            return
+        ran = set[str]().union(*(one.executions for one in self._servers))
+        self.report.problems.extend(
+            f'{request_id} ran and got no answer from {instance}'
+            for request_id, instance in self._kept.unanswered.items()
+            if request_id in ran
+        )
+
     def _check_executions(self) -> None:
         executions: Counter[str] = Counter()
         for server in self._servers:
@@ -385,7 +488,12 @@
 
 
 async def run_seed(
-    seed: int, duration_s: float, directory: Path, count: int = INSTANCES
+    seed: int,
+    duration_s: float,
+    directory: Path,
+    count: int = INSTANCES,
+    *,
+    planned: bool = False,
 ) -> SoakReport:
     """Runs one seed with a number of instances.
 
@@ -410,7 +518,9 @@
         session = await stack.enter_async_context(
             aiohttp.ClientSession(timeout=client_timeout)
         )
-        soak_run = SoakRun(seed, store, servers, instances, proxies, session)
+        soak_run = SoakRun(
+            seed, store, servers, instances, proxies, session, planned=planned
+        )
         return await soak_run.run(duration_s)
 
 
@@ -421,12 +531,19 @@
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=12)
     parser.add_argument('--instances', type=int, default=INSTANCES)
+    parser.add_argument('--planned', action='store_true')
     options = parser.parse_args()
     status = 0
     for seed in range(options.first, options.first + options.seeds):
         directory = Path(tempfile.mkdtemp(prefix=f'yuccadale-soak-{seed}-'))
         report = asyncio.run(
-            run_seed(seed, options.seconds, directory, options.instances)
+            run_seed(
+                seed,
+                options.seconds,
+                directory,
+                options.instances,
+                planned=options.planned,
+            )
         )
         print(seed, dict(report.status_counts), report.faults, flush=True)
         for problem in report.problems:
