End only the failed request, not its connection, after an unexpected error

The request now gets status 500, and the others their answers.

Before: test_a_failed_request_leaves_others_of_its_connection_alone fails on both loops, the connection is closed. After: it passes.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -331,7 +331,12 @@
             self._transport.abort()
 
     async def _handle(self, message: CallerMessage) -> Reply:
-        return await self._listener.handler(message)
+        try:
+            return await self._listener.handler(message)
+        except Exception as error:
+            # Other requests on the connection still get their answers.
+            _log.error('request handler failed', reason=repr(error))
+            return Reply(HTTPStatus.INTERNAL_SERVER_ERROR)
 
     def _hold_announced_body(self) -> None:
         for name, text in self._headers:
@@ -385,7 +390,7 @@
     def _write_answers(self) -> None:
         while self._answers and self._answers[0].done() and self._may_write():
             answer = self._answers.popleft()
-            if not self._succeeded(answer):
+            if answer.cancelled():
                 self.abort()
                 return
             last = answer is self._final_answer or self._should_close()
@@ -401,17 +406,6 @@
         if not self.busy:
             self._start_idle_timer(self._listener.limits.idle_timeout_s)
 
-    def _succeeded(self, answer: asyncio.Task[Reply]) -> bool:
-        if answer.cancelled():
-            return False
-        failure = answer.exception()
-        if failure is None:
-            return True
-        self._loop.call_exception_handler(
-            {'message': 'request handler failed', 'exception': failure}
-        )
-        return False
-
     def _should_close(self) -> bool:
         return self._listener.closing and not self._answers
 
@@ -479,7 +473,7 @@
 
 def _reply_size(answer: asyncio.Task[Reply]) -> int:
     """Returns the size of a reply's body; 0 while there is none."""
-    if not answer.done() or answer.cancelled() or answer.exception():
+    if not answer.done() or answer.cancelled():
         return 0
     return len(answer.result().body)
 
--- a/tests/edge/test_server_connection.py
+++ b/tests/edge/test_server_connection.py
@@ -276,3 +276,28 @@
             async with asyncio.timeout(_LONG_S):
                 answer = await asyncio.get_running_loop().sock_recv(caller, 99)
             assert answer.startswith(b'HTTP/1.1 200')
+
+
+async def test_a_failed_request_leaves_others_of_its_connection_alone() -> None:
+    """Guards against answers that are lost by an error of another request."""
+    async with _running_listener() as listener:
+        handle = listener.state.handler
+
+        async def fail_second(message: CallerMessage) -> Reply:
+            reply = await handle(message)
+            if len(listener.messages) == 2:
+                raise RuntimeError
+            return reply
+
+        listener.state.handler = fail_second
+        reader, writer = await listener.connect()
+        writer.write(_REQUEST * 3)
+        statuses = []
+        for _ in range(3):
+            async with asyncio.timeout(_LONG_S):
+                head = await reader.readuntil(b'\r\n\r\n')
+            statuses.append(int(head.split()[1]))
+            if statuses[-1] == 200:
+                await reader.readexactly(len(_LARGE_ANSWER))
+        assert statuses == [200, 500, 200]
+        writer.close()
