Refuse a request whose server is removed during a forward

Cause: when a forward reaches no sender, the sender is chosen again, and RequestRouter._sender_key raised KeyError for a server that had been removed meanwhile. Without a server the request now goes to the dispatcher, which refuses it with 503, as for any unknown owner.

Before: test_a_server_removed_during_a_forward_refuses_the_request fails with {200, 500} on both loops. After: {200, 503}.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -412,7 +412,10 @@
     async def _send(self, routed: RoutedRequest) -> Result:
         routed.forwards = 0
         while True:
-            sender = self._forwarder.reachable_sender(*self._sender_key(routed))
+            sender_key = self._sender_key(routed)
+            sender = None
+            if sender_key is not None:
+                sender = self._forwarder.reachable_sender(*sender_key)
             if sender is None:
                 return await self._dispatcher.serve(routed)
             result = await self._forwarder.forward(sender, routed)
@@ -420,10 +423,19 @@
                 self._dispatcher.statements.observe_forwarded(result)
                 return result
 
-    def _sender_key(self, routed: RoutedRequest) -> tuple[str, str]:
+    def _sender_key(self, routed: RoutedRequest) -> tuple[str, str] | None:
+        """Returns what the sender is chosen by; None without a server.
+
+        A server may be removed while a forward to its sender is tried.
+        """
         if routed.server_id is not None:
-            server = self._system_view.servers.server_by_id[routed.server_id]
-            return server.server_id, server.data_centre
+            known = self._system_view.servers.server_by_id
+            server = known.get(routed.server_id)
+            return (
+                None
+                if server is None
+                else (server.server_id, server.data_centre)
+            )
         # One instance per region sends the requests to a service without keys.
         region = self._place.region
         return f'{routed.service}@{region}', self._place.data_centre
--- a/tests/platform/test_left_servers.py
+++ b/tests/platform/test_left_servers.py
@@ -15,6 +15,7 @@
 from tests.builders.platform_servers import PlatformServer
 from tests.builders.platform_system import PlatformSystem, platform_system
 from yuccadale_core.codes import ResultCode
+from yuccadale_edge._internal.routing.forwarding import Forwarder
 from yuccadale_edge._internal.routing.request_router import RequestRouter
 from yuccadale_edge._internal.routing.requests import Refused
 from yuccadale_edge._internal.system_view import ServerList, SystemView
@@ -165,3 +166,27 @@
         status, _, _ = await request
         assert status == 200
         assert sum(one.executions['silent-1'] for one in servers) == 1
+
+
+async def test_a_server_removed_during_a_forward_refuses_the_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against status 500 for a request that has not run."""
+
+    async def fail_to_forward(
+        forwarder: Forwarder, _sender: object, _request: object
+    ) -> None:
+        forwarder._system_view.servers.server_by_id.pop('k0', None)
+
+    async with platform_system(keyed=1, unkeyed=0) as system:
+        names = [await system.add_instance() for _ in range(2)]
+        for name in names:
+            await system.wait_until_served(name, 7)
+        monkeypatch.setattr(Forwarder, 'forward', fail_to_forward)
+        statuses = set()
+        for number, name in enumerate(names):
+            status, _, _ = await system.send_request(
+                name, '/keyed/x', key=7, request_id=f'removed-{number}'
+            )
+            statuses.add(status)
+    assert statuses == {200, 503}
