--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,9 @@
 types: setup
 	$(BIN)/mypy $(SOURCES)
 
+# Most tests wait on clocks, so files run beside each other.
 tests: setup
-	$(BIN)/pytest
+	$(BIN)/pytest -n 4 --dist loadfile
 
 test: check lint imports types tests
 
