Deliver a large answer to a caller that reads slowly

Cause: the timer started when writing paused and nothing restarted it until the buffer was nearly empty; a connection that is closing had the same limit for all that was left. Both timers now start again while the caller makes progress.

An address that is not this machine's ends the start again; only one that is in use is waited for.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/listening.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/listening.py
@@ -8,16 +8,16 @@
 
 _log = structlog.get_logger()
 
-# Addresses may be in use by a process that ends, or by an outgoing connection
-# of another program.
-_IN_USE = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
 _RETRY_S = 0.1
 
 
 async def listen_when_free(
     listen: Callable[[], Awaitable[asyncio.Server]], address: tuple[str, int]
 ) -> asyncio.Server:
-    """Opens a listener; waits while its address cannot be used.
+    """Opens a listener; waits while its address is in use.
+
+    It may be in use by a process that ends, or by an outgoing connection of
+    another program.
 
     Args:
         listen: opens the listener.
@@ -31,7 +31,7 @@
         try:
             return await listen()
         except OSError as error:
-            if error.errno not in _IN_USE:
+            if error.errno != errno.EADDRINUSE:
                 raise
             if not waits:
                 waits = True
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -207,11 +207,7 @@
         if self._transport is not None:
             self._transport.pause_reading()
         self._count_unwritten()
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = self._loop.call_later(
-            self._listener.limits.idle_timeout_s, self.abort
-        )
+        self._await_reader(self._unwritten_bytes())
 
     def resume_writing(self) -> None:
         """Writes the answers that waited."""
@@ -379,8 +375,8 @@
         if self._unwritten is None or self._closing:
             return
         size = sum(map(_reply_size, self._answers))
-        if self._writing_paused and self._transport is not None:
-            size += self._transport.get_write_buffer_size()
+        if self._writing_paused:
+            size += self._unwritten_bytes()
         if size != self._unwritten.size:
             self._unwritten.resize(size)
 
@@ -456,20 +452,47 @@
             self._timer.cancel()
         linger_until_s = elapsed_s() + self._listener.limits.idle_timeout_s
         self._timer = self._loop.call_later(
-            _LINGER_S, self._end_lingering, linger_until_s
+            _LINGER_S,
+            self._end_lingering,
+            linger_until_s,
+            self._unwritten_bytes(),
         )
 
-    def _end_lingering(self, until_s: float) -> None:
-        """Aborts the connection when all is written, or after some time."""
-        assert self._transport is not None
-        unwritten = self._transport.get_write_buffer_size()
+    def _end_lingering(self, until_s: float, unwritten_before: int) -> None:
+        """Aborts the connection when all is written, or none for some time."""
+        unwritten = self._unwritten_bytes()
+        if unwritten < unwritten_before:
+            until_s = elapsed_s() + self._listener.limits.idle_timeout_s
         if not unwritten or elapsed_s() >= until_s:
             self.abort()
             return
         self._timer = self._loop.call_later(
-            _LINGER_S, self._end_lingering, until_s
+            _LINGER_S, self._end_lingering, until_s, unwritten
         )
 
+    def _await_reader(self, unwritten_before: int) -> None:
+        """Starts the timer of a caller that does not read."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(
+            self._listener.limits.idle_timeout_s,
+            self._on_write_timeout,
+            unwritten_before,
+        )
+
+    def _on_write_timeout(self, unwritten_before: int) -> None:
+        """Aborts the connection unless the caller has read something."""
+        unwritten = self._unwritten_bytes()
+        if unwritten < unwritten_before:
+            self._await_reader(unwritten)
+        else:
+            self.abort()
+
+    def _unwritten_bytes(self) -> int:
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
 
 def _reply_size(answer: asyncio.Task[Reply]) -> int:
     """Returns the size of a reply's body; 0 while there is none."""
--- a/tests/edge/test_server_connection.py
+++ b/tests/edge/test_server_connection.py
@@ -301,3 +301,25 @@
                 await reader.readexactly(len(_LARGE_ANSWER))
         assert statuses == [200, 500, 200]
         writer.close()
+
+
+@pytest.mark.parametrize('closing', [False, True])
+async def test_a_slow_reader_gets_the_whole_of_a_large_answer(
+    *, closing: bool
+) -> None:
+    """Guards against a ready answer that is cut at the idle timeout.
+
+    The caller reads all the while, for several idle timeouts.
+    """
+    async with _running_listener() as listener:
+        listener.answer = b'a' * 30_000_000
+        listener.state.closing = closing
+        reader, writer = await listener.connect()
+        writer.write(_REQUEST)
+        left = len(listener.answer)
+        async with asyncio.timeout(_LONG_S * 2):
+            await reader.readuntil(b'\r\n\r\n')
+            while left:
+                left -= len(await reader.readexactly(min(left, 500_000)))
+                await asyncio.sleep(_IDLE_S / 10)
+        writer.close()
