Read a body to its end while it arrives

Cause: the idle timer started with the body and no piece of it restarted it. A timer that ends while a body is read now starts again if any of it arrived.

Before: test_a_body_that_arrives_slowly_is_read_to_its_end fails on both loops; after: it passes, and a body that stops arriving is still given up.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -426,10 +426,16 @@
     def _start_idle_timer(self, limit_s: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(limit_s, self._on_idle_timeout)
+        self._timer = self._loop.call_later(
+            limit_s, self._on_idle_timeout, self._body_bytes
+        )
 
-    def _on_idle_timeout(self) -> None:
-        if not self._answers:
+    def _on_idle_timeout(self, body_bytes_before: int) -> None:
+        if self._answers:
+            return
+        if self._reading_request and self._body_bytes > body_bytes_before:
+            self._start_idle_timer(self._listener.limits.idle_timeout_s)
+        else:
             self._close()
 
     def _write(self, encoded: bytes) -> None:
--- a/tests/edge/test_server_connection.py
+++ b/tests/edge/test_server_connection.py
@@ -323,3 +323,27 @@
                 left -= len(await reader.readexactly(min(left, 500_000)))
                 await asyncio.sleep(_IDLE_S / 10)
         writer.close()
+
+
+async def test_a_body_that_arrives_slowly_is_read_to_its_end() -> None:
+    """Guards against an upload that is cut at the idle timeout."""
+    async with _running_listener() as listener:
+        reader, writer = await listener.connect()
+        pieces = 10
+        writer.write(_post(pieces))
+        for _ in range(pieces):
+            await asyncio.sleep(_IDLE_S / 3)
+            writer.write(b'a')
+        assert await _status(reader) == 200
+        writer.close()
+
+
+async def test_a_body_that_stops_arriving_is_given_up() -> None:
+    """Guards against connections that stay open for ever."""
+    async with _running_listener() as listener:
+        reader, writer = await listener.connect()
+        writer.write(_post(2))
+        writer.write(b'a')
+        async with asyncio.timeout(_LONG_S):
+            assert not await reader.read()
+        writer.close()
