Give up answers without a known end for those that have one

While servers sent without end, the account was nearly full all the time, so that large bodies of callers were refused, and answers of the store of more than 64 KiB waited for room, up to the time limit of a request at a faulty server.

Answers without a known end, and replies that are not read, now give way to bodies and to answers of a known length.

Before: test_an_answer_without_a_known_end_gives_way_to_others fails, the room is not reserved. After: it passes.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/held_bytes.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/held_bytes.py
@@ -1,9 +1,9 @@
 """Account of the bytes that a process holds for others.
 
 Bytes are charged where they are read and released where they leave. When the
-account is full, new bodies are refused, answers of a known length wait unread,
-and of the rest the largest is given up: an answer whose end is unknown, or the
-replies to a caller that does not read them.
+account is full, the largest part is given up that is an answer whose end is
+unknown, or the replies to a caller that does not read them. When there is none,
+new bodies are refused, and answers of a known length wait unread.
 """
 
 from collections import deque
@@ -63,7 +63,7 @@
             Whether the room was reserved at once.
         """
         self.give_up = None
-        if size <= SMALL_BYTES or self._account.has_room(size - self.size):
+        if size <= SMALL_BYTES or self._account.make_room(size - self.size):
             self.grow_to(size)
             return True
         self._account.wait_for_room(self, size, granted)
@@ -110,13 +110,21 @@
         """Whether bytes can be added within the bound."""
         return not self.size or self.size + size <= self.max_bytes
 
+    def make_room(self, size: int) -> bool:
+        """Whether bytes can be added, after others were given up for them."""
+        while not self.has_room(size):
+            if not self._give_up_largest():
+                return False
+        return True
+
     def charge(self, added: int) -> None:
         """Counts bytes; a negative number releases them."""
         self.size += added
-        if added > 0:
-            self._give_up_largest()
-        elif added < 0:
+        if added < 0:
             self._grant_room()
+        while self.size > self.max_bytes:
+            if not self._give_up_largest():
+                break
 
     def wait_for_room(
         self, holding: Holding, size: int, granted: Notification
@@ -124,23 +132,24 @@
         """Reserves room for a holding as soon as there is enough."""
         self._waiting.append((holding, size, granted))
 
-    def _give_up_largest(self) -> None:
-        while self.size > self.max_bytes:
-            candidates = [one for one in self._holdings if one.give_up]
-            largest = max(candidates, key=lambda one: one.size, default=None)
-            if largest is None or largest.size <= SMALL_BYTES:
-                return
-            self.given_up += 1
-            _log.warning(
-                'memory for others is used up, largest part given up',
-                size=largest.size,
-                held=self.size,
-            )
-            give_up = largest.give_up
-            largest.give_up = None
-            largest.resize(0)
-            if give_up is not None:
-                give_up()
+    def _give_up_largest(self) -> bool:
+        """Gives up the largest part that may be; False if there is none."""
+        candidates = [one for one in self._holdings if one.give_up]
+        largest = max(candidates, key=lambda one: one.size, default=None)
+        if largest is None or largest.size <= SMALL_BYTES:
+            return False
+        self.given_up += 1
+        _log.warning(
+            'memory for others is used up, largest part given up',
+            size=largest.size,
+            held=self.size,
+        )
+        give_up = largest.give_up
+        largest.give_up = None
+        largest.resize(0)
+        if give_up is not None:
+            give_up()
+        return True
 
     def _grant_room(self) -> None:
         while self._waiting:
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -141,7 +141,7 @@
     def _has_room(self, size: int) -> bool:
         if self.held_bytes and self.held_bytes + size > self.max_held_bytes:
             return False
-        return size <= SMALL_BYTES or self.held.has_room(size)
+        return size <= SMALL_BYTES or self.held.make_room(size)
 
 
 class ServerConnection(asyncio.Protocol):
--- a/tests/edge/test_held_bytes.py
+++ b/tests/edge/test_held_bytes.py
@@ -62,6 +62,18 @@
     assert account.size == 0
 
 
+def test_an_answer_without_a_known_end_gives_way_to_others() -> None:
+    """Guards against a faulty server that delays the answers of the store."""
+    account = HeldBytes(_MAX)
+    with ExitStack() as stack:
+        endless = _held(stack, account, 900 * _KB)
+        store = _held(stack, account, 0)
+        assert store.reserve(300 * _KB, _ignore)
+        assert endless.size == 0
+        assert not account.make_room(800 * _KB)
+        assert account.make_room(700 * _KB)
+
+
 def test_a_small_body_never_waits() -> None:
     """Guards against servers that block the answers of others."""
     account = HeldBytes(_MAX)
