--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -5,9 +5,10 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
+from unittest.mock import Mock
 
 import aiohttp
 import pytest
@@ -15,6 +16,7 @@
 from tests.builders.platform_servers import PlatformServer, running_server
 from tests.builders.platform_store import running_store
 from tests.builders.platform_system import configuration, free_port
+from yuccadale_platform._internal.main import handled_signals
 
 _TIMEOUT_S = 30
 # Longer than a start takes.
@@ -40,10 +42,15 @@
 sys.exit(main())
 """
 
-# Runs the program, which gets a signal while it imports its modules.
+# Runs the program, which gets a signal while it imports its modules, and again
+# while the interpreter ends.
 _SIGNALLED_MAIN = """
 import os, runpy, signal, sys
 number = int(sys.argv.pop(1))
+class Last:
+    def __del__(self, kill=os.kill, pid=os.getpid(), number=number):
+        kill(pid, number)
+last = Last()
 def watch(event, arguments):
     if event == 'import' and arguments[0] == 'yuccadale_edge':
         os.kill(os.getpid(), number)
@@ -199,6 +206,32 @@
             assert await _end(process) == os.EX_OK
 
 
+@pytest.fixture
+def _own_signals() -> Iterator[None]:
+    """Restores the signal handlers of this process after the test."""
+    numbers = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+    handlers = [signal.getsignal(number) for number in numbers]
+    yield
+    for number, handler in zip(numbers, handlers, strict=True):
+        signal.signal(number, handler)
+
+
+@pytest.mark.usefixtures('_own_signals')
+async def test_a_series_of_signals_is_handled_once() -> None:
+    """Guards against signals that queue up and delay a stop."""
+    instance = Mock()
+    with handled_signals(instance):
+        for _ in range(100):
+            os.kill(os.getpid(), signal.SIGHUP)
+            os.kill(os.getpid(), signal.SIGTERM)
+        await asyncio.sleep(0.05)
+        assert instance.reload.call_count == 1
+        assert instance.stop.call_count == 1
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.sleep(0.05)
+        assert instance.reload.call_count == 2
+
+
 async def test_repeated_signals_do_not_end_a_stop_by_an_error(
     tmp_path: Path,
 ) -> None:
@@ -207,7 +240,9 @@
         await asyncio.sleep(_START_S)
         while process.returncode is None:
             for number in (signal.SIGTERM, signal.SIGHUP):
+                # The method of the process may take its exit status from the
+                # event loop.
                 with suppress(ProcessLookupError):
-                    process.send_signal(number)
+                    os.kill(process.pid, number)
             await asyncio.sleep(_SIGNAL_PAUSE_S)
         assert process.returncode == os.EX_OK
