--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,8 @@
 # 32: SIGTERM was sent to a process that did not listen yet.
 # 38: an outgoing connection took the port that an instance was to listen on.
 SEEDS = (1, 6, 32, 38)
+# With planned work only, each request that ran gets an answer.
+PLANNED_SEEDS = (1, 2)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -21,3 +23,12 @@
     """Guards against duplicate runs, false refusals, keys with two holders."""
     report = asyncio.run(run_seed(seed, SECONDS, tmp_path))
     assert not report.problems
+
+
+@pytest.mark.parametrize('seed', PLANNED_SEEDS)
+def test_planned_work_leaves_no_request_unanswered(
+    seed: int, tmp_path: Path
+) -> None:
+    """Guards against requests that a stop, or a change, breaks off."""
+    report = asyncio.run(run_seed(seed, SECONDS, tmp_path, planned=True))
+    assert not report.problems
