--- a/packages/edge/src/yuccadale_edge/_internal/transport/held_bytes.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/held_bytes.py
@@ -30,7 +30,7 @@
         give_up: discards the bytes; None if they must be kept.
     """
 
-    def __init__(self, account: 'HeldBytes', give_up: Notification):
+    def __init__(self, account: 'HeldBytes', give_up: Notification) -> None:
         self.size = 0
         self.give_up: Notification | None = give_up
         self._account = account
