Answer the requests that end with the grace period, however late

A caller got no answer from an instance that stopped: its request was still at work at the end of the grace period, was cancelled, and the 502 was made, but the connection was aborted before it was written.

Cause: a process without processor time for 0.2 s reaches the end and the time of the abort in one step of its event loop, while cancelling a request and writing its answer takes several. The new test stops the loop for 0.4 s there and failed before on both loops: no status in place of 502. Now the loop is polled up to five times for such requests.

The soak's planned work includes outages of the store, which excuse no unanswered request.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -78,6 +78,9 @@
 # written at its begin; connections are aborted when half of it is over.
 _SHUTDOWN_MARGIN_S = 0.4
 _DRAIN_POLL_S = 0.02
+# Polls at the end in which requests that were cancelled then are answered. They
+# are counted, since a process without processor time is late by any clock.
+_LAST_ANSWERS_POLLS = 5
 # Longest wait until connections that the kernel has opened are accepted.
 _BACKLOG_S = 0.3
 # Share of the process's memory for the bodies of callers' requests. A body is
@@ -327,8 +330,16 @@
             ):
                 break
             await asyncio.sleep(_DRAIN_POLL_S)
+        await self._write_last_answers()
         leaving.cancel()
 
+    async def _write_last_answers(self) -> None:
+        """Lets the event loop answer the requests that the end cancelled."""
+        for _ in range(_LAST_ANSWERS_POLLS):
+            if not any(one.busy for one in self._callers.connections):
+                break
+            await asyncio.sleep(_DRAIN_POLL_S)
+
     async def _accept_waiting(self, listener: asyncio.Server) -> None:
         """Accepts what the kernel has connected: closing would reset it."""
         until_s = elapsed_s() + _BACKLOG_S
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import time
 from dataclasses import dataclass
 
 import pytest
@@ -143,6 +144,24 @@
         assert sent.status == 502
 
 
+async def test_a_process_that_is_late_at_the_end_still_answers() -> None:
+    """Guards against a refusal that is made, but not written, at the end.
+
+    The end of the grace period, and the time at which connections are aborted,
+    pass within one step of the event loop of a process without processor time.
+    """
+    async with platform_system(keyed=0) as system:
+        name = await system.add_instance()
+        system.server_by_id['p0'].work_s = GRACE_S + 1
+        request = asyncio.create_task(_send_on_new_connection(system, name))
+        await asyncio.sleep(0.1)
+        system.instance_by_name[name].stop()
+        await asyncio.sleep(GRACE_S - 0.5)
+        time.sleep(0.4)
+        sent = await request
+        assert sent.status == 502
+
+
 async def test_no_request_is_forwarded_to_an_instance_that_ends() -> None:
     """Guards against forwarded requests that end with the sender's process."""
     async with platform_system(keyed=1, unkeyed=0) as system:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -143,6 +143,8 @@
                 'stops': [self._terminate, self._restart_without_port],
                 'other stops': [self._terminate, self._reload],
                 'servers': [self._drain_server, self._change_work],
+                # It excuses no unanswered request.
+                'store': [self._store_down, self._drop_store_answers],
             }
         return {
             'processes': self._process_faults(),
