Take ports of tests that listen twice from outside the ephemeral range

The soak's planned work also finds requests that a stop broke off with an answer of the instance, except where the users allow it.

--- a/tests/builders/peers.py
+++ b/tests/builders/peers.py
@@ -1,11 +1,11 @@
 """Builds peer links on loopback for tests."""
 
 import asyncio
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+from tests.builders.ports import free_port
 from yuccadale_core.counters import Counters
 from yuccadale_core.instances import InstanceRef
 from yuccadale_core.peer_keys import PeerKeys
@@ -27,9 +27,7 @@
 
 def free_address() -> str:
     """Returns a loopback address whose port was free a moment ago."""
-    with socket.socket() as bound:
-        bound.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{bound.getsockname()[1]}'
+    return f'127.0.0.1:{free_port()}'
 
 
 def instance(
--- a/tests/builders/platform_system.py
+++ b/tests/builders/platform_system.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import itertools
-import os
-import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
@@ -13,6 +11,7 @@
 
 from tests.builders.platform_servers import PlatformServer, running_server
 from tests.builders.platform_store import RunningStore, running_store
+from tests.builders.ports import free_port
 from yuccadale_edge.instance import Bounds, Instance, Place, Settings
 from yuccadale_platform.adapter import make_adapter
 
@@ -20,27 +19,6 @@
 HOST = 'shop.example'
 _PROBE_NUMBERS = itertools.count()
 _TIMEOUT_S = 15.0
-# Below the ephemeral ports. Parallel test runs use different blocks, since a
-# port stays free until its process listens on it.
-_BLOCK_PORTS = 1000
-_FIRST_PORT = 12000 + os.getpid() % 20 * _BLOCK_PORTS
-_PORTS = itertools.cycle(range(_FIRST_PORT, _FIRST_PORT + _BLOCK_PORTS))
-
-
-def free_port() -> int:
-    """Returns a free port outside the ephemeral range.
-
-    An outgoing connection may take an ephemeral port before the instance
-    listens on it.
-    """
-    for port in itertools.islice(_PORTS, _BLOCK_PORTS):
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return port
-    raise RuntimeError('no port is free')
 
 
 def route(**changes: object) -> dict:
--- a/tests/builders/relayed_servers.py
+++ b/tests/builders/relayed_servers.py
@@ -8,6 +8,7 @@
 
 from tests.builders.platform_servers import PlatformServer
 from tests.builders.platform_system import PlatformSystem, platform_system
+from tests.builders.ports import free_port
 from tests.soak.proxy import LoopbackProxy, running_proxy
 from yuccadale_edge.ownership import KEY_COUNT
 from yuccadale_platform.adapter import parse_address
@@ -74,7 +75,8 @@
         relayed = RelayedServers(system, servers, [])
         for server in servers:
             proxy = await system.stack.enter_async_context(
-                running_proxy(parse_address(server.address))
+                # The relay closes its listener and opens it again.
+                running_proxy(parse_address(server.address), free_port())
             )
             relayed.proxies.append(proxy)
             server.address = f'{proxy.address[0]}:{proxy.address[1]}'
--- a/tests/edge/test_links.py
+++ b/tests/edge/test_links.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from tests.builders.platform_system import free_port
+from tests.builders.ports import free_port
 from tests.soak.proxy import LoopbackProxy, running_proxy
 from yuccadale_edge._internal.membership import links
 from yuccadale_edge._internal.observability.metrics import Metrics
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -16,7 +16,7 @@
 from socket import socket
 
 from tests.builders.link_sender import FIRST_BODY, link_sender, send_request
-from tests.builders.platform_system import free_port
+from tests.builders.ports import free_port
 from tests.builders.silent_path import accept_packets, drop_packets
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.links import PeerServer, peer_listener
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -15,7 +15,8 @@
 
 from tests.builders.platform_servers import PlatformServer, running_server
 from tests.builders.platform_store import running_store
-from tests.builders.platform_system import configuration, free_port
+from tests.builders.platform_system import configuration
+from tests.builders.ports import free_port
 from yuccadale_platform._internal.main import handled_signals
 
 _TIMEOUT_S = 30
--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -9,31 +10,63 @@
 from tests.soak.processes import SoakInstance
 
 _KEY_COUNT = 65536
-_LIMIT_MS = 2000
+LIMIT_MS = 2000
 # The limit, and what an answer may take beyond it.
 _ANSWER_TIMEOUT_S = 4.0
 _RECONNECT_S = 0.05
 _BODY_BYTES = (0, 100, 5000, 200_000)
 
+# Answers of an instance that promise nothing of the request.
+_UNKNOWN_STATUSES = frozenset((500, 502, 504))
+
 RecordAnswer = Callable[[str, str, int, str], int]
 
 
+@dataclass(frozen=True)
+class UnknownOutcome:
+    """A request that an instance gave up on, by times of a monotonic clock."""
+
+    instance: SoakInstance
+    sent_s: float
+    answered_s: float
+
+    @property
+    def took_s(self) -> float:
+        """Time until the answer."""
+        return self.answered_s - self.sent_s
+
+
 @dataclass
-class KeptConnections:
-    """What callers on kept connections saw.
+class CallersView:
+    """What callers saw of requests that were not served.
 
     Attributes:
         unanswered: instance, and what happened, by the id of each request
             whose connection ended, or stayed silent, without its whole answer.
+        unknown_by_id: requests that an instance gave up on.
     """
 
     unanswered: dict[str, str] = field(default_factory=dict)
+    unknown_by_id: dict[str, UnknownOutcome] = field(default_factory=dict)
+
+    def note_status(
+        self,
+        request_id: str,
+        status: int,
+        instance: SoakInstance,
+        sent_s: float,
+    ) -> None:
+        """Keeps a request whose outcome the answer leaves open."""
+        if status in _UNKNOWN_STATUSES:
+            self.unknown_by_id[request_id] = UnknownOutcome(
+                instance, sent_s, time.monotonic()
+            )
 
 
 def _encode(request_id: str, path: str, key: int, body: bytes) -> bytes:
     return (
         f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\n'
-        f'X-Attempt-Id: {request_id}\r\nX-Deadline-Ms: {_LIMIT_MS}\r\n'
+        f'X-Attempt-Id: {request_id}\r\nX-Deadline-Ms: {LIMIT_MS}\r\n'
         f'X-Shard-Key: {key}\r\nContent-Length: {len(body)}\r\n\r\n'
     ).encode() + body
 
@@ -55,7 +88,7 @@
     random_source: random.Random,
     request_ids: Iterator[str],
     record: RecordAnswer,
-    kept: KeptConnections,
+    view: CallersView,
 ) -> None:
     """Sends requests, some behind each other, until it is cancelled."""
     while True:
@@ -72,11 +105,11 @@
             while goes_on:
                 goes_on = await _send_group(
                     (reader, writer),
-                    instance.name,
+                    instance,
                     random_source,
                     request_ids,
                     record,
-                    kept,
+                    view,
                 )
                 await asyncio.sleep(random_source.random() / 20)
         finally:
@@ -85,11 +118,11 @@
 
 async def _send_group(
     connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
-    instance: str,
+    instance: SoakInstance,
     random_source: random.Random,
     request_ids: Iterator[str],
     record: RecordAnswer,
-    kept: KeptConnections,
+    view: CallersView,
 ) -> bool:
     """Sends up to three requests at once; returns whether it may go on."""
     reader, writer = connection
@@ -104,6 +137,7 @@
     goes_on = True
     reason = 'closed behind an answer'
     waiting = list(path_by_id)
+    sent_s = time.monotonic()
     try:
         async with asyncio.timeout(_ANSWER_TIMEOUT_S):
             while waiting and goes_on:
@@ -111,8 +145,9 @@
                 request_id = waiting.pop(0)
                 path = path_by_id[request_id]
                 record(request_id, path, status, text.rstrip(' '))
+                view.note_status(request_id, status, instance, sent_s)
     except (asyncio.IncompleteReadError, OSError, TimeoutError) as error:
         goes_on = False
         reason = repr(error)
-    kept.unanswered.update(dict.fromkeys(waiting, f'{instance}: {reason}'))
+    view.unanswered.update(dict.fromkeys(waiting, f'{instance.name}: {reason}'))
     return goes_on and not waiting
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -4,12 +4,14 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from tests.builders.platform_system import REGION_BY_ZONE, free_port
+from tests.builders.platform_system import REGION_BY_ZONE
+from tests.builders.ports import free_port
 from tests.soak.proxy import LoopbackProxy, running_proxy
 
 _SETTINGS = """\
@@ -30,15 +32,20 @@
 store = {store}
 
 [bounds]
-grace = 3s
+grace = {grace}s
 """
+GRACE_S = 3
 _END_TIMEOUT_S = 5.0
 _MB = 1_000_000
 
 
 @dataclass
 class SoakInstance:
-    """An instance that is started, stopped, paused and killed by signals."""
+    """An instance that is started, stopped, paused and killed by signals.
+
+    Attributes:
+        stopped_s: when SIGTERM was sent, on a monotonic clock.
+    """
 
     name: str
     zone: str
@@ -50,6 +57,7 @@
     paused: bool = False
     terminating: bool = False
     ending: bool = False
+    stopped_s: list[float] = field(default_factory=list)
 
     @property
     def ended_by_itself(self) -> bool:
@@ -70,6 +78,7 @@
                 region=REGION_BY_ZONE[self.zone],
                 zones=zones,
                 store=self.store,
+                grace=GRACE_S,
                 **self.ports,
             )
         )
@@ -129,6 +138,8 @@
                 os.kill(self.process.pid, number)
             self.paused = number == signal.SIGSTOP
             self.ending |= number in {signal.SIGKILL, signal.SIGTERM}
+            if number == signal.SIGTERM:
+                self.stopped_s.append(time.monotonic())
 
     async def kill(self) -> None:
         """Kills the process, also a paused one."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,17 +28,18 @@
 from tests.builders.platform_store import RunningStore, running_store
 from tests.builders.platform_system import HOST, configuration
 from tests.soak.kept_callers import (
-    KeptConnections,
+    LIMIT_MS,
+    CallersView,
+    UnknownOutcome,
     call_on_kept_connections,
 )
-from tests.soak.processes import SoakInstance, soak_instances
+from tests.soak.processes import GRACE_S, SoakInstance, soak_instances
 from tests.soak.proxy import LoopbackProxy, running_proxy
 
 INSTANCES = 4
 KEYED_SERVERS = 4
 CALLERS = 6
 _KEY_COUNT = 65536
-_DEADLINE_MS = 2000
 # Answers that promise that the request did not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _FAULT_PAUSES_S = (0.1, 0.4, 1.0)
@@ -54,6 +55,12 @@
 _MEMORY_MB = 300
 _MEMORY_CHECK_S = 0.1
 _RECOVERY_TIMEOUT_S = 10.0
+# As the users allow: a request may be broken off that was sent until then after
+# SIGTERM, when its server is at work in the rest of the grace period.
+_EXCUSED_UNTIL_S = 3.0
+_EXCUSED_GRACE_SHARE = 5 / 6
+# Between the time at which a request was sent and read.
+_CLOCK_TOLERANCE_S = 0.05
 # Requests for random keys that have to succeed at each instance.
 _PROBES_PER_INSTANCE = 8
 
@@ -87,7 +94,7 @@
     ) -> None:
         self.report = SoakReport(seed)
         self._planned = planned
-        self._kept = KeptConnections()
+        self._view = CallersView()
         self._random = random.Random(seed)
         self._store = store
         self._servers = servers
@@ -373,7 +380,7 @@
             random.Random(name),
             (f'{name}-{count}' for count in itertools.count()),
             self._record_answer,
-            self._kept,
+            self._view,
         )
 
     async def _send_request(self, instance: SoakInstance) -> int:
@@ -383,7 +390,7 @@
         headers = {
             'Host': HOST,
             'X-Attempt-Id': request_id,
-            'X-Deadline-Ms': str(_DEADLINE_MS),
+            'X-Deadline-Ms': str(LIMIT_MS),
             'X-Shard-Key': str(self._random.randrange(_KEY_COUNT)),
         }
         port = instance.ports['callers']
@@ -394,6 +401,9 @@
                 headers=headers,
                 data=request_id.encode(),
             ) as answer:
+                self._view.note_status(
+                    request_id, answer.status, instance, sent_s
+                )
                 return self._record_answer(
                     request_id, path, answer.status, await answer.text()
                 )
@@ -402,7 +412,7 @@
             return self._record_answer(request_id, path, 0, '')
         except aiohttp.ClientError as error:
             took_s = time.monotonic() - sent_s
-            self._kept.unanswered[request_id] = (
+            self._view.unanswered[request_id] = (
                 f'{instance.name}: {error!r} after {took_s:.2f} s'
             )
             return self._record_answer(request_id, path, 0, '')
@@ -440,18 +450,24 @@
             await asyncio.sleep(_MEMORY_CHECK_S)
 
     def _check_unanswered(self) -> None:
-        """Finds requests that reached a server and got no answer.
+        """Finds requests that reached a server and got no answer of it.
 
-        Only planned work excuses none of them.
+        Only planned work excuses none of them, but what a stop may break off.
         """
         if not self._planned:
             return
         ran = set[str]().union(*(one.executions for one in self._servers))
         self.report.problems.extend(
             f'{request_id} ran and got no answer from {instance}'
-            for request_id, instance in self._kept.unanswered.items()
+            for request_id, instance in self._view.unanswered.items()
             if request_id in ran
         )
+        self.report.problems.extend(
+            f'{request_id} ran and was broken off by {unknown.instance.name}'
+            f' after {unknown.took_s:.2f} s'
+            for request_id, unknown in self._view.unknown_by_id.items()
+            if request_id in ran and not _may_be_broken_off(unknown)
+        )
 
     def _check_executions(self) -> None:
         executions: Counter[str] = Counter()
@@ -484,6 +500,21 @@
             self.report.problems.append(problem)
 
 
+def _may_be_broken_off(unknown: UnknownOutcome) -> bool:
+    """Whether the users allow that an instance gave up on a request.
+
+    Its time limit was reached, or it was sent early in a stop, and its server
+    was still at work late in the grace period.
+    """
+    if unknown.took_s >= LIMIT_MS / 1000 - _CLOCK_TOLERANCE_S:
+        return True
+    return any(
+        unknown.sent_s <= stopped_s + _EXCUSED_UNTIL_S
+        and unknown.answered_s >= stopped_s + GRACE_S * _EXCUSED_GRACE_SHARE
+        for stopped_s in unknown.instance.stopped_s
+    )
+
+
 @asynccontextmanager
 async def _server_behind_proxy(
     server: PlatformServer, store: RunningStore
@@ -514,7 +545,7 @@
         for number in range(KEYED_SERVERS)
     ]
     servers.append(PlatformServer('p0', 'stage', 'a', keyed=False))
-    client_timeout = aiohttp.ClientTimeout(total=_DEADLINE_MS / 1000 + 1)
+    client_timeout = aiohttp.ClientTimeout(total=LIMIT_MS / 1000 + 1)
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_store())
         store.state.put('op', 'config', configuration())
