Open the holding of a caller's connection when it has unread replies

Each connection had an ExitStack and a holding of the account, about 2 KB, for replies that its caller does not read; most callers read at once. The sender of a request is found by one lookup that returns it.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -40,6 +40,7 @@
 from yuccadale_edge._internal.supervision import contained
 from yuccadale_edge._internal.system_view import (
     CONFIGURATION_TABLE,
+    Instance,
     SystemView,
 )
 from yuccadale_edge._internal.transport.server_connection import (
@@ -412,10 +413,7 @@
     async def _send(self, routed: RoutedRequest) -> Result:
         routed.forwards = 0
         while True:
-            sender_key = self._sender_key(routed)
-            sender = None
-            if sender_key is not None:
-                sender = self._forwarder.reachable_sender(*sender_key)
+            sender = self._reachable_sender(routed)
             if sender is None:
                 return await self._dispatcher.serve(routed)
             result = await self._forwarder.forward(sender, routed)
@@ -423,22 +421,22 @@
                 self._dispatcher.statements.observe_forwarded(result)
                 return result
 
-    def _sender_key(self, routed: RoutedRequest) -> tuple[str, str] | None:
-        """Returns what the sender is chosen by; None without a server.
-
-        A server may be removed while a forward to its sender is tried.
-        """
-        if routed.server_id is not None:
-            known = self._system_view.servers.server_by_id
-            server = known.get(routed.server_id)
-            return (
-                None
-                if server is None
-                else (server.server_id, server.data_centre)
+    def _reachable_sender(self, routed: RoutedRequest) -> Instance | None:
+        """Returns the instance to forward to; None if this one serves it."""
+        if routed.server_id is None:
+            # One instance per region sends the requests to a service without
+            # keys.
+            return self._forwarder.reachable_sender(
+                f'{routed.service}@{self._place.region}',
+                self._place.data_centre,
             )
-        # One instance per region sends the requests to a service without keys.
-        region = self._place.region
-        return f'{routed.service}@{region}', self._place.data_centre
+        server = self._system_view.servers.server_by_id.get(routed.server_id)
+        if server is None:
+            # It was removed while a forward to its sender was tried.
+            return None
+        return self._forwarder.reachable_sender(
+            server.server_id, server.data_centre
+        )
 
     def _is_retryable(
         self, routed: RoutedRequest, refused: Refused, deadline_s: float
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -170,7 +170,7 @@
         self._arrived_s: float = 0
         self._reject_status: int | None = None
         self._final_answer: asyncio.Task[Reply] | None = None
-        self._resources = ExitStack()
+        self._resources: ExitStack | None = None
         self._unwritten: Holding | None = None
 
     @property
@@ -184,15 +184,13 @@
         sock = transport.get_extra_info('socket')
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._listener.connections.add(self)
-        self._unwritten = self._resources.enter_context(
-            self._listener.held.holding(self.abort)
-        )
         self._start_idle_timer(self._listener.limits.idle_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the handling of unanswered requests."""
         self._listener.connections.discard(self)
-        self._resources.close()
+        if self._resources is not None:
+            self._resources.close()
         self._closing = True
         if self._timer is not None:
             self._timer.cancel()
@@ -372,14 +370,25 @@
 
     def _count_unwritten(self) -> None:
         """Counts replies that the caller has not read yet."""
-        if self._unwritten is None or self._closing:
+        if self._closing:
             return
         size = sum(map(_reply_size, self._answers))
         if self._writing_paused:
             size += self._unwritten_bytes()
+        if self._unwritten is None:
+            if not size:
+                return
+            self._unwritten = self._open_holding()
         if size != self._unwritten.size:
             self._unwritten.resize(size)
 
+    def _open_holding(self) -> Holding:
+        """Opens the holding of a connection; most never need one."""
+        self._resources = ExitStack()
+        return self._resources.enter_context(
+            self._listener.held.holding(self.abort)
+        )
+
     def _may_write(self) -> bool:
         return not self._closing and not self._writing_paused
 
