Start and stop without standard streams

A process that was started with a closed standard output ended with a traceback and status 1; with a closed standard input or error it ended with SIGABRT. Cause: sockets and the event loop got the descriptors of the streams, and libuv aborts the process when it closes one of them; and Python has no object for a closed stream, whose descriptor the logs needed.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -102,6 +102,16 @@
             await asyncio.sleep(0.05)
 
 
+async def _wait_until_listening(port: int) -> None:
+    async with asyncio.timeout(_TIMEOUT_S):
+        while True:
+            with suppress(OSError):
+                _, writer = await asyncio.open_connection('127.0.0.1', port)
+                writer.close()
+                return
+            await asyncio.sleep(0.05)
+
+
 async def test_the_program_uses_no_io_uring_and_starts_no_process(
     tmp_path: Path,
 ) -> None:
@@ -207,6 +217,42 @@
             assert await _end(process) == os.EX_OK
 
 
+# Runs the program with the standard streams closed that its argument names.
+_CLOSING_MAIN = """
+import os, sys
+for number in sys.argv[1]:
+    os.close(int(number))
+os.execv(sys.executable, [sys.executable, '-m', 'yuccadale_platform'])
+"""
+
+
+@pytest.mark.parametrize('closed', ['0', '1', '2', '012'])
+async def test_closed_standard_streams_do_not_end_the_process(
+    tmp_path: Path, closed: str
+) -> None:
+    """Guards against a socket with the descriptor of a standard stream.
+
+    Closing it aborts the process; without standard output it did not start.
+    """
+    path = tmp_path / 'edge.ini'
+    ports = _free_ports()
+    path.write_text(_settings(_NO_STORE, ports))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-c',
+        _CLOSING_MAIN,
+        closed,
+        stdout=asyncio.subprocess.DEVNULL,
+        env=os.environ | {'YUCCADALE_BOOT': str(path)},
+    )
+    try:
+        await _wait_until_listening(ports['callers'])
+        assert await _end(process) == os.EX_OK
+    finally:
+        with suppress(ProcessLookupError):
+            process.kill()
+
+
 @pytest.fixture
 def _own_signals() -> Iterator[None]:
     """Restores the signal handlers of this process after the test."""
