--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -217,42 +217,56 @@
             assert await _end(process) == os.EX_OK
 
 
-# Runs the program with the standard streams closed that its argument names.
-_CLOSING_MAIN = """
-import os, sys
-for number in sys.argv[1]:
-    os.close(int(number))
+# Runs the program after a statement that changes what it inherits.
+_INHERITING_MAIN = """
+import os, signal, sys
+{statement}
 os.execv(sys.executable, [sys.executable, '-m', 'yuccadale_platform'])
 """
 
 
-@pytest.mark.parametrize('closed', ['0', '1', '2', '012'])
-async def test_closed_standard_streams_do_not_end_the_process(
-    tmp_path: Path, closed: str
-) -> None:
-    """Guards against a socket with the descriptor of a standard stream.
-
-    Closing it aborts the process; without standard output it did not start.
-    """
-    path = tmp_path / 'edge.ini'
+async def _status_after_stop(directory: Path, statement: str) -> int:
+    """Returns the exit status of a program that listened and was stopped."""
+    path = directory / 'edge.ini'
     ports = _free_ports()
     path.write_text(_settings(_NO_STORE, ports))
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         '-c',
-        _CLOSING_MAIN,
-        closed,
+        _INHERITING_MAIN.format(statement=statement),
         stdout=asyncio.subprocess.DEVNULL,
         env=os.environ | {'YUCCADALE_BOOT': str(path)},
     )
     try:
         await _wait_until_listening(ports['callers'])
-        assert await _end(process) == os.EX_OK
+        return await _end(process)
     finally:
         with suppress(ProcessLookupError):
             process.kill()
 
 
+@pytest.mark.parametrize('closed', ['0', '1', '2', '012'])
+async def test_closed_standard_streams_do_not_end_the_process(
+    tmp_path: Path, closed: str
+) -> None:
+    """Guards against a socket with the descriptor of a standard stream.
+
+    Closing it aborts the process; without standard output it did not start.
+    """
+    statement = ';'.join(f'os.close({number})' for number in closed)
+    assert await _status_after_stop(tmp_path, statement) == os.EX_OK
+
+
+async def test_a_process_with_blocked_signals_can_be_stopped(
+    tmp_path: Path,
+) -> None:
+    """Guards against a stop that only SIGKILL completes."""
+    statement = (
+        'signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())'
+    )
+    assert await _status_after_stop(tmp_path, statement) == os.EX_OK
+
+
 @pytest.fixture
 def _own_signals() -> Iterator[None]:
     """Restores the signal handlers of this process after the test."""
