Answer HEAD requests without a body

A HEAD request got 502 at its time limit, and held a slot of its server until then: the instance waited for the body that the head of the answer announces. Each refusal of one had a body, which the caller reads as the begin of the next answer. The answer to HEAD now ends with its head, from the server and to the caller; its connection to the server is not used again, since the parser expects a body.

The soak's planned work replaces servers and changes the configuration.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -394,6 +394,7 @@
                         # No kernel sends it after its deadline, also if this
                         # process is stopped.
                         min(left_s, UNACKNOWLEDGED_S),
+                        head_only=request.method == b'HEAD',
                     )
                 if not self._codec.names_request(answer):
                     connection.close()
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -87,6 +87,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[Answer] | None = None
         self._matches: AnswerMatcher | None = None
+        self._head_only = False
         self._reset_answer()
         self._unparsed_bytes = 0
         self._other_answers = 0
@@ -128,6 +129,8 @@
         request: bytes,
         matches: AnswerMatcher,
         unacknowledged_s: float = UNACKNOWLEDGED_S,
+        *,
+        head_only: bool = False,
     ) -> Answer:
         """Sends a request and returns the answer that matches it.
 
@@ -137,6 +140,7 @@
             unacknowledged_s: the connection ends when the server's machine
                 has not acknowledged the request for this long, even if this
                 process is stopped meanwhile.
+            head_only: the answer has no body, whatever its head announces.
 
         Raises:
             NotSentError: the connection was closed before the request was sent.
@@ -148,6 +152,7 @@
         assert transport is not None
         self._waiter = self._loop.create_future()
         self._matches = matches
+        self._head_only = head_only
         self._other_answers = 0
         self.used = True
         self._limit_unacknowledged(unacknowledged_s)
@@ -232,6 +237,8 @@
             and status >= _FIRST_FINAL_STATUS
             and status not in _NO_BODY_STATUSES
         )
+        if self._head_only and status >= _FIRST_FINAL_STATUS:
+            self._finish_head()
         self._reserve_body()
 
     def on_body(self, chunk: bytes) -> None:
@@ -257,6 +264,17 @@
         else:
             self._pass_over()
 
+    def _finish_head(self) -> None:
+        """Completes an answer without a body.
+
+        The parser goes on to expect the body that the head announces, so the
+        connection is not used again.
+        """
+        head = Answer(self._parser.get_status_code(), self._headers)
+        if self._matches is not None and self._matches(head):
+            self._keep_alive = False
+            self._finish()
+
     def _reserve_body(self) -> None:
         """Reserves room for a body of a known length, or waits unread."""
         if not self._announced_bytes or self._holding is None:
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -67,11 +67,16 @@
 
 @dataclass(slots=True)
 class Reply:
-    """An answer to a caller."""
+    """An answer to a caller.
+
+    Attributes:
+        head_only: it has no body, and its length is not stated.
+    """
 
     status: int
     headers: Headers = field(default_factory=list)
     body: bytes = b''
+    head_only: bool = False
 
 
 @dataclass(slots=True)
@@ -326,11 +331,14 @@
 
     async def _handle(self, message: CallerMessage) -> Reply:
         try:
-            return await self._listener.handler(message)
+            reply = await self._listener.handler(message)
         except Exception as error:
             # Other requests on the connection still get their answers.
             _log.error('request handler failed', reason=repr(error))
-            return Reply(HTTPStatus.INTERNAL_SERVER_ERROR)
+            reply = Reply(HTTPStatus.INTERNAL_SERVER_ERROR)
+        if message.method == b'HEAD':
+            return Reply(reply.status, reply.headers, head_only=True)
+        return reply
 
     def _hold_announced_body(self) -> None:
         for name, text in self._headers:
@@ -524,7 +532,8 @@
         phrase = 'Unknown'
     lines = [f'HTTP/1.1 {reply.status} {phrase}\r\n'.encode()]
     lines.extend(b'%b: %b\r\n' % (name, text) for name, text in reply.headers)
-    lines.append(b'content-length: %d\r\n' % len(reply.body))
+    if not reply.head_only:
+        lines.append(b'content-length: %d\r\n' % len(reply.body))
     if last:
         lines.append(b'connection: close\r\n')
     lines.append(b'\r\n')
--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -125,6 +125,12 @@
             },
         }
 
+    def restart(self) -> None:
+        """Begins another life, which knows nothing of the one before."""
+        self.born = int(time.time() * 1000)
+        self.grants = []
+        self.accepted_grants = []
+
     def release(self, first: int, last: int) -> None:
         """Ends the leases on a range, which may be a part of a grant."""
         kept: list[KeyGrant] = []
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -26,7 +26,7 @@
 from tests.builders.limit_record import LimitRecord
 from tests.builders.platform_servers import PlatformServer, running_server
 from tests.builders.platform_store import RunningStore, running_store
-from tests.builders.platform_system import HOST, configuration
+from tests.builders.platform_system import HOST, configuration, route
 from tests.soak.kept_callers import (
     LIMIT_MS,
     CallersView,
@@ -52,6 +52,9 @@
 _LIMIT_SETTLING_S = 3.0
 _PORT_TAKEN_S = 1.0
 _WORK_S = (0.005, 0.05, 0.3, 0.8)
+# As the users' servers wait after they have said that they leave.
+_DRAINING_S = 2.0
+_ROUTE_TIMEOUTS = ('2000ms', '3000ms')
 _MEMORY_MB = 300
 _MEMORY_CHECK_S = 0.1
 _RECOVERY_TIMEOUT_S = 10.0
@@ -106,6 +109,7 @@
         ]
         self._session = session
         self._request_count = 0
+        self._configuration_version = 1
         self._refused_ids: list[str] = []
         self._limits_by_server = {
             server.server_id: LimitRecord(_LIMIT_SETTLING_S, server.arrivals_s)
@@ -149,7 +153,12 @@
             return {
                 'stops': [self._terminate, self._restart_without_port],
                 'other stops': [self._terminate, self._reload],
-                'servers': [self._drain_server, self._change_work],
+                'servers': [
+                    self._drain_server,
+                    self._replace_server,
+                    self._change_work,
+                ],
+                'configuration': [self._change_configuration],
                 # It excuses no unanswered request.
                 'store': [self._store_down, self._drop_store_answers],
             }
@@ -336,6 +345,39 @@
             await self._store.state.notify_feeds()
             await asyncio.sleep(1.0)
 
+    async def _replace_server(self, random_source: random.Random) -> None:
+        """Ends a server as planned, and starts it without what it held.
+
+        It serves for a moment after it has left the list.
+        """
+        server = random_source.choice(self._servers)
+        state = self._store.state
+        state.put('servers', server.server_id, server.entry('draining'))
+        await state.notify_feeds()
+        await asyncio.sleep(_DRAINING_S)
+        state.remove('servers', server.server_id)
+        await state.notify_feeds()
+        await asyncio.sleep(_DRAINING_S)
+        while server.running_requests:
+            await asyncio.sleep(_MEMORY_CHECK_S)
+        server.restart()
+        state.put('servers', server.server_id, server.entry())
+        await state.notify_feeds()
+
+    async def _change_configuration(self, random_source: random.Random) -> None:
+        """Adds a route, or changes a time limit, in a new version."""
+        self._configuration_version += random_source.choice((1, 7))
+        added = route(prefix='/added/', kind='safe')
+        timeout = random_source.choice(_ROUTE_TIMEOUTS)
+        changed = route(prefix='/once/', service='stage', timeout=timeout)
+        changes = random_source.choice(({'added': added}, {'once': changed}))
+        self._store.state.put(
+            'op',
+            'config',
+            configuration(self._configuration_version, **changes),
+        )
+        await self._store.state.notify_feeds()
+
     async def _limit_server(self, random_source: random.Random) -> None:
         """Lets a server name a limit, another one, and none again."""
         server = random_source.choice(self._servers)
