Test statements of the server that is asked next

Two servers without keys are chosen by measured times, which change under load. The same in two other tests passed without a check.

Now the server that gets the next request is the one that makes the statement, in all three tests, and each asserts that it was made.

--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from math import inf
@@ -46,6 +46,7 @@
         pause_text: the pause that refusals of a full server ask for.
         pause_answer_s: when a refusal first asked for it, on that clock.
         arrivals_s: when requests arrived, on a monotonic clock.
+        when_asked: called when a request arrives, before it is answered.
         executions: number of executions by request id.
         accepted_grants: first key, last key and fence of each grant.
         call_history: grants and releases in order of arrival.
@@ -68,6 +69,7 @@
     pause_text: str | None = None
     pause_answer_s: float = inf
     arrivals_s: list[float] = field(default_factory=list)
+    when_asked: Callable[[], None] | None = None
     health_path: str = '/healthz'
     address: str = ''
     born: int = field(default_factory=lambda: int(time.time() * 1000))
@@ -82,6 +84,12 @@
         """Whether requests run and get no whole answer."""
         return self.drop_answers or self.sends_without_end
 
+    def note_arrival(self) -> None:
+        """Notes that a request arrives now."""
+        self.arrivals_s.append(time.monotonic())
+        if self.when_asked is not None:
+            self.when_asked()
+
     def holds(self, key: int) -> bool:
         """Returns whether it holds a lease on a key now."""
         return any(
@@ -216,7 +224,7 @@
 def _request(server: PlatformServer):
     async def handle(request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get('X-Attempt-Id', '')
-        server.arrivals_s.append(time.monotonic())
+        server.note_arrival()
         if not request_id:
             return web.Response(status=400, headers={'X-Not-Executed': '1'})
         refusal = _refuse(server, request)
--- a/tests/platform/test_server_statements.py
+++ b/tests/platform/test_server_statements.py
@@ -8,6 +8,7 @@
 import itertools
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from math import inf
 
 import pytest
@@ -77,13 +78,57 @@
     return await asyncio.gather(*tasks)
 
 
-def _most_used(system: PlatformSystem, *, keyed: bool) -> PlatformServer:
-    servers = [
-        server
-        for server in system.server_by_id.values()
-        if server.keyed == keyed
-    ]
-    return max(servers, key=lambda server: len(server.arrivals_s))
+class _FirstAsked:
+    """The server of a kind that gets the next request.
+
+    Which one that is depends on measured times, so that a server that is chosen
+    beforehand may get none.
+    """
+
+    def __init__(
+        self,
+        system: PlatformSystem,
+        *,
+        keyed: bool,
+        change: Callable[[PlatformServer], None],
+    ) -> None:
+        """Watches the servers.
+
+        Args:
+            system: runs the servers.
+            keyed: whether to watch those with keys, or the others.
+            change: changes the server before it answers.
+        """
+        self._servers = [
+            server
+            for server in system.server_by_id.values()
+            if server.keyed == keyed
+        ]
+        self._change = change
+        self._found: PlatformServer | None = None
+        for server in self._servers:
+            server.when_asked = partial(self._note, server)
+
+    @property
+    def server(self) -> PlatformServer:
+        """The server that was asked."""
+        assert self._found is not None
+        return self._found
+
+    def _note(self, asked: PlatformServer) -> None:
+        for server in self._servers:
+            server.when_asked = None
+        self._found = asked
+        self._change(asked)
+
+
+def _leave(server: PlatformServer) -> None:
+    server.leaving = True
+
+
+def _ask_for_pause(server: PlatformServer) -> None:
+    server.pause_text = str(PAUSE_S)
+    server.full = True
 
 
 def _count_between(times_s: list[float], begin_s: float, end_s: float) -> int:
@@ -103,9 +148,9 @@
         for name in names:
             await system.wait_until_served(name, *KEYS)
         await _play_load(system, names, path, 1)
-        server = _most_used(system, keyed=path == '/keyed/x')
-        server.leaving = True
+        asked = _FirstAsked(system, keyed=path == '/keyed/x', change=_leave)
         replies = await _play_load(system, names, path, DRAIN_S + 3)
+        server = asked.server
         assert server.left_answer_s < inf
         late_s = server.left_answer_s + DRAIN_S + MARGIN_S
         assert not _count_between(server.arrivals_s, late_s, inf)
@@ -147,9 +192,10 @@
         for name in names:
             await system.wait_until_served(name, *KEYS)
         await _play_load(system, names, path, 1)
-        server = _most_used(system, keyed=path == '/keyed/x')
-        server.leaving = True
+        asked = _FirstAsked(system, keyed=path == '/keyed/x', change=_leave)
         await _play_load(system, names, path, 0.5)
+        server = asked.server
+        assert server.left_answer_s < inf
         await change(system, server.server_id)
         await _play_load(system, names, path, DRAIN_S + 2)
         late_s = server.left_answer_s + DRAIN_S + MARGIN_S
@@ -184,8 +230,7 @@
         for name in names:
             await system.wait_until_served(name, *KEYS)
         server = system.server_by_id['k0']
-        server.pause_text = str(PAUSE_S)
-        server.full = True
+        _ask_for_pause(server)
         grants = len(server.accepted_grants)
         replies = await _play_load(system, names, '/keyed/x', PAUSE_S - 0.5)
         begin_s = server.pause_answer_s + CROSSING_S
@@ -208,10 +253,10 @@
     async with platform_system(keyed=0, unkeyed=2) as system:
         names = [await system.add_instance() for _ in range(2)]
         await _play_load(system, names, '/once/x', 1)
-        server = _most_used(system, keyed=False)
-        server.pause_text = str(PAUSE_S)
-        server.full = True
+        asked = _FirstAsked(system, keyed=False, change=_ask_for_pause)
         replies = await _play_load(system, names, '/once/x', PAUSE_S - 0.5)
+        server = asked.server
+        assert server.pause_answer_s < inf
         begin_s = server.pause_answer_s + CROSSING_S
         in_pause = _count_between(server.arrivals_s, begin_s, inf)
         assert in_pause <= ALLOWED_IN_PAUSE
