Let the server that leaves be the first choice in its test

Which of two servers without keys gets the requests depends on measured times. The other one is now slower, so that a request would go to the one that left.

--- a/tests/platform/test_left_servers.py
+++ b/tests/platform/test_left_servers.py
@@ -24,6 +24,7 @@
 # A server that left gets no requests later than this.
 DRAIN_S = 2.0
 WORK_S = 1.2
+_SLOWER_S = 0.05
 _CALLERS = 4
 _NUMBERS = itertools.count()
 
@@ -102,6 +103,8 @@
         for started in names:
             await system.wait_until_served(started, *KEYS)
         left = [system.server_by_id[server_id] for server_id in ('k0', 'p0')]
+        # Of the servers without keys, the one that leaves is the first choice.
+        system.server_by_id['p1'].work_s = _SLOWER_S
         async with _under_load(system, names):
             await asyncio.gather(*(_leave(system, server) for server in left))
             before = [len(server.arrivals_s) for server in left]
