Do not use a link between instances whose connection has ended

The log has the cause: the connection of the link had ended, and its reader had not run yet, so that the link counted as open; uvloop raises RuntimeError for a write then. The request now goes through a new link; frames without a response are left out, also on the accepting side, where the error ended the reader of the link. The new test failed before on both loops. The soak reports each status 500.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -217,7 +217,19 @@
                 self._acknowledge()
 
 
+def _write(writer: asyncio.StreamWriter, frame: bytes) -> None:
+    """Writes a frame, unless the connection has ended.
+
+    uvloop raises an error for a connection whose end the reader of the link has
+    not noticed yet.
+    """
+    if not writer.is_closing():
+        writer.write(frame)
+
+
 def _set_socket_options(writer: asyncio.StreamWriter) -> None:
+    if writer.is_closing():
+        raise ConnectionResetError('the connection ended while it was opened')
     sock = writer.get_extra_info('socket')
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(
@@ -237,11 +249,7 @@
 
 
 class PeerLink:
-    """The dialling side of a link.
-
-    Attributes:
-        open: whether the link can be used.
-    """
+    """The dialling side of a link."""
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -252,7 +260,12 @@
         self._last_request_id = 0
         self._probe_task: asyncio.Task[None] | None = None
         self._echoed = asyncio.Event()
-        self.open = True
+        self._ended = False
+
+    @property
+    def open(self) -> bool:
+        """Whether the link can be used."""
+        return not self._ended and not self._writer.is_closing()
 
     @property
     def established(self) -> bool:
@@ -265,7 +278,7 @@
         Raises:
             PeerUnreachableError: the link was closed.
         """
-        self._writer.write(_frame(_PROBE, 0, '', b''))
+        _write(self._writer, _frame(_PROBE, 0, '', b''))
         try:
             async with asyncio.timeout(_FIRST_ECHO_TIMEOUT_S):
                 await self._echoed.wait()
@@ -292,7 +305,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._future_by_request_id[request_id] = future
-        self._writer.write(_frame(_REQUEST, request_id, topic, body))
+        _write(self._writer, _frame(_REQUEST, request_id, topic, body))
         late = asyncio.get_running_loop().call_later(
             _LATE_RESPONSE_S, self.probe
         )
@@ -300,7 +313,7 @@
             return await future
         except asyncio.CancelledError:
             if self.open:
-                self._writer.write(_frame(_CANCEL, request_id, topic, b''))
+                _write(self._writer, _frame(_CANCEL, request_id, topic, b''))
             raise
         finally:
             late.cancel()
@@ -310,7 +323,7 @@
         """Sends a message that gets no response."""
         if not self.open:
             return
-        self._writer.write(_frame(_NOTIFICATION, 0, topic, body))
+        _write(self._writer, _frame(_NOTIFICATION, 0, topic, body))
         if elapsed_s() - self._frames.read_s > _PROOF_INTERVAL_S:
             self.probe()
 
@@ -340,7 +353,7 @@
         self._end()
 
     def _end(self) -> None:
-        self.open = False
+        self._ended = True
         self._echoed.set()
         for future in self._future_by_request_id.values():
             if not future.done():
@@ -359,7 +372,7 @@
 
     async def _await_echo(self) -> None:
         read_before = self._frames.bytes_read
-        self._writer.write(_frame(_PROBE, 0, '', b''))
+        _write(self._writer, _frame(_PROBE, 0, '', b''))
         await asyncio.sleep(_ECHO_TIMEOUT_S)
         self._probe_task = None
         if self.open and self._frames.bytes_read == read_before:
@@ -529,7 +542,7 @@
         task_by_request_id: dict[int, asyncio.Task[None]] = {}
 
         def acknowledge() -> None:
-            writer.write(_frame(_ECHO, 0, '', b''))
+            _write(writer, _frame(_ECHO, 0, '', b''))
 
         frames = FrameReader(reader, acknowledge)
         try:
@@ -574,7 +587,7 @@
         if frame.kind == _NOTIFICATION:
             self._receive(frame)
         elif frame.kind == _PROBE:
-            writer.write(_frame(_ECHO, frame.request_id, frame.topic, b''))
+            _write(writer, _frame(_ECHO, frame.request_id, frame.topic, b''))
         elif frame.kind == _CANCEL:
             _cancel(task_by_request_id.pop(frame.request_id, None))
         elif frame.kind == _REQUEST:
@@ -635,7 +648,7 @@
             return
         finally:
             self.active_requests -= 1
-        writer.write(_frame(kind, frame.request_id, frame.topic, response))
+        _write(writer, _frame(kind, frame.request_id, frame.topic, response))
 
     def _log_unreadable(
         self, writer: asyncio.StreamWriter, reason: str
--- a/tests/edge/test_links.py
+++ b/tests/edge/test_links.py
@@ -84,6 +84,26 @@
         )
 
 
+async def test_a_link_whose_connection_has_just_ended_is_not_used() -> None:
+    """Guards against an unexpected error in place of an unsent request.
+
+    The connection is closed one step of the event loop before its reader
+    notices. Callers got status 500 for requests that had not run.
+    """
+    async with _peer() as (dialled, proxy):
+        await _request(dialled, proxy.address, 'quick', b'1', 1.0)
+        link = await dialled._link(proxy.address)
+        link._writer.transport.abort()
+        await asyncio.sleep(0)
+        assert not link.open
+        with pytest.raises(links.PeerUnreachableError):
+            await link.request('quick', b'2')
+        link.notify('quick', b'3')
+        assert (
+            await _request(dialled, proxy.address, 'quick', b'4', 1.0) == b'4'
+        )
+
+
 async def test_a_link_that_is_busy_with_a_large_answer_is_kept(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,6 +18,7 @@
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from math import inf
 from pathlib import Path
 
@@ -465,6 +466,8 @@
         self.report.status_counts[status] += 1
         if status == 200 and text != f'POST {path} {request_id}':
             self.report.problems.append(f'{request_id} got {text!r}')
+        if status == HTTPStatus.INTERNAL_SERVER_ERROR:
+            self.report.problems.append(f'{request_id} met an error')
         if status in _NOT_RUN_STATUSES:
             self._refused_ids.append(request_id)
         return status
