--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -130,18 +130,28 @@
         assert sum(sent.status == 200 for sent in new) >= len(new) / 3
 
 
-async def test_a_request_that_outlasts_the_grace_period_gets_an_answer() -> (
-    None
-):
-    """Guards against a caller that learns nothing from a closed connection."""
+async def _status_at_the_end(blocked_s: float = 0) -> int | None:
+    """Returns the status for a request that outlasts the grace period.
+
+    Args:
+        blocked_s: how long the event loop stands still around the end.
+    """
     async with platform_system(keyed=0) as system:
         name = await system.add_instance()
         system.server_by_id['p0'].work_s = GRACE_S + 1
         request = asyncio.create_task(_send_on_new_connection(system, name))
         await asyncio.sleep(0.1)
         system.instance_by_name[name].stop()
-        sent = await request
-        assert sent.status == 502
+        await asyncio.sleep(GRACE_S - 0.5)
+        time.sleep(blocked_s)
+        return (await request).status
+
+
+async def test_a_request_that_outlasts_the_grace_period_gets_an_answer() -> (
+    None
+):
+    """Guards against a caller that learns nothing from a closed connection."""
+    assert await _status_at_the_end() == 502
 
 
 async def test_a_process_that_is_late_at_the_end_still_answers() -> None:
@@ -150,16 +160,7 @@
     The end of the grace period, and the time at which connections are aborted,
     pass within one step of the event loop of a process without processor time.
     """
-    async with platform_system(keyed=0) as system:
-        name = await system.add_instance()
-        system.server_by_id['p0'].work_s = GRACE_S + 1
-        request = asyncio.create_task(_send_on_new_connection(system, name))
-        await asyncio.sleep(0.1)
-        system.instance_by_name[name].stop()
-        await asyncio.sleep(GRACE_S - 0.5)
-        time.sleep(0.4)
-        sent = await request
-        assert sent.status == 502
+    assert await _status_at_the_end(blocked_s=0.4) == 502
 
 
 async def test_no_request_is_forwarded_to_an_instance_that_ends() -> None:
