Start processes of tests in one place

_status_after_stop wrote its settings and started its process like _running_process, which now takes the arguments of the interpreter. The tests are the same.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -160,15 +160,21 @@
 
 @asynccontextmanager
 async def _running_process(
-    directory: Path, store: tuple[str, int], ports: dict[str, int]
+    directory: Path,
+    store: tuple[str, int],
+    ports: dict[str, int],
+    *arguments: str,
 ) -> AsyncIterator[asyncio.subprocess.Process]:
-    """Runs the program; kills it after the block if it did not end."""
+    """Runs the program; kills it after the block if it did not end.
+
+    Args:
+        arguments: of the interpreter, in place of those that run the module.
+    """
     path = directory / 'edge.ini'
     path.write_text(_settings(store, ports))
     process = await asyncio.create_subprocess_exec(
         sys.executable,
-        '-m',
-        'yuccadale_platform',
+        *(arguments or ('-m', 'yuccadale_platform')),
         stdout=asyncio.subprocess.DEVNULL,
         env=os.environ | {'YUCCADALE_BOOT': str(path)},
     )
@@ -227,22 +233,13 @@
 
 async def _status_after_stop(directory: Path, statement: str) -> int:
     """Returns the exit status of a program that listened and was stopped."""
-    path = directory / 'edge.ini'
     ports = _free_ports()
-    path.write_text(_settings(_NO_STORE, ports))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        '-c',
-        _INHERITING_MAIN.format(statement=statement),
-        stdout=asyncio.subprocess.DEVNULL,
-        env=os.environ | {'YUCCADALE_BOOT': str(path)},
-    )
-    try:
+    program = _INHERITING_MAIN.format(statement=statement)
+    async with _running_process(
+        directory, _NO_STORE, ports, '-c', program
+    ) as process:
         await _wait_until_listening(ports['callers'])
         return await _end(process)
-    finally:
-        with suppress(ProcessLookupError):
-            process.kill()
 
 
 @pytest.mark.parametrize('closed', ['0', '1', '2', '012'])
