Log what shows that a refusal answers the request that was sent last

The hypotheses of docs/incidents/refused-and-run.md could not be told apart: a copy of a refusal, a refusal without an id and a refusal of our own all ended in the same line, 'request refused'. A line and a counter for each refusal by a server now name the connection and the evidence, and additional answers are counted.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -18,6 +18,11 @@
 from yuccadale_edge._internal.model import Place, Server
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.segments import Holder
+from yuccadale_edge._internal.routing.answer_evidence import (
+    Sending,
+    answer_matcher,
+    record_answer,
+)
 from yuccadale_edge._internal.routing.codec import RequestCodec
 from yuccadale_edge._internal.routing.forwarding import Forwarder
 from yuccadale_edge._internal.routing.pacing import ReturnTimes
@@ -387,15 +392,17 @@
                     request, server, left_s * _MS_PER_S
                 )
                 self.rate_limits.count_sent(server)
+                sending = Sending(request, server, connection)
                 async with asyncio.timeout(max(0, left_s)):
                     answer = await connection.exchange(
                         encoded,
-                        self._codec.answer_matcher(request.request_id),
+                        answer_matcher(sending, self._codec, self._metrics),
                         # No kernel sends it after its deadline, also if this
                         # process is stopped.
                         min(left_s, UNACKNOWLEDGED_S),
                         head_only=request.method == b'HEAD',
                     )
+                record_answer(sending, answer, self._codec, self._metrics)
                 if not self._codec.names_request(answer):
                     connection.close()
         except NotSentError as error:
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -75,13 +75,28 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """Sends requests to one server and reads their answers."""
+    """Sends requests to one server and reads their answers.
+
+    Attributes:
+        number: distinguishes the connections of a process in logs.
+        answers: how many requests have got their answer on it.
+    """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, held: HeldBytes
+        self, loop: asyncio.AbstractEventLoop, held: HeldBytes, number: int = 0
     ) -> None:
+        """Creates a connection.
+
+        Args:
+            loop: the event loop.
+            held: account of the answers that are read.
+            number: distinguishes the connections of a process in logs.
+        """
         self._loop = loop
         self._held = held
+        self.number = number
+        self.answers = 0
+        self._refused_ids: set[str] = set()
         self._holding: Holding | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -116,6 +131,14 @@
         assert self._transport is not None
         return is_readable(self._transport.get_extra_info('socket'))
 
+    def note_refusal(self, request_id: str) -> None:
+        """Notes that the server refused a request on this connection."""
+        self._refused_ids.add(request_id)
+
+    def has_refused(self, request_id: str) -> bool:
+        """Whether the server refused a request on this connection."""
+        return request_id in self._refused_ids
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and sets the options of the socket."""
         self._transport = transport  # type: ignore[assignment]
@@ -365,6 +388,7 @@
             if digits.isdigit():
                 self.idle_limit_s = float(digits)
         self.idle_since = self._loop.time()
+        self.answers += 1
         waiter.set_result(answer)
 
     def _pass_over(self) -> None:
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
@@ -121,7 +121,10 @@
         try:
             async with asyncio.timeout(connect_timeout_s):
                 _, connection = await self._loop.create_connection(
-                    lambda: ClientConnection(self._loop, self._held), *address
+                    lambda: ClientConnection(
+                        self._loop, self._held, self.opened + 1
+                    ),
+                    *address,
                 )
         except _CONNECT_ERRORS as error:
             raise NotSentError(f'cannot connect: {error!r}') from error
