--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -12,6 +12,7 @@
 import msgspec
 from aiohttp import web
 
+from tests.builders.copied_refusals import CopiedRefusals
 from tests.builders.platform_store import RunningStore
 from yuccadale_standins.serving import drop_connection, listening
 
@@ -40,6 +41,7 @@
         sends_without_end: bodies of its answers do not end.
         send_extra_answers: send a second answer shortly after each answer.
         shed_next: number of requests to refuse although there is capacity.
+        copied_refusals: refusals that it sends once more; none by default.
         limit_text: the limit that its answers name, None to name none.
         leaving: whether all its answers say that it leaves.
         left_answer_s: when an answer first said so, on a monotonic clock.
@@ -63,6 +65,7 @@
     send_extra_answers: bool = False
     full: bool = False
     shed_next: int = 0
+    copied_refusals: CopiedRefusals = field(default_factory=CopiedRefusals)
     limit_text: str | None = None
     leaving: bool = False
     left_answer_s: float = inf
@@ -227,9 +230,14 @@
         server.note_arrival()
         if not request_id:
             return web.Response(status=400, headers={'X-Not-Executed': '1'})
-        refusal = _refuse(server, request)
+        refusal = _refuse(server, request) or server.copied_refusals.refuse(
+            request_id
+        )
         if refusal is not None:
+            refusal.headers['X-Attempt-Id'] = request_id
+            server.copied_refusals.note(request, refusal)
             return refusal
+        server.copied_refusals.send_copy(request)
         request_body = await request.read()
         server.executions[request_id] += 1
         server.running_requests += 1
@@ -248,10 +256,8 @@
             }
             | server.statement_headers(),
         )
-        if server.send_extra_answers and request.transport is not None:
-            asyncio.get_running_loop().call_later(
-                0.01, _write_extra, request.transport
-            )
+        if server.send_extra_answers:
+            _send_extra_later(request)
         return response
 
     return handle
@@ -298,6 +304,11 @@
     return None
 
 
+def _send_extra_later(request: web.Request) -> None:
+    assert request.transport is not None
+    asyncio.get_running_loop().call_later(0.01, _write_extra, request.transport)
+
+
 def _write_extra(transport: asyncio.Transport) -> None:
     if not transport.is_closing():
         transport.write(
