Do not send a request again on a connection that refused it

Callers saw 503 for unsafe requests that ran (REFUSED), and with three attempts requests ran twice (TWICE).

Cause: a refused request was sent again on the connection on which it was refused; the pool prefers the connection used last. The copy of the refusal bears the id of the request, so that it matched the later attempt. The check of ids takes an id for a proof of the attempt, which it is of the request only.

A connection now remembers the requests that were refused on it, and the pool does not take it for these. This works because a server's copies come on the connection of the original, and because the memory is in the process that sends, whoever decides on the retry. Nothing is forgotten: after 64 refusals a connection is not used again. Answers that are passed over are logged with the id that they name, and whether they are copies of a refusal.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
@@ -27,14 +27,11 @@
 
     Attributes:
         named: it names the request.
-        repeated: it names a request that was refused on the connection, so
-            that it may be the copy of the earlier refusal.
         unnamed: it names none, and the connection has had other answers.
         unnamed_first: it names none, and is the connection's first answer.
     """
 
     named = 'named'
-    repeated = 'repeated'
     unnamed = 'unnamed'
     unnamed_first = 'unnamed first'
 
@@ -51,16 +48,19 @@
 def answer_matcher(
     sending: Sending, codec: RequestCodec, metrics: Metrics
 ) -> AnswerMatcher:
-    """Returns the predicate of the codec, which counts other answers."""
-    matches = codec.answer_matcher(sending.request.request_id)
+    """Returns the predicate for the answer to a request; counts others."""
 
     def is_answer(answer: Answer) -> bool:
-        if matches(answer):
+        named = codec.named_request(answer)
+        if _belongs(answer, named, sending, codec):
             return True
         metrics.count('answers_passed_over', service=sending.request.service)
         _log.info(
             'answer to another request passed over',
             status=answer.status,
+            named=named,
+            refused_before=named is not None
+            and sending.connection.has_refused(named),
             **_described(sending),
         )
         return False
@@ -68,22 +68,32 @@
     return is_answer
 
 
+def _belongs(
+    answer: Answer, named: str | None, sending: Sending, codec: RequestCodec
+) -> bool:
+    """Whether an answer may be the one to the request.
+
+    A refusal before execution may lack the request's id.
+    """
+    if named is None:
+        return codec.not_executed(answer)
+    return named == sending.request.request_id
+
+
 def record_answer(
     sending: Sending, answer: Answer, codec: RequestCodec, metrics: Metrics
 ) -> None:
     """Records a refusal and what shows that it is the answer."""
     connection = sending.connection
-    request_id = sending.request.request_id
     if not codec.not_executed(answer):
         return
-    if not codec.names_request(answer):
-        unnamed = Evidence.unnamed_first
-        evidence = Evidence.unnamed if connection.answers > 1 else unnamed
-    elif connection.has_refused(request_id):
-        evidence = Evidence.repeated
-    else:
+    if codec.named_request(answer) is not None:
         evidence = Evidence.named
-    connection.note_refusal(request_id)
+    elif connection.answers > 1:
+        evidence = Evidence.unnamed
+    else:
+        evidence = Evidence.unnamed_first
+    connection.note_refusal(sending.request.request_id)
     metrics.count(
         'refusals_by_servers',
         service=sending.request.service,
--- a/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
@@ -13,7 +13,6 @@
 )
 from yuccadale_edge._internal.transport.client_connection import (
     Answer,
-    AnswerMatcher,
     Headers,
 )
 from yuccadale_edge._internal.transport.server_connection import (
@@ -44,15 +43,8 @@
     ) -> bytes:
         """Encodes a request to a server with its remaining time in ms."""
 
-    def answer_matcher(self, request_id: str) -> AnswerMatcher:
-        """Returns a predicate: does an answer belong to the request?"""
-
-    def names_request(self, answer: Answer) -> bool:
-        """Whether the answer names its request.
-
-        A faulty server may send an answer again. Without a name, its copy looks
-        like the answer to the next request on the connection.
-        """
+    def named_request(self, answer: Answer) -> str | None:
+        """Returns the id of the request that an answer names, if any."""
 
     def not_executed(self, answer: Answer) -> bool:
         """Whether the server states that it did not run the request."""
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -382,7 +382,9 @@
         sent_s = elapsed_s()
         try:
             async with self._pool.acquire(
-                server.address, _CONNECT_TIMEOUT_S
+                server.address,
+                _CONNECT_TIMEOUT_S,
+                request_id=request.request_id,
             ) as connection:
                 refused = self.statements.refusal(server, request)
                 if refused is not None:
@@ -403,7 +405,8 @@
                         head_only=request.method == b'HEAD',
                     )
                 record_answer(sending, answer, self._codec, self._metrics)
-                if not self._codec.names_request(answer):
+                if self._codec.named_request(answer) is None:
+                    # Its copy would look like the answer to the next request.
                     connection.close()
         except NotSentError as error:
             self._mark_unreachable(server, str(error))
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -34,6 +34,9 @@
 _MAX_OTHER_ANSWERS = 16
 # Answers with a lower status are interim.
 _FIRST_FINAL_STATUS = 200
+# A connection that has refused as many requests is not used again, so that it
+# need not forget any.
+_MAX_REFUSED_IDS = 64
 _NO_BODY_STATUSES = frozenset((204, 304))
 
 
@@ -132,8 +135,14 @@
         return is_readable(self._transport.get_extra_info('socket'))
 
     def note_refusal(self, request_id: str) -> None:
-        """Notes that the server refused a request on this connection."""
+        """Notes that the server refused a request on this connection.
+
+        The server may send the refusal again. A later attempt of the request
+        may not be sent here, since the copy would look like its answer.
+        """
         self._refused_ids.add(request_id)
+        if len(self._refused_ids) >= _MAX_REFUSED_IDS:
+            self._keep_alive = False
 
     def has_refused(self, request_id: str) -> bool:
         """Whether the server refused a request on this connection."""
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
@@ -24,7 +24,8 @@
     """Opens connections and reuses idle ones.
 
     A connection carries one request at a time. It is not reused after a
-    failure, a cancellation or unexpected bytes.
+    failure, a cancellation or unexpected bytes, nor for a request that was
+    refused on it.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         connect_timeout_s: float,
         *,
         force_new: bool = False,
+        request_id: str = '',
     ) -> AsyncIterator[ClientConnection]:
         """Provides a connection for the block; keeps it if it is reusable.
 
@@ -58,11 +60,12 @@
             address: host and port.
             connect_timeout_s: the longest time for opening a connection.
             force_new: do not reuse an idle connection.
+            request_id: of the request that is to be sent, if it has one.
 
         Raises:
             NotSentError: no connection could be opened.
         """
-        connection = None if force_new else self._take_idle(address)
+        connection = None if force_new else self._take_idle(address, request_id)
         if connection is None:
             connection = await self._open(address, connect_timeout_s)
         began = self._loop.time()
@@ -104,11 +107,15 @@
                 idle.remove(connection)
                 connection.close()
 
-    def _take_idle(self, address: Address) -> ClientConnection | None:
-        idle = self._idle_by_address.get(address)
+    def _take_idle(
+        self, address: Address, request_id: str
+    ) -> ClientConnection | None:
+        idle = self._idle_by_address.get(address, [])
         now = self._loop.time()
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(tuple(idle)):
+            if connection.has_refused(request_id):
+                continue
+            idle.remove(connection)
             usable = _usable(connection, now)
             if usable and not connection.has_unread_bytes():
                 return connection
--- a/tests/edge/test_dispatch.py
+++ b/tests/edge/test_dispatch.py
@@ -25,7 +25,7 @@
     connection = Mock(exchange=AsyncMock(side_effect=AnswerLostError))
 
     @asynccontextmanager
-    async def acquire(*_args: object):
+    async def acquire(*_args: object, **_options: object):
         yield connection
 
     pool = Mock(acquire=acquire)
