Believe a refusal without an id only as the first answer of a connection

Cause: such a refusal was accepted for whatever was under way.

Evidence: test_a_refusal_without_an_id_behind_an_answer_is_no_answer failed on both event loops (503 for a request that the server ran).

On a connection that has had no other answer the refusal can only be the answer to its one request. Elsewhere it is passed over, as answers with another id are, and the answer with the id follows. A request without an id has a connection of its own, as its refusal cannot name it.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
@@ -5,7 +5,6 @@
 """
 
 from dataclasses import dataclass
-from enum import StrEnum
 
 import structlog
 
@@ -22,20 +21,6 @@
 _log = structlog.get_logger()
 
 
-class Evidence(StrEnum):
-    """What an answer shows of the request that it is for.
-
-    Attributes:
-        named: it names the request.
-        unnamed: it names none, and the connection has had other answers.
-        unnamed_first: it names none, and is the connection's first answer.
-    """
-
-    named = 'named'
-    unnamed = 'unnamed'
-    unnamed_first = 'unnamed first'
-
-
 @dataclass(frozen=True, slots=True)
 class Sending:
     """A request that is sent to a server on a connection."""
@@ -71,38 +56,37 @@
 def _belongs(
     answer: Answer, named: str | None, sending: Sending, codec: RequestCodec
 ) -> bool:
-    """Whether an answer may be the one to the request.
+    """Whether an answer can only be the one to the request.
 
-    A refusal before execution may lack the request's id.
+    A refusal may lack the request's id. Behind other answers it may be the copy
+    of an earlier one.
     """
     if named is None:
-        return codec.not_executed(answer)
+        return codec.not_executed(answer) and sending.connection.answers == 1
     return named == sending.request.request_id
 
 
 def record_answer(
     sending: Sending, answer: Answer, codec: RequestCodec, metrics: Metrics
 ) -> None:
-    """Records a refusal and what shows that it is the answer."""
+    """Records whether an answer is a refusal, and if it names its request."""
     connection = sending.connection
+    named = codec.named_request(answer) is not None
+    if not named:
+        # Its copy would look like the answer to the next request.
+        connection.close()
     if not codec.not_executed(answer):
         return
-    if codec.named_request(answer) is not None:
-        evidence = Evidence.named
-    elif connection.answers > 1:
-        evidence = Evidence.unnamed
-    else:
-        evidence = Evidence.unnamed_first
     connection.note_refusal(sending.request.request_id)
     metrics.count(
         'refusals_by_servers',
         service=sending.request.service,
-        evidence=evidence,
+        named=str(named).lower(),
     )
     _log.info(
         'request refused by a server',
         status=answer.status,
-        evidence=evidence,
+        named=named,
         **_described(sending),
     )
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -384,6 +384,9 @@
             async with self._pool.acquire(
                 server.address,
                 _CONNECT_TIMEOUT_S,
+                # Without an id only the first answer of a connection is sure
+                # to be the one to the request.
+                force_new=not request.request_id,
                 request_id=request.request_id,
             ) as connection:
                 refused = self.statements.refusal(server, request)
@@ -405,9 +408,6 @@
                         head_only=request.method == b'HEAD',
                     )
                 record_answer(sending, answer, self._codec, self._metrics)
-                if self._codec.named_request(answer) is None:
-                    # Its copy would look like the answer to the next request.
-                    connection.close()
         except NotSentError as error:
             self._mark_unreachable(server, str(error))
             return Refused(
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -82,7 +82,7 @@
 
     Attributes:
         number: distinguishes the connections of a process in logs.
-        answers: how many requests have got their answer on it.
+        answers: number of answers on it so far, additional ones included.
     """
 
     def __init__(
@@ -269,6 +269,7 @@
             and status >= _FIRST_FINAL_STATUS
             and status not in _NO_BODY_STATUSES
         )
+        self.answers += status >= _FIRST_FINAL_STATUS
         if self._head_only and status >= _FIRST_FINAL_STATUS:
             self._finish_head()
         self._reserve_body()
@@ -397,7 +398,6 @@
             if digits.isdigit():
                 self.idle_limit_s = float(digits)
         self.idle_since = self._loop.time()
-        self.answers += 1
         waiter.set_result(answer)
 
     def _pass_over(self) -> None:
--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -32,16 +32,20 @@
     ) % _request_id(head)
 
 
+def _refusal(status: int) -> bytes:
+    return (
+        b'HTTP/1.1 %d Refused\r\nX-Not-Executed: 1\r\n'
+        b'Content-Length: 0\r\n\r\n' % status
+    )
+
+
 def _refuses_again(status: int) -> Callable[[RawServer], Script]:
     """Returns a maker of scripts that repeat their first refusal.
 
     The first request is refused. The next one on the same connection gets the
     same bytes again, and its own answer a moment later.
     """
-    refusal = (
-        b'HTTP/1.1 %d Refused\r\nX-Not-Executed: 1\r\n'
-        b'Content-Length: 0\r\n\r\n' % status
-    )
+    refusal = _refusal(status)
 
     def make_script(raw: RawServer) -> Script:
         async def script(
@@ -59,6 +63,24 @@
     return make_script
 
 
+def _refuses_late_without_id(raw: RawServer) -> Script:
+    """Returns a script that sends a refusal behind its first answer.
+
+    The refusal names no request and comes when the next one is under way.
+    """
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await raw.read_request(reader)
+        writer.write(_answer(raw.heads[-1]))
+        await raw.read_request(reader)
+        writer.write(_refusal(503))
+        await _answer_all(raw, reader, writer)
+
+    return script
+
+
 async def _answer_all(
     raw: RawServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
@@ -117,6 +139,41 @@
             assert await _status(system, name, 'third') == 200
 
 
+async def test_a_refusal_without_an_id_behind_an_answer_is_no_answer() -> None:
+    """Guards against a refusal of a request that the server is running.
+
+    The refusal came late, where the answer to the next request was due.
+    """
+    async with run_raw_server(_refuses_late_without_id) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, 'first') == 200
+            assert await _status(system, name, 'second') == 200
+            assert raw.connections == 1
+
+
+def _refuses_all(raw: RawServer) -> Script:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            await raw.read_request(reader)
+            if _request_id(raw.heads[-1]):
+                writer.write(_answer(raw.heads[-1]))
+            else:
+                writer.write(_refusal(400))
+
+    return script
+
+
+async def test_a_request_without_an_id_is_refused_at_once() -> None:
+    """Guards against a refusal that cannot name its request and is ignored."""
+    async with run_raw_server(_refuses_all) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, 'named') == 200
+            assert await _status(system, name, '') == 503
+            assert raw.connections == 2
+
+
 @pytest.mark.parametrize(
     'begun',
     [
