Take an answer to a call on keys only once the call has arrived

A lease counts from the arrival of its grant. The leader bounds it by the answer, and answers to grants carry no id: the copy of an earlier answer on a kept connection was believed while the renewal was still on its way, for up to the 2.5 s that a kernel goes on sending. The lease then lasts for longer than the leader assumes, so that keys could have two holders.

Evidence: test_a_copy_does_not_answer_a_grant_that_has_not_arrived failed on both event loops: the grant was answered by a copy, and its server had not got it.

The answer to a call travels with the acknowledgement of its bytes, so an answer that comes before it belongs to an earlier call. It is passed over, and the call is withdrawn as unanswered if no other one comes. What is then still believed of a copy is only that the server accepted the grant; a server that did not answers 421, and the next renewal tells. Connections of their own for grants were weighed: full servers reset new connections, which would end leases under load.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -15,7 +15,10 @@
 import httptools
 
 from yuccadale_edge._internal.transport.held_bytes import HeldBytes, Holding
-from yuccadale_edge._internal.transport.sockets import is_readable
+from yuccadale_edge._internal.transport.sockets import (
+    is_readable,
+    unacknowledged_bytes,
+)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -106,6 +109,7 @@
         self._waiter: asyncio.Future[Answer] | None = None
         self._matches: AnswerMatcher | None = None
         self._head_only = False
+        self._only_acknowledged = False
         self._reset_answer()
         self._unparsed_bytes = 0
         self._other_answers = 0
@@ -163,6 +167,7 @@
         unacknowledged_s: float = UNACKNOWLEDGED_S,
         *,
         head_only: bool = False,
+        only_acknowledged: bool = False,
     ) -> Answer:
         """Sends a request and returns the answer that matches it.
 
@@ -173,6 +178,9 @@
                 has not acknowledged the request for this long, even if this
                 process is stopped meanwhile.
             head_only: the answer has no body, whatever its head announces.
+            only_acknowledged: pass over an answer that comes before the
+                server's machine has acknowledged the whole request. It belongs
+                to an earlier one.
 
         Raises:
             NotSentError: the connection was closed before the request was sent.
@@ -185,6 +193,7 @@
         self._waiter = self._loop.create_future()
         self._matches = matches
         self._head_only = head_only
+        self._only_acknowledged = only_acknowledged
         self._other_answers = 0
         self.used = True
         self._limit_unacknowledged(unacknowledged_s)
@@ -387,7 +396,7 @@
             b''.join(self._pieces),
         )
         self._reset_answer()
-        if self._matches is not None and not self._matches(answer):
+        if not self._may_be_answer(answer):
             self._pass_over()
             if not self._keep_alive:
                 self._fail(AnswerLostError('no answer matched the request'))
@@ -400,6 +409,18 @@
         self.idle_since = self._loop.time()
         waiter.set_result(answer)
 
+    def _may_be_answer(self, answer: Answer) -> bool:
+        if self._only_acknowledged and self._has_unacknowledged_bytes():
+            return False
+        return self._matches is None or self._matches(answer)
+
+    def _has_unacknowledged_bytes(self) -> bool:
+        transport = self._transport
+        assert transport is not None
+        if transport.get_write_buffer_size():
+            return True
+        return unacknowledged_bytes(transport.get_extra_info('socket')) > 0
+
     def _pass_over(self) -> None:
         """Counts an answer that is not the one to the request."""
         self._other_answers += 1
--- a/tests/builders/silent_path.py
+++ b/tests/builders/silent_path.py
@@ -89,6 +89,11 @@
         for writer in list(self.writers):
             writer.close()
 
+    def repeat_answers(self) -> None:
+        """Sends the last answer again on all connections."""
+        for writer in self.writers:
+            writer.write(_ANSWER)
+
     def silence(self) -> None:
         """Drops all packets from now on, those of new connections too."""
         for sock in self.sockets:
--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -9,7 +9,13 @@
 from tests.builders.platform_servers import PlatformServer
 from tests.builders.platform_system import PlatformSystem, platform_system
 from tests.builders.raw_server import RawServer, Script, run_raw_server
-from yuccadale_edge.instance import CallKind, ClientPool, OwnershipCall
+from tests.builders.silent_path import silent_path_server
+from yuccadale_edge.instance import (
+    AnswerLostError,
+    CallKind,
+    ClientPool,
+    OwnershipCall,
+)
 from yuccadale_edge.ownership import Holder
 from yuccadale_platform.adapter import PlatformServerCalls, parse_address
 
@@ -233,6 +239,29 @@
         pool.close_idle(address)
 
 
+async def test_a_copy_does_not_answer_a_grant_that_has_not_arrived() -> None:
+    """Guards against a lease that lasts for longer than its leader assumes.
+
+    Answers to grants carry no id. A lease that counts from the arrival of a
+    grant would be taken to count from the copy of an earlier answer.
+    """
+    holder = Holder(_SERVER_ID, 1)
+    async with silent_path_server() as server:
+        pool = ClientPool(asyncio.get_running_loop())
+        calls = PlatformServerCalls(pool)
+        first = OwnershipCall(CallKind.grant, holder, 0, 9, 1)
+        await calls.grant(server.address, first, 1, lambda: True)
+        server.silence()
+        renewal = asyncio.create_task(
+            calls.grant(server.address, first, 1, lambda: True)
+        )
+        await asyncio.sleep(_LATER_S)
+        server.repeat_answers()
+        with pytest.raises((AnswerLostError, TimeoutError)):
+            await renewal
+        assert len(server.arrivals) == 1
+
+
 def _sends_on(raw: RawServer) -> Script:
     """Returns a script that sends a head until its connection ends."""
 
