Check that the answer to a write of the store is not older than the write

A copy of an earlier answer would confirm a write that failed, for instance of a block of fencing tokens, which is to be recorded before it is used. The users' pages name no such copies of the store.

Each transaction raises the one counter of the store, so a write that was done has a version above all that were known when it was sent, and a conflict none below. An answer with an older version leaves the outcome open.

--- a/packages/edge/src/yuccadale_edge/instance.py
+++ b/packages/edge/src/yuccadale_edge/instance.py
@@ -48,6 +48,7 @@
     era_of,
     number_of,
     store_version,
+    version_text,
 )
 from yuccadale_edge._internal.system_view import (
     CONFIGURATION_TABLE,
@@ -116,4 +117,5 @@
     'era_of',
     'number_of',
     'store_version',
+    'version_text',
 )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import gc
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from weakref import ref
 
@@ -13,6 +13,7 @@
     RunningStore,
     running_store,
 )
+from tests.builders.raw_server import RawServer, Script, run_raw_server
 from yuccadale_edge.instance import (
     CONFIGURATION_TABLE,
     ClientPool,
@@ -23,7 +24,7 @@
     era_of,
     store_version,
 )
-from yuccadale_platform.adapter import PlatformStore
+from yuccadale_platform.adapter import PlatformStore, parse_address
 
 TABLE = 'own'
 PAGE_ROWS = 500
@@ -55,6 +56,39 @@
         assert conflict.row_by_key['row'].version == version
 
 
+def _repeats_its_first_answer(status: int) -> Callable[[RawServer], Script]:
+    """Returns a maker of scripts whose second answer is a copy of the first."""
+    body = b'{"rows":[],"ver":7}'
+    answer = (
+        b'HTTP/1.1 %d Done\r\nContent-Length: %d\r\n\r\n' % (status, len(body))
+    ) + body
+    newer = answer.replace(b'7', b'9')
+
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            for copy in (answer, answer, newer):
+                await raw.read_request(reader)
+                writer.write(copy)
+
+        return script
+
+    return make_script
+
+
+async def test_a_copy_of_an_earlier_answer_does_not_confirm_a_write() -> None:
+    """Guards against a write that counts as done and was not."""
+    async with run_raw_server(_repeats_its_first_answer(200)) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        store = PlatformStore(parse_address(raw.address), pool)
+        assert await store.write(TABLE, {'row': b'one'}, {}) == 7
+        with pytest.raises(StoreOutcomeUnknownError):
+            await store.write(TABLE, {'row': b'two'}, {})
+        assert await store.write(TABLE, {'row': b'two'}, {}) == 9
+        pool.close_idle(parse_address(raw.address))
+
+
 async def test_a_conflict_on_a_missing_row_has_no_row() -> None:
     """Guards against a row of version 0 that counts as present."""
     async with _store() as (store, _):
