Do not read an answer behind the begin of another one as a refusal

Additional bytes that reach the kernel after the next request was sent are read together with its answer. If they end within a status line or a header, the answer continues that line: it gets their status and X-Not-Executed, and has the id of the request. The request, which had run, was answered 503.

The status line of the answer is within the head then. Such an answer counts as malformed, so that the outcome of the request is unknown.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import re
 import socket
 import struct
 from collections.abc import Callable
@@ -41,6 +42,8 @@
 # need not forget any.
 _MAX_REFUSED_IDS = 64
 _NO_BODY_STATUSES = frozenset((204, 304))
+# Within a head it is the begin of another answer.
+_STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}')
 
 
 class NotSentError(Exception):
@@ -257,11 +260,14 @@
         elif self._holding is not None:
             self._holding.restart()
 
-    def on_status(self, _reason: bytes) -> None:
-        """Ignores the reason phrase."""
+    def on_status(self, piece: bytes) -> None:
+        """Collects the reason phrase."""
+        self._reason += piece
+        self._check_line(self._reason)
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Collects a header."""
+        self._check_line(text)
         lowered = name.lower()
         self._headers.append((lowered, text))
         if lowered in {b'content-length', b'transfer-encoding'}:
@@ -306,6 +312,14 @@
         else:
             self._pass_over()
 
+    def _check_line(self, text: bytes) -> None:
+        """Fails the request if an answer begins within a line of the head.
+
+        The head was begun by additional bytes, and goes on with the answer.
+        """
+        if _STATUS_LINE.search(text):
+            self._fail(AnswerMalformedError('an answer begins within a head'))
+
     def _finish_head(self) -> None:
         """Completes an answer without a body.
 
@@ -373,6 +387,7 @@
         return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
     def _reset_answer(self) -> None:
+        self._reason = b''
         self._headers: Headers = []
         self._pieces: list[bytes] = []
         self._body_bytes = 0
--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -157,6 +157,50 @@
             assert raw.connections == 1
 
 
+def _sends_late(begun: bytes) -> Callable[[RawServer], Script]:
+    """Returns a maker of scripts that put bytes before their second answer."""
+
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await raw.read_request(reader)
+            writer.write(_answer(raw.heads[-1]))
+            await raw.read_request(reader)
+            writer.write(begun)
+            await asyncio.sleep(_LATER_S)
+            writer.write(_answer(raw.heads[-1]))
+            await _answer_all(raw, reader, writer)
+
+        return script
+
+    return make_script
+
+
+@pytest.mark.parametrize(
+    'begun',
+    [
+        b'HTTP/1.1 503 ',
+        b'HTTP/1.1 503 Refused',
+        b'HTTP/1.1 503 Refused\r\nX-Not-Executed: 1\r\nX-Other:',
+        b'HTTP/1.1 503 Refused\r\nX-Not-Executed: 1\r\nX-Other: begun',
+        b'HTTP/1.1 503 Refused\r\nX-Not-Executed: ',
+    ],
+)
+async def test_an_answer_does_not_continue_the_begin_of_a_refusal(
+    begun: bytes,
+) -> None:
+    """Guards against a refusal of a request that the server has run.
+
+    The begin came late, when the request had been sent.
+    """
+    async with run_raw_server(_sends_late(begun)) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, 'first') == 200
+            assert await _status(system, name, 'second') == 502
+            assert len(raw.heads) == 2
+
+
 def _refuses_all(raw: RawServer) -> Script:
     async def script(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
