--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import gc
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from weakref import ref
 
 import pytest
@@ -89,6 +89,25 @@
         pool.close_idle(parse_address(raw.address))
 
 
+@pytest.mark.parametrize('status', [412, 429, 503])
+async def test_a_copy_of_an_earlier_refusal_does_not_deny_a_write(
+    status: int,
+) -> None:
+    """Guards against a resignation that is stored and counts as not written.
+
+    A leader that believes this goes on leading beside the next one.
+    """
+    async with run_raw_server(_repeats_its_first_answer(status)) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        store = PlatformStore(parse_address(raw.address), pool)
+        for _ in range(2):
+            with suppress(StoreUnavailableError):
+                await store.write(TABLE, {'row': b'one'}, {})
+        # No copy comes on a connection without an earlier answer.
+        assert raw.connections == 2
+        pool.close_idle(parse_address(raw.address))
+
+
 async def test_a_conflict_on_a_missing_row_has_no_row() -> None:
     """Guards against a row of version 0 that counts as present."""
     async with _store() as (store, _):
