Do not use a connection again after a request that was cancelled

A request that is cancelled after its answer was read, before its task goes on, kept its connection. Nobody notes then that the answer was a refusal, or had no id, so that its copy could count for a later request, grant or write.

Evidence: test_a_connection_is_not_used_again_after_a_cancellation failed on both event loops.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -205,6 +205,10 @@
             self._holding = holding
             try:
                 return await self._waiter
+            except asyncio.CancelledError:
+                # The answer may have been read; nobody notes what it says.
+                self.close()
+                raise
             finally:
                 self._end_exchange(self._waiter, transport)
 
--- a/tests/edge/test_client_pool.py
+++ b/tests/edge/test_client_pool.py
@@ -53,6 +53,17 @@
     return script
 
 
+def _answers_all(raw: RawServer) -> Script:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            await raw.read_request(reader)
+            writer.write(_OK)
+
+    return script
+
+
 @asynccontextmanager
 async def _idle_connections() -> AsyncIterator[tuple[ClientPool, Address]]:
     """Yields a pool with idle connections that have stalled."""
@@ -90,6 +101,32 @@
         assert (await _send(pool, address)).status == 200
 
 
+async def test_a_connection_is_not_used_again_after_a_cancellation() -> None:
+    """Guards against an answer that was read, but not handled.
+
+    The request is cancelled after its answer was read, before the task goes
+    on. Whether it was a refusal is not noted then.
+    """
+    async with run_raw_server(_answers_all) as raw:
+        address = parse_address(raw.address)
+        pool = ClientPool(asyncio.get_running_loop())
+
+        def cancel(_answer: Answer) -> bool:
+            asyncio.get_running_loop().call_soon(sending.cancel)
+            return True
+
+        async def send() -> None:
+            async with pool.acquire(address, _TIMEOUT_S) as connection:
+                await connection.exchange(_REQUEST, cancel)
+
+        sending = asyncio.create_task(send())
+        with pytest.raises(asyncio.CancelledError):
+            await sending
+        await _send(pool, address)
+        assert raw.connections == 2
+        pool.close_idle(address)
+
+
 async def test_a_timeout_keeps_connections_used_since() -> None:
     """Guards against new connections after each slow answer."""
     async with _idle_connections() as (pool, address):
