Number connections that open at the same time differently

The number came from a counter that rises when the connection is open, so that the log of refusals could not tell two of them apart.

Evidence: test_connections_that_open_at_once_have_different_numbers failed on both event loops.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
@@ -1,6 +1,7 @@
 """Pool of idle connections to servers, by address."""
 
 import asyncio
+import itertools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -40,6 +41,7 @@
         self._loop = loop
         self._held = HeldBytes() if held is None else held
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
+        self._numbers = itertools.count(1)
         self.opened = 0
 
     @asynccontextmanager
@@ -129,7 +131,7 @@
             async with asyncio.timeout(connect_timeout_s):
                 _, connection = await self._loop.create_connection(
                     lambda: ClientConnection(
-                        self._loop, self._held, self.opened + 1
+                        self._loop, self._held, next(self._numbers)
                     ),
                     *address,
                 )
--- a/tests/edge/test_client_pool.py
+++ b/tests/edge/test_client_pool.py
@@ -127,6 +127,21 @@
         pool.close_idle(address)
 
 
+async def test_connections_that_open_at_once_have_different_numbers() -> None:
+    """Guards against a log that joins the answers of two connections."""
+    async with run_raw_server(_answers_all) as raw:
+        address = parse_address(raw.address)
+        pool = ClientPool(asyncio.get_running_loop())
+
+        async def number() -> int:
+            async with pool.acquire(address, _TIMEOUT_S) as connection:
+                return connection.number
+
+        numbers = await asyncio.gather(*(number() for _ in range(_IDLE)))
+        assert len(set(numbers)) == _IDLE
+        pool.close_idle(address)
+
+
 async def test_a_timeout_keeps_connections_used_since() -> None:
     """Guards against new connections after each slow answer."""
     async with _idle_connections() as (pool, address):
