--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -224,6 +224,24 @@
             assert raw.connections == 2
 
 
+async def test_an_id_that_connection_names_reaches_the_server() -> None:
+    """Guards against a request that waits until its deadline.
+
+    A refusal without an id on a used connection is no answer.
+    """
+    async with run_raw_server(_refuses_all) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, 'first') == 200
+            status, _, _ = await system.send_request(
+                name,
+                '/once/x',
+                request_id='second',
+                Connection='keep-alive, X-Attempt-Id',
+            )
+            assert status == 200
+            assert _request_id(raw.heads[-1]) == b'second'
+
+
 @pytest.mark.parametrize(
     'begun',
     [
