--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -242,6 +242,13 @@
             assert _request_id(raw.heads[-1]) == b'second'
 
 
+async def test_white_space_behind_an_id_is_not_a_part_of_it() -> None:
+    """Guards against an answer that is passed over, since the server trims."""
+    async with platform_system(keyed=0, unkeyed=1) as system:
+        name = await system.add_instance()
+        assert await _status(system, name, 'trimmed \t') == 200
+
+
 @pytest.mark.parametrize(
     'begun',
     [
