Add failing tests of copies of answers to grants and to writes

- The copy of an earlier answer counts for a grant that the server holds back.
The leader does not know that the grant is unanswered, so that it does not wait for its end after the release: the grant is applied later, and two servers hold the keys.
- The copy of the answer to a write is read as a table without rows.

--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from math import inf
 from types import MappingProxyType
+from weakref import WeakSet
 
 import msgspec
 from aiohttp import web
@@ -42,6 +43,10 @@
         send_extra_answers: send a second answer shortly after each answer.
         shed_next: number of requests to refuse although there is capacity.
         copied_refusals: refusals that it sends once more; none by default.
+        grant_delay_s: time from the arrival of a grant until it is applied and
+            answered. If the connection has had an answer to a grant before,
+            its copy comes at once.
+        granted_connections: those that have had an answer to a grant.
         limit_text: the limit that its answers name, None to name none.
         leaving: whether all its answers say that it leaves.
         left_answer_s: when an answer first said so, on a monotonic clock.
@@ -66,6 +71,10 @@
     full: bool = False
     shed_next: int = 0
     copied_refusals: CopiedRefusals = field(default_factory=CopiedRefusals)
+    grant_delay_s: float = 0
+    granted_connections: WeakSet[asyncio.Transport] = field(
+        default_factory=WeakSet
+    )
     limit_text: str | None = None
     leaving: bool = False
     left_answer_s: float = inf
@@ -193,6 +202,10 @@
         body = msgspec.json.decode(await request.read())
         first, last, fence = body['from'], body['to'], body['fence']
         server.call_history.append(('grant', first, last, fence))
+        arrived_s = time.monotonic()
+        if server.grant_delay_s:
+            _send_copy_of_grant(server, request)
+            await asyncio.sleep(server.grant_delay_s)
         if any(
             accepted[0] <= last and accepted[1] >= first and accepted[2] > fence
             for accepted in server.accepted_grants
@@ -201,14 +214,20 @@
         server.accepted_grants.append((first, last, fence))
         hold_s = int(body['hold_time'].removesuffix('ms')) / 1000
         server.release(first, last)
-        server.grants.append(
-            KeyGrant(first, last, fence, time.monotonic() + hold_s)
-        )
+        server.grants.append(KeyGrant(first, last, fence, arrived_s + hold_s))
+        if request.transport is not None:
+            server.granted_connections.add(request.transport)
         return web.Response()
 
     return handle
 
 
+def _send_copy_of_grant(server: PlatformServer, request: web.Request) -> None:
+    transport = request.transport
+    if transport is not None and transport in server.granted_connections:
+        transport.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+
 def _release(server: PlatformServer):
     async def handle(request: web.Request) -> web.Response:
         if not _is_expected(server, request):
--- a/tests/platform/test_held_calls.py
+++ b/tests/platform/test_held_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from tests.builders.platform_servers import PlatformServer
 from tests.builders.relayed_servers import MOMENT_S, relayed_servers
 
 # At least one renewal is held.
@@ -12,6 +13,8 @@
 _UNTIL_MOVED_S = 8.0
 # A late lease would last for longer.
 _WATCHED_S = 3.0
+_HELD_S = 1.0
+_POLL_S = 0.01
 
 
 async def test_a_grant_that_is_read_late_lasts_for_a_moment_only() -> None:
@@ -55,3 +58,24 @@
         longest_s = await relayed.longest_shared_s(_WATCHED_S)
         assert len(late.accepted_grants) > grants
         assert longest_s <= MOMENT_S
+
+
+async def _next_call(server: PlatformServer) -> None:
+    calls = len(server.call_history)
+    while len(server.call_history) == calls:
+        await asyncio.sleep(_POLL_S)
+
+
+async def test_a_copy_does_not_hide_that_a_grant_is_held() -> None:
+    """Guards against two holders when a renewal is applied after a release.
+
+    The copy of the answer to an earlier grant came while the server held the
+    renewal back. The leader waits for the end of an unanswered grant only.
+    """
+    async with relayed_servers() as relayed:
+        late = relayed.servers[0]
+        await _next_call(late)
+        late.grant_delay_s = _HELD_S
+        await _next_call(late)
+        await relayed.register(late, 'draining')
+        assert await relayed.longest_shared_s(_WATCHED_S) <= MOMENT_S
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -108,6 +108,17 @@
         pool.close_idle(parse_address(raw.address))
 
 
+async def test_a_copy_of_the_answer_to_a_write_is_no_empty_table() -> None:
+    """Guards against a table whose rows are all taken to be removed."""
+    async with run_raw_server(_repeats_its_first_answer(200)) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        store = PlatformStore(parse_address(raw.address), pool)
+        assert await store.write(TABLE, {'row': b'one'}, {}) == 7
+        with pytest.raises(StoreUnavailableError):
+            await store.read(TABLE)
+        pool.close_idle(parse_address(raw.address))
+
+
 async def test_a_conflict_on_a_missing_row_has_no_row() -> None:
     """Guards against a row of version 0 that counts as present."""
     async with _store() as (store, _):
