--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -157,6 +157,50 @@
             assert raw.connections == 1
 
 
+def _sends_late(begun: bytes) -> Callable[[RawServer], Script]:
+    """Returns a maker of scripts that put bytes before their second answer."""
+
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await raw.read_request(reader)
+            writer.write(_answer(raw.heads[-1]))
+            await raw.read_request(reader)
+            writer.write(begun)
+            await asyncio.sleep(_LATER_S)
+            writer.write(_answer(raw.heads[-1]))
+            await _answer_all(raw, reader, writer)
+
+        return script
+
+    return make_script
+
+
+@pytest.mark.parametrize(
+    'begun',
+    [
+        b'HTTP/1.1 503 ',
+        b'HTTP/1.1 503 Refused',
+        b'HTTP/1.1 503 Refused\r\nX-Not-Executed: 1\r\nX-Other:',
+        b'HTTP/1.1 503 Refused\r\nX-Not-Executed: 1\r\nX-Other: begun',
+        b'HTTP/1.1 503 Refused\r\nX-Not-Executed: ',
+    ],
+)
+async def test_an_answer_does_not_continue_the_begin_of_a_refusal(
+    begun: bytes,
+) -> None:
+    """Guards against a refusal of a request that the server has run.
+
+    The begin came late, when the request had been sent.
+    """
+    async with run_raw_server(_sends_late(begun)) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, 'first') == 200
+            assert await _status(system, name, 'second') == 502
+            assert len(raw.heads) == 2
+
+
 def _refuses_all(raw: RawServer) -> Script:
     async def script(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -180,6 +224,31 @@
             assert raw.connections == 2
 
 
+async def test_an_id_that_connection_names_reaches_the_server() -> None:
+    """Guards against a request that waits until its deadline.
+
+    A refusal without an id on a used connection is no answer.
+    """
+    async with run_raw_server(_refuses_all) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, 'first') == 200
+            status, _, _ = await system.send_request(
+                name,
+                '/once/x',
+                request_id='second',
+                Connection='keep-alive, X-Attempt-Id',
+            )
+            assert status == 200
+            assert _request_id(raw.heads[-1]) == b'second'
+
+
+async def test_white_space_behind_an_id_is_not_a_part_of_it() -> None:
+    """Guards against an answer that is passed over, since the server trims."""
+    async with platform_system(keyed=0, unkeyed=1) as system:
+        name = await system.add_instance()
+        assert await _status(system, name, 'trimmed \t') == 200
+
+
 @pytest.mark.parametrize(
     'begun',
     [
