Give the simulated connections of tests what sending now asks of a connection

Since the dispatcher passes the request's id to the pool and notes refusals on the connection. The pool of tests/builders/limit_world.py raised TypeError, and tests/platform/test_leaving_servers.py did not end: it used 3 GB after ten minutes. With this its tests and those of test_pauses_of_servers.py and test_limits_of_all_instances.py pass.

--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -182,12 +182,23 @@
 
 
 class SimulatedConnection:
-    """A connection of one instance to the server."""
+    """A connection of one instance to the server, for one request.
+
+    Attributes:
+        number: see ``ClientConnection``.
+        answers: how many were read.
+    """
+
+    number = 0
+    answers = 1
 
     def __init__(self, node: 'SimulatedInstance') -> None:
         self._node = node
         self._server = node.world.server
 
+    def note_refusal(self, request_id: str) -> None:
+        """Notes nothing: no other request is sent here."""
+
     async def exchange(
         self,
         request: bytes,
@@ -227,9 +238,15 @@
 
     @asynccontextmanager
     async def acquire(
-        self, _address: Address, _timeout_s: float, *, force_new: bool = False
+        self,
+        _address: Address,
+        _timeout_s: float,
+        *,
+        force_new: bool = False,
+        request_id: str = '',
     ) -> AsyncIterator[SimulatedConnection]:
         """Provides a connection, new or not."""
+        assert force_new or request_id
         if not self._node.running and force_new is False:
             raise NotSentError('the instance has ended')
         yield SimulatedConnection(self._node)
