--- a/tests/core/test_single_attempt.py
+++ b/tests/core/test_single_attempt.py
@@ -48,6 +48,43 @@
     assert raw.connections == 1
 
 
+def _repeats_a_refusal(raw: RawServer) -> Script:
+    """Returns a script that refuses a request, and runs it the second time.
+
+    If that comes on the same connection, the refusal is sent again first.
+    """
+    refusal = (
+        b'HTTP/1.1 503 Refused\r\nYuccadale-Refused: draining\r\n'
+        b'Yuccadale-Request-Id: id-1\r\nContent-Length: 0\r\n\r\n'
+    )
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if raw.connections == 1:
+            await raw.read_request(reader)
+            writer.write(refusal)
+            await raw.read_request(reader)
+            writer.write(refusal)
+        else:
+            await raw.read_request(reader)
+        writer.write(_ANSWER)
+        await reader.read()
+
+    return script
+
+
+async def test_the_copy_of_a_refusal_is_not_the_answer_to_a_repeat() -> None:
+    """Guards against a request that runs twice, since it counts as refused."""
+    async with run_raw_server(_repeats_a_refusal) as raw:
+        target = build_target(raw.address)
+        refused = await target.run(build_request('id-1'))
+        repeated = await target.run(build_request('id-1'))
+        await target.close()
+    assert refused.error.kind == TargetFailureKind.draining
+    assert repeated.is_ok()
+
+
 def _never_answer(raw: RawServer) -> Script:
     async def script(
         reader: asyncio.StreamReader, _writer: asyncio.StreamWriter
