Count the attempts of a lost sender

Cause: the sender counted attempts, and the retry budget, by itself. When it was lost before its report, the entry instance took them for one and forwarded the request with all attempts of its route; the next sender, or the entry instance as its own dispatcher, counted from 0.

The entry instance now counts for both loops: a forwarded request allows one attempt, and the dispatcher, here or at another instance, asks before each further one, for which the entry instance spends its budget. What was allowed counts when the link is lost, so that a loss costs what the sender may have used and no more. A sender that was given up is allowed nothing. Also for requests that are forwarded twice: the second instance makes one attempt, within what the first was allowed.

A sender of an earlier version makes one attempt; a request of an earlier entry instance keeps its attempts in advance.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -33,6 +33,10 @@
 )
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.call_runner import ServerCalls
+from yuccadale_edge._internal.routing.attempts import (
+    ATTEMPT_TOPIC,
+    Attempts,
+)
 from yuccadale_edge._internal.routing.codec import RequestCodec
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
 from yuccadale_edge._internal.routing.forwarding import (
@@ -153,6 +157,13 @@
             settings.instance,
             self._hears_leader,
         )
+        self._attempts = Attempts(
+            self._system_view,
+            self._links,
+            self._metrics,
+            settings.instance,
+            self._retry_budget,
+        )
         self._dispatcher = Dispatcher(
             self._system_view,
             self._pool,
@@ -160,7 +171,7 @@
             self._metrics,
             settings.place,
             forwarder,
-            self._retry_budget,
+            self._attempts,
         )
         store = adapter.store(self._pool)
         contact = StoreContact()
@@ -203,7 +214,7 @@
             adapter.codec,
             self._metrics,
             settings.place,
-            self._retry_budget,
+            self._attempts,
             self._cluster.record_key_work,
             self._stop_guard,
         )
@@ -406,6 +417,8 @@
     ) -> bytes:
         if topic == FORWARD_TOPIC:
             return await self._router.handle_forwarded(body, due_s)
+        if topic == ATTEMPT_TOPIC:
+            return self._attempts.handle(body)
         return await self._cluster.handle_request(topic, body)
 
     async def _store_answers(self) -> bool:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from functools import partial
 from math import inf
 
@@ -23,6 +22,7 @@
     answer_matcher,
     record_answer,
 )
+from yuccadale_edge._internal.routing.attempts import Attempts
 from yuccadale_edge._internal.routing.codec import RequestCodec
 from yuccadale_edge._internal.routing.forwarding import Forwarder
 from yuccadale_edge._internal.routing.pacing import ReturnTimes
@@ -33,7 +33,6 @@
     RoutedRequest,
     Served,
 )
-from yuccadale_edge._internal.routing.retry_budget import RetryBudget
 from yuccadale_edge._internal.routing.server_queue import (
     AdmissionError,
     ServerQueue,
@@ -67,7 +66,6 @@
 # request.
 _LIMIT_USED_S = 0.25
 
-RetryBudgetLookup = Callable[[str], RetryBudget]
 TimeSample = tuple[str, str, float]
 
 
@@ -82,7 +80,7 @@
         metrics: Metrics,
         place: Place,
         forwarder: Forwarder,
-        retry_budget_for: RetryBudgetLookup,
+        attempts: Attempts,
     ) -> None:
         self.service_times = ServiceTimes()
         self.service_time_samples: list[TimeSample] = []
@@ -92,7 +90,7 @@
         self._metrics = metrics
         self._place = place
         self._forwarder = forwarder
-        self._retry_budget_for = retry_budget_for
+        self._attempts = attempts
         self.rate_limits = RateLimits(metrics, elapsed_s)
         self.statements = ServerStatements(
             system_view,
@@ -157,24 +155,24 @@
             result.attempts += attempts
             attempts = result.attempts
             best = result if best is None else _more_informative(best, result)
-            if not self._may_try_elsewhere(result, request, deadline_s):
+            if not await self._may_try_elsewhere(result, request, deadline_s):
                 return best
             server = self._choose_server(request, tried)
         assert best is not None
         best.attempts = attempts
         return best
 
-    def _may_try_elsewhere(
+    async def _may_try_elsewhere(
         self, result: Result, request: RoutedRequest, deadline_s: float
     ) -> bool:
-        """Whether another server may get a request; spends the budget."""
+        """Whether another server may get a request."""
         if isinstance(result, Served):
             retry = self._should_retry_error(result, request, deadline_s)
         else:
             retry = _is_retryable_elsewhere(result, request)
         if not retry:
             return False
-        return not result.attempts or self._spend_retry(
+        return not result.attempts or await self._attempts.may_continue(
             request, result.attempts
         )
 
@@ -235,14 +233,6 @@
             and left_s > self.service_times.mean_s(request.route) * 2
         )
 
-    def _spend_retry(self, request: RoutedRequest, attempts: int) -> bool:
-        if attempts >= request.max_attempts:
-            return False
-        allowed = self._retry_budget_for(request.service).try_spend()
-        outcome = 'allowed' if allowed else 'budget spent'
-        self._metrics.count('retry', service=request.service, outcome=outcome)
-        return allowed
-
     def _choose_server(
         self, request: RoutedRequest, tried: set[str]
     ) -> Server | None:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -15,11 +15,9 @@
     WeightedService,
 )
 from yuccadale_edge._internal.observability.metrics import Metrics
+from yuccadale_edge._internal.routing.attempts import Attempts
 from yuccadale_edge._internal.routing.codec import RequestCodec
-from yuccadale_edge._internal.routing.dispatch import (
-    Dispatcher,
-    RetryBudgetLookup,
-)
+from yuccadale_edge._internal.routing.dispatch import Dispatcher
 from yuccadale_edge._internal.routing.forwarding import (
     Forwarder,
     decode_request,
@@ -140,7 +138,7 @@
         codec: RequestCodec,
         metrics: Metrics,
         place: Place,
-        retry_budget_for: RetryBudgetLookup,
+        attempts: Attempts,
         record_key_work: Callable[[str, int, float], None],
         stop_guard: StopGuard,
     ) -> None:
@@ -150,7 +148,7 @@
         self._codec = codec
         self._metrics = metrics
         self._place = place
-        self._retry_budget_for = retry_budget_for
+        self._attempts = attempts
         self._record_key_work = record_key_work
         self._stop_guard = stop_guard
         self._answer_times = ServiceTimes()
@@ -301,19 +299,19 @@
     ) -> Result:
         """Sends a request and retries it while its route and budget allow."""
         attempts = 0
-        self._retry_budget_for(routed.service).count_request()
+        self._attempts.count_request(routed.service)
         last: Refused | None = None
         for _ in range(_MAX_TRIES):
-            result = await self._try_send(routed, deadline_s, arrived_s, route)
+            result = await self._try_send(
+                routed, deadline_s, arrived_s, route, attempts
+            )
             attempts += result.attempts
             result.attempts = attempts
             if isinstance(result, Served):
                 return result
             result = _keep_unknown_outcome(last, result)
             last = result
-            if not self._is_retryable(routed, result, deadline_s):
-                return result
-            if not self._spend_retry(routed, attempts):
+            if not self._may_retry(routed, route, result, deadline_s):
                 return result
             if result.code == ResultCode.server_shedding:
                 routed.server_id = None
@@ -337,13 +335,21 @@
             )
         return result
 
-    def _spend_retry(self, routed: RoutedRequest, attempts: int) -> bool:
-        if not attempts or self._retry_budget_for(routed.service).try_spend():
-            return True
-        self._metrics.count(
-            'retry', service=routed.service, outcome='budget spent'
+    def _may_retry(
+        self,
+        routed: RoutedRequest,
+        route: Route,
+        refused: Refused,
+        deadline_s: float,
+    ) -> bool:
+        """Whether a request may be sent again; spends the retry budget."""
+        if refused.attempts >= route.max_attempts:
+            return False
+        if not self._is_retryable(routed, refused, deadline_s):
+            return False
+        return not refused.attempts or self._attempts.spend_retry(
+            routed.service
         )
-        return False
 
     async def _try_send(
         self,
@@ -351,6 +357,7 @@
         deadline_s: float,
         arrived_s: float,
         route: Route,
+        attempts: int,
     ) -> Result:
         if routed.key is not None:
             refused = await self._find_owner(routed, deadline_s)
@@ -365,7 +372,14 @@
             return Refused(
                 ResultCode.deadline_passed, 'the deadline has passed'
             )
-        return await self._send(routed)
+        with self._attempts.allowance(
+            routed, route.max_attempts - attempts
+        ) as allowance:
+            result = await self._send(routed)
+            if _is_link_lost(result):
+                # The sender may have made all attempts that it was allowed.
+                result.attempts = allowance.allowed
+            return result
 
     async def _find_owner(
         self, routed: RoutedRequest, deadline_s: float
@@ -441,7 +455,7 @@
     def _is_retryable(
         self, routed: RoutedRequest, refused: Refused, deadline_s: float
     ) -> bool:
-        if elapsed_s() >= deadline_s or refused.attempts >= routed.max_attempts:
+        if elapsed_s() >= deadline_s:
             return False
         code = refused.code
         if code in {ResultCode.answer_lost, ResultCode.link_lost}:
@@ -475,7 +489,7 @@
             repeatable=route.repeatable,
             remaining_ms=0,
             until_target_ms=0,
-            max_attempts=route.max_attempts,
+            allowed_attempts=1,
             key=request.key,
             caller_retry=self._is_caller_retry(request, route, arrived_s),
         )
@@ -533,5 +547,9 @@
     return later
 
 
+def _is_link_lost(result: Result) -> bool:
+    return isinstance(result, Refused) and result.code == ResultCode.link_lost
+
+
 def _since_ms(moment_s: float) -> float:
     return round((elapsed_s() - moment_s) * _MS_PER_S, 1)
--- a/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
@@ -16,12 +16,16 @@
         request_id: the caller's id of this attempt.
         remaining_ms: time until the deadline.
         until_target_ms: time until the target latency of the route.
-        max_attempts: how many times the request may be sent to a server.
+        allowed_attempts: how many times the request may be sent to a server
+            before its entry instance is asked again.
         key: None for services without keys.
         server_id: the owner of the key, None when the sender may choose.
         incarnation: the incarnation of the owner.
         caller_retry: whether the caller sends the request again.
         forwards: how many times instances forwarded it.
+        entry: the instance that took it from the caller; empty if that runs an
+            earlier version.
+        sending_id: under which the entry instance counts its attempts.
     """
 
     request_id: str
@@ -35,12 +39,14 @@
     repeatable: bool
     remaining_ms: float
     until_target_ms: float
-    max_attempts: int
+    allowed_attempts: int
     key: int | None = None
     server_id: str | None = None
     incarnation: int = 0
     caller_retry: bool = False
     forwards: int = 0
+    entry: str = ''
+    sending_id: int = 0
 
 
 class Refused(msgspec.Struct, array_like=True, tag=True):
--- a/packages/edge/src/yuccadale_edge/_internal/routing/retry_budget.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/retry_budget.py
@@ -47,3 +47,6 @@
             return False
         self._retry_times_s.append(self._now())
         return True
+
+
+RetryBudgetLookup = Callable[[str], RetryBudget]
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -38,6 +38,7 @@
     Settings,
 )
 from yuccadale_edge._internal.observability.metrics import Metrics
+from yuccadale_edge._internal.routing.attempts import Attempts
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
 from yuccadale_edge._internal.routing.forwarding import (
     Forwarder,
@@ -348,6 +349,13 @@
         )
         self._forwarder = forwarder
         budget = RetryBudget(Bounds(), elapsed_s)
+        attempts = Attempts(
+            self.view,
+            links,
+            self.metrics,
+            entry.name,
+            lambda _service: budget,
+        )
         self.dispatcher = Dispatcher(
             self.view,
             pool,
@@ -355,7 +363,7 @@
             self.metrics,
             place,
             forwarder,
-            lambda _service: budget,
+            attempts,
         )
         self.router = RequestRouter(
             self.view,
@@ -364,7 +372,7 @@
             PlatformCodec(),
             self.metrics,
             place,
-            lambda _service: budget,
+            attempts,
             _record_nothing,
             StopGuard(elapsed_s),
         )
@@ -416,7 +424,7 @@
             repeatable=False,
             remaining_ms=DEADLINE_S * 1000,
             until_target_ms=TARGET_S * 1000,
-            max_attempts=2,
+            allowed_attempts=2,
             key=7 if keyed else None,
             server_id=server.server_id if keyed else None,
             incarnation=server.incarnation if keyed else 0,
