Let the test of grants that are read late hold a renewal for certain

test_a_grant_that_is_read_late_lasts_for_a_moment_only failed at times with one accepted grant: no renewal had been held.

Cause, by a trace of 20 plays of the test's steps at a load of about 20, two of which failed: the requests by which the test waited for its keys count as work. When they took long, the leader planned all keys of the server away 1.2 s later ("move planned" first=0 last=27743, source_load 7.5 and 8.2), and its release went out before the renewal, which is due after 1.4 s. Four of the 20 plays had this move; in two the renewal was earlier.

The relayed servers now begin once they hold the keys, without requests. The test waits until the proxy holds a grant, in place of 1.6 s, and fails without one; what it asserts is the same.

--- a/tests/builders/relayed_servers.py
+++ b/tests/builders/relayed_servers.py
@@ -44,6 +44,20 @@
         name = next(iter(self.system.task_by_name))
         await self.system.wait_until_served(name, *_KEYS)
 
+    async def wait_until_held(self) -> None:
+        """Waits until the servers hold the first and the last key.
+
+        Nothing is sent: the leader would move keys for the work of requests.
+        """
+
+        async def all_are_held() -> bool:
+            return all(
+                any(server.holds(key) for server in self.servers)
+                for key in _KEYS
+            )
+
+        await self.system.wait_until(all_are_held)
+
     async def longest_shared_s(self, watched_s: float) -> float:
         """Watches which keys two servers hold at the same time.
 
@@ -69,7 +83,7 @@
 
 @asynccontextmanager
 async def relayed_servers() -> AsyncIterator[RelayedServers]:
-    """Runs the system; all keys are served at the begin of the block."""
+    """Runs the system; all keys are held at the begin of the block."""
     async with platform_system() as system:
         servers = [one for one in system.server_by_id.values() if one.keyed]
         relayed = RelayedServers(system, servers, [])
@@ -83,5 +97,5 @@
             await relayed.register(server, 'ready')
         await system.add_instance()
         await system.add_instance()
-        await relayed.wait_until_served()
+        await relayed.wait_until_held()
         yield relayed
--- a/tests/platform/test_held_calls.py
+++ b/tests/platform/test_held_calls.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from tests.builders.relayed_servers import MOMENT_S, relayed_servers
+from tests.soak.proxy import LoopbackProxy
 
-# At least one renewal is held.
-_BEFORE_LEAVING_S = 1.6
+_RENEWED_WITHIN_S = 3.0
+_POLL_S = 0.02
 # At least one renewal is unanswered.
 _UNANSWERED_S = 2.6
 # Until the keys are granted to the other server, by time.
@@ -14,6 +15,12 @@
 _WATCHED_S = 3.0
 
 
+async def _wait_for_held_renewal(proxy: LoopbackProxy) -> None:
+    async with asyncio.timeout(_RENEWED_WITHIN_S):
+        while not any(b'/v1/grant' in chunk for chunk in proxy.held):
+            await asyncio.sleep(_POLL_S)
+
+
 async def test_a_grant_that_is_read_late_lasts_for_a_moment_only() -> None:
     """Guards against two holders when held calls are read after their time.
 
@@ -24,7 +31,7 @@
         late, other = relayed.servers
         proxy = relayed.proxies[0]
         proxy.blocked_directions = frozenset(('to_target', 'from_target'))
-        await asyncio.sleep(_BEFORE_LEAVING_S)
+        await _wait_for_held_renewal(proxy)
         await relayed.register(late, 'draining')
         await asyncio.sleep(_UNTIL_MOVED_S)
         assert other.holds(0)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -17,6 +17,7 @@
             ends, of ``to_target`` and ``from_target``.
         refuse_connections: whether new connections are closed at once.
         accepted: number of connections forwarded so far.
+        held: chunks that had to wait until a fault ends.
     """
 
     def __init__(self, target: tuple[str, int]) -> None:
@@ -25,6 +26,7 @@
         self.blocked_directions: frozenset[str] = frozenset()
         self.refuse_connections = False
         self.accepted = 0
+        self.held: list[bytes] = []
         self._target = target
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -96,6 +98,9 @@
                 self._stalled.discard(open_writer)
                 open_writer.close()
 
+    def _is_blocked(self, writer: asyncio.StreamWriter, direction: str) -> bool:
+        return direction in self.blocked_directions or writer in self._stalled
+
     async def _forward(
         self,
         reader: asyncio.StreamReader,
@@ -104,10 +109,9 @@
     ) -> None:
         with suppress(OSError):
             while chunk := await reader.read(_CHUNK_BYTES):
-                while (
-                    direction in self.blocked_directions
-                    or writer in self._stalled
-                ):
+                if self._is_blocked(writer, direction):
+                    self.held.append(chunk)
+                while self._is_blocked(writer, direction):
                     await asyncio.sleep(_POLL_S)
                 await asyncio.sleep(self.delay_s)
                 writer.write(chunk)
