Keep the callers of a test alive when an instance is killed

Cause, by a trace: the callers go on after an OSError, but aiohttp reports a request that is under way when its instance is killed as ServerDisconnectedError, which is none. The task of the caller ended, unnoticed. Callers go through the instances in step, so that the first kill can end all four; then there is no request at all.

Callers now go on after any error of the client, and the test fails if one has ended.

--- a/tests/platform/test_left_servers.py
+++ b/tests/platform/test_left_servers.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import aiohttp
 import pytest
 
 from tests.builders.platform_servers import PlatformServer
@@ -41,7 +42,7 @@
             await system.send_request(
                 name, path, key=key, request_id=f'left-{next(_NUMBERS)}'
             )
-        except OSError:
+        except aiohttp.ClientError:
             await asyncio.sleep(0.02)
 
 
@@ -55,6 +56,7 @@
     ]
     try:
         yield
+        assert not any(task.done() for task in tasks)
     finally:
         for task in tasks:
             task.cancel()
