--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -43,7 +43,7 @@
 _MAX_REFUSED_IDS = 64
 _NO_BODY_STATUSES = frozenset((204, 304))
 # Within a head it is the begin of another answer.
-_STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}')
+_STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}(?: |$)')
 
 
 class NotSentError(Exception):
