Send no queued request to a server whose entry says that it leaves

Cause: _queue_and_send() and _send() asked ServerStatements.refusal(), which knew what answers had said and pauses. The entry was asked only when a server was chosen. The first answer of a leaving server usually ended its queue; a slot that got free without an answer, as its caller had gone, was filled from the queue at any time. Requests that name their server, forwarded for a key or to the sender of a limited server, were queued for it without a look at its entry.

ServerAvailability.obstacle() now answers for all that is known of an incarnation: its entry, a removal, a later incarnation, its answers, a pause. What is refused was not sent, so it costs no attempt and no retry budget: requests without keys go to another server, those with keys wait for the next owner, others get 503 with a time to return. What is in flight ends.

Related paths: the sender of a request that does not know the server (any more) refused it with slot_moving, which no instance retried; it is server_draining now, and the instance that forwarded tries another server. Queues of removed servers that waited for their limit were refused in the same final way. Without keys, the next incarnation of a server counts as another server to try.

Weighed: keeping queued requests for a part of the drain time. The first answer of a server that leaves ends its queue anyway, so only slots that get free without an answer would be used, and the requests would lose time that they have elsewhere. Releases stop work on keys at once, so queued requests with keys would mostly get 421. Where no other server of the service is usable, requests are refused that the server might still have served; that holds for answers that say it as well.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -114,9 +114,10 @@
             return await self._serve_at_any(request, deadline_s)
         server = self._system_view.servers.server_by_id.get(request.server_id)
         if server is None or server.incarnation != request.incarnation:
+            # The instance that forwarded may not know yet that it has left.
             return Refused(
-                ResultCode.slot_moving,
-                'the owner is not a known server',
+                ResultCode.server_draining,
+                'the server is not registered',
                 server_id=request.server_id,
             )
         return await self._serve_at(server, request, deadline_s)
@@ -145,14 +146,14 @@
     async def _serve_at_any(
         self, request: RoutedRequest, deadline_s: float
     ) -> Result:
-        tried: set[str] = set()
+        tried: set[Holder] = set()
         server = self._choose_server(request, tried)
         if server is None:
             return self._no_server(request)
         best: Result | None = None
         attempts = 0
         while server is not None:
-            tried.add(server.server_id)
+            tried.add(_holder(server))
             result = await self._serve_at(server, request, deadline_s)
             result.attempts += attempts
             attempts = result.attempts
@@ -213,7 +214,7 @@
         One instance in each region sends for a service; all may use the same
         part of the limits.
         """
-        limits = [self.rate_limits.per_s(_holder(server)) for server in servers]
+        limits = map(self.rate_limits.per_s, map(_holder, servers))
         region_of = self._place.region_by_data_centre
         instances = self._system_view.instance_by_name.values()
         regions = {region_of.get(one.data_centre) for one in instances}
@@ -244,12 +245,12 @@
         return allowed
 
     def _choose_server(
-        self, request: RoutedRequest, tried: set[str]
+        self, request: RoutedRequest, tried: set[Holder]
     ) -> Server | None:
         best: Server | None = None
         best_cost = float('inf')
         for server in self._system_view.servers.of(request.service):
-            if server.server_id in tried or not self._may_choose(server):
+            if not self._may_choose(server, tried):
                 continue
             queue = self._queue(server)
             mean_s = self.service_times.mean_s(request.route)
@@ -280,11 +281,12 @@
             and self._forwarder.limit_sender(server, request) is not None
         )
 
-    def _may_choose(self, server: Server) -> bool:
+    def _may_choose(self, server: Server, tried: set[Holder]) -> bool:
         holder = _holder(server)
         until_s = self._limit_used_until_s.get(holder, 0)
         return (
-            self._system_view.usable(server)
+            holder not in tried
+            and self._system_view.usable(server)
             and until_s <= elapsed_s()
             and self.statements.refusal_code(holder) is None
         )
@@ -365,8 +367,19 @@
         """Refuses queued requests that may no longer be sent."""
         for holder, queue in self._queue_by_holder.items():
             code = self.statements.refusal_code(holder)
-            if code is not None:
-                queue.refuse_waiting(code)
+            if code is None:
+                continue
+            refused = queue.refuse_waiting(code)
+            if refused:
+                self._metrics.count(
+                    'requests_taken_from_queues', refused, code=code.name
+                )
+                _log.info(
+                    'queued requests not sent to a server',
+                    server=holder.server_id,
+                    code=int(code),
+                    requests=refused,
+                )
 
     def _until_target_s(self, request: RoutedRequest) -> float:
         return max(0, request.until_target_ms / _MS_PER_S)
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
@@ -264,12 +264,13 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def refuse_waiting(self, code: ResultCode) -> None:
-        """Refuses all queued requests."""
-        for queued in self._waiting:
-            if not queued.admission.done():
-                queued.admission.set_exception(AdmissionError(code, 0))
+    def refuse_waiting(self, code: ResultCode) -> int:
+        """Refuses all queued requests; returns their number."""
+        waiting = [one for one in self._waiting if not one.admission.done()]
+        for queued in waiting:
+            queued.admission.set_exception(AdmissionError(code, 0))
         self._waiting.clear()
+        return len(waiting)
 
     def _slot_wait_s(self, rank: float) -> float:
         if self.running < self.limit and not self._waiting:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_statements.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_statements.py
@@ -101,7 +101,7 @@
             )
         return Refused(
             code,
-            'the server says that it leaves',
+            'the server leaves or has left',
             _REPLACEMENT_S,
             server.server_id,
         )
@@ -126,11 +126,7 @@
 
     def refusal_code(self, holder: Holder) -> ResultCode | None:
         """Returns why no request may be sent; None if it may."""
-        if self._system_view.availability.said_it_leaves(holder):
-            return ResultCode.server_draining
-        if self._system_view.availability.pause_left_s(holder):
-            return ResultCode.server_paused
-        return None
+        return self._system_view.availability.obstacle(holder)
 
     def keep_only(self, holders: set[Holder]) -> None:
         """Forgets servers that are gone."""
--- a/packages/edge/src/yuccadale_edge/_internal/server_availability.py
+++ b/packages/edge/src/yuccadale_edge/_internal/server_availability.py
@@ -2,14 +2,18 @@
 
 What a server says in its answers counts for its incarnation and holds against
 its entry, which the store may deliver late or not at all.
+
+A server that leaves gets no more requests from the moment at which that is
+known here, also none of those that are queued for it.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 import msgspec
 import structlog
 
+from yuccadale_core.codes import ResultCode
 from yuccadale_edge._internal.model import Server, ServerState
 from yuccadale_edge._internal.ownership.segments import Holder
 
@@ -43,13 +47,17 @@
 class ServerAvailability:
     """What entries and answers of servers and attempts to connect say."""
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(
+        self, now: Callable[[], float], server_by_id: Mapping[str, Server]
+    ) -> None:
         """Creates the state of one instance.
 
         Args:
             now: returns the time in seconds.
+            server_by_id: the servers that are registered at present.
         """
         self._now = now
+        self._server_by_id = server_by_id
         # A failed connection says nothing about the incarnation.
         self._unreachable_until_s_by_id: dict[str, float] = {}
         self._leaving_by_holder: dict[Holder, _Leaving] = {}
@@ -62,8 +70,22 @@
             server.server_id
         )
 
+    def obstacle(self, holder: Holder) -> ResultCode | None:
+        """Returns why a server takes no requests now; None if it does.
+
+        Whether it is reachable shows when a request is sent.
+        """
+        server = self._server_by_id.get(holder.server_id)
+        if server is None or server.incarnation != holder.incarnation:
+            return ResultCode.server_draining
+        if self.is_leaving(server):
+            return ResultCode.server_draining
+        if self.pause_left_s(holder):
+            return ResultCode.server_paused
+        return None
+
     def is_leaving(self, server: Server) -> bool:
-        """Whether a server has said that it leaves."""
+        """Whether a server has said that it leaves, anywhere."""
         holder = Holder(server.server_id, server.incarnation)
         return server.state != ServerState.ready or self.said_it_leaves(holder)
 
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -405,7 +405,9 @@
         self.owners_by_service: dict[str, OwnerMap] = {}
         self.instance_by_name: dict[str, Instance] = {}
         self.membership_version = (0, 0)
-        self.availability = ServerAvailability(elapsed_s)
+        self.availability = ServerAvailability(
+            elapsed_s, self.servers.server_by_id
+        )
         self._decode_configuration = decode_configuration
         self._changed = asyncio.Event()
         # Whether the store was restored, and has an older configuration than
--- a/tests/edge/test_dispatch.py
+++ b/tests/edge/test_dispatch.py
@@ -6,6 +6,7 @@
 import pytest
 
 from yuccadale_edge._internal.clock import elapsed_s
+from yuccadale_edge._internal.model import ServerState
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
 from yuccadale_edge._internal.server_availability import ServerAvailability
 from yuccadale_edge._internal.transport.client_connection import (
@@ -29,12 +30,15 @@
         yield connection
 
     pool = Mock(acquire=acquire)
-    system_view = Mock(availability=ServerAvailability(elapsed_s))
+    server = Mock(server_id='s', incarnation=1, state=ServerState.ready)
+    system_view = Mock(
+        availability=ServerAvailability(elapsed_s, {'s': server})
+    )
     dispatcher = Dispatcher(
         system_view, pool, Mock(), Mock(), Mock(), Mock(), Mock()
     )
     await dispatcher._send(
-        Mock(server_id='s', incarnation=1),
+        server,
         Mock(),
         Mock(service='ledger'),
         elapsed_s() + left_s,
--- a/tests/edge/test_server_availability.py
+++ b/tests/edge/test_server_availability.py
@@ -23,7 +23,7 @@
 
 
 def _leaving(clock: _Clock) -> ServerAvailability:
-    availability = ServerAvailability(clock)
+    availability = ServerAvailability(clock, {'s': _SERVER})
     assert availability.mark_leaving(_HOLDER)
     return availability
 
@@ -68,13 +68,13 @@
 
 def test_an_entry_that_leaves_needs_no_answer() -> None:
     """Guards against answers that replace what the entry says."""
-    availability = ServerAvailability(_Clock())
+    availability = ServerAvailability(_Clock(), {'s': _SERVER})
     assert availability.is_leaving(replace(_SERVER, state=ServerState.leaving))
 
 
 def test_only_the_leader_repeats_what_others_told() -> None:
     """Guards against messages that grow with the square of the instances."""
-    availability = ServerAvailability(_Clock())
+    availability = ServerAvailability(_Clock(), {'s': _SERVER})
     notice = LeavingNotice('s', 1)
     assert availability.apply_leaving([notice])
     assert not availability.apply_leaving([notice])
@@ -93,7 +93,7 @@
 def test_a_pause_ends_by_itself() -> None:
     """Guards against a pause that is never over."""
     clock = _Clock()
-    availability = ServerAvailability(clock)
+    availability = ServerAvailability(clock, {'s': _SERVER})
     assert availability.mark_paused(_HOLDER, 4)
     assert not availability.mark_paused(_HOLDER, 1)
     assert availability.pause_left_s(_HOLDER) == 4
--- a/tests/platform/test_left_servers.py
+++ b/tests/platform/test_left_servers.py
@@ -18,6 +18,7 @@
 from yuccadale_edge._internal.routing.forwarding import Forwarder
 from yuccadale_edge._internal.routing.request_router import RequestRouter
 from yuccadale_edge._internal.routing.requests import Refused
+from yuccadale_edge._internal.server_availability import ServerAvailability
 from yuccadale_edge._internal.system_view import ServerList, SystemView
 
 KEYS = (0, 20000, 40000, 65535)
@@ -87,6 +88,7 @@
 ) -> None:
     """Guards against a check that no use of such a server would fail."""
     monkeypatch.setattr(SystemView, 'usable', lambda *_: True)
+    monkeypatch.setattr(ServerAvailability, 'obstacle', lambda *_: None)
     monkeypatch.setattr(ServerList, '_remove', lambda *_, removal_grace: False)
     # A restarted instance has no old state: one instance goes on.
     assert any(await _requests_after_leaving(together=False))
