Bound the bodies that instances forward to each other

What callers saw: with six callers that sent 48 MiB at once, instances passed 300 MB and were killed, with the connections of all other callers.

Cause: the account of bytes held for others counted bodies of callers and answers of servers only while they were read. Forwarded requests and responses were accepted in any number, and each end of a link made three or four copies of a body. Votes and updates waited behind whole bodies. Besides, the room that an answer left in the account could be taken before it was counted as a reply, so that the reply to a caller who reads was given up.

The fix: a body above 1 MiB is sent straight to its server. Forwarded requests have a share of the memory; one without room is refused before its body is sent, and its entry sends it, or answers 503 with code 3013. Bodies above 64 KiB go in parts between which other messages pass. Responses wait at their sender, and the only answer to a caller of an instance is always accepted, so that two instances do not wait for each other. Room that an answer leaves is kept for its next holder. Bodies are collected and written without copies.

SimulatedConnection in tests/builders/limit_world.py takes the body beside the head, as the connection does now, and asserts that it is empty.

--- a/packages/core/src/yuccadale_core/_internal/codes.py
+++ b/packages/core/src/yuccadale_core/_internal/codes.py
@@ -48,6 +48,7 @@
     instance_draining = 3010
     server_limited = 3011
     server_paused = 3012
+    bodies_full = 3013
 
     server_refused_token = 4001
     server_unreachable = 4002
@@ -235,6 +236,12 @@
             'The server has asked for no requests until Retry-After.',
             _SEND_AGAIN,
         ),
+        ResultCode.bodies_full: CodeEntry(
+            503,
+            _NOT_RUN,
+            'An instance has no room for the body of the request.',
+            _SEND_AGAIN,
+        ),
         ResultCode.server_refused_token: CodeEntry(
             503,
             _NOT_RUN,
--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -3,7 +3,7 @@
 import asyncio
 import gc
 import time
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from contextlib import AsyncExitStack, contextmanager
 from functools import partial
 
@@ -18,6 +18,7 @@
 )
 from yuccadale_edge._internal.membership.leadership import Leadership
 from yuccadale_edge._internal.membership.links import (
+    FORWARD_TOPIC,
     PeerLinks,
     PeerServer,
     peer_listener,
@@ -35,10 +36,7 @@
 from yuccadale_edge._internal.ownership.call_runner import ServerCalls
 from yuccadale_edge._internal.routing.codec import RequestCodec
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
-from yuccadale_edge._internal.routing.forwarding import (
-    FORWARD_TOPIC,
-    Forwarder,
-)
+from yuccadale_edge._internal.routing.forwarding import Forwarder
 from yuccadale_edge._internal.routing.request_router import RequestRouter
 from yuccadale_edge._internal.routing.retry_budget import RetryBudget
 from yuccadale_edge._internal.routing.stop_guard import StopGuard
@@ -56,7 +54,7 @@
     SystemView,
 )
 from yuccadale_edge._internal.transport.client_pool import Address, ClientPool
-from yuccadale_edge._internal.transport.held_bytes import HeldBytes
+from yuccadale_edge._internal.transport.held_bytes import BodyShare, HeldBytes
 from yuccadale_edge._internal.transport.listening import listen_when_free
 from yuccadale_edge._internal.transport.server_connection import (
     CallerMessage,
@@ -83,13 +81,16 @@
 _LAST_ANSWERS_POLLS = 5
 # Longest wait until connections that the kernel has opened are accepted.
 _BACKLOG_S = 0.3
-# Share of the process's memory for the bodies of callers' requests. A body is
-# copied for its server, and again for another instance.
+# Share of the process's memory for the bodies of callers' requests, and as much
+# for those that other instances forward.
 _BODIES_SHARE = 0.2
 _BYTES_PER_MB = 1_000_000
 # Share of the process's memory for all bytes that are held for others. Joining
 # an answer, or passing it to another instance, copies it for a moment.
 _HELD_SHARE = 0.4
+# An answer leaves the connection to its server, or the link to its sender, a
+# moment before it is counted as the reply to its caller.
+_REUSE_ROOM_AFTER_S = 0.1
 _OK = 200
 _UNAVAILABLE = 503
 _NOT_FOUND = 404
@@ -136,9 +137,13 @@
         self._adapter = adapter
         self._metrics = Metrics()
         memory_bytes = settings.machine.memory_mb * _BYTES_PER_MB
-        self._held = HeldBytes(memory_bytes * _HELD_SHARE)
-        self._pool = ClientPool(asyncio.get_running_loop(), self._held)
-        self._links = PeerLinks()
+        loop = asyncio.get_running_loop()
+        self._held = HeldBytes(
+            memory_bytes * _HELD_SHARE,
+            partial(loop.call_later, _REUSE_ROOM_AFTER_S),
+        )
+        self._pool = ClientPool(loop, self._held)
+        self._links = PeerLinks(self._held)
         self._system_view = SystemView(
             adapter.decode_configuration,
             adapter.decode_server,
@@ -226,8 +231,13 @@
             memory_bytes * _BODIES_SHARE,
             self._held,
         )
+        self._forwarded = BodyShare(memory_bytes * _BODIES_SHARE, self._held)
         self._peers = PeerServer(
-            self._answer_peer, self._cluster.handle_message, self._metrics
+            self._answer_peer,
+            self._cluster.handle_message,
+            self._metrics,
+            self._forwarded,
+            self._held,
         )
         self._stopping = asyncio.Event()
         self._listening = False
@@ -373,8 +383,10 @@
                 # The settings file may change without a signal.
                 self.reload()
             self._pool.close_expired()
-            self._metrics.gauge('held_body_bytes', self._callers.held_bytes)
-            self._metrics.gauge('refused_bodies', self._callers.refused_bodies)
+            bodies = self._callers.bodies
+            self._metrics.gauge('held_body_bytes', bodies.size)
+            self._metrics.gauge('refused_bodies', bodies.refused)
+            self._metrics.gauge('held_forward_bytes', self._forwarded.size)
             self._metrics.gauge('held_bytes', self._held.size)
             self._metrics.gauge('given_up_bodies', self._held.given_up)
             self._dispatcher.maintain_queues()
@@ -401,12 +413,12 @@
             self._retry_budget_by_service[service] = budget
         return budget
 
-    async def _answer_peer(
+    def _answer_peer(
         self, topic: str, body: bytes, due_s: float
-    ) -> bytes:
+    ) -> Awaitable[bytes]:
         if topic == FORWARD_TOPIC:
-            return await self._router.handle_forwarded(body, due_s)
-        return await self._cluster.handle_request(topic, body)
+            return self._router.handle_forwarded(body, due_s)
+        return self._cluster.handle_request(topic, body)
 
     async def _store_answers(self) -> bool:
         return await self._leadership.store_answers()
--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -14,6 +14,11 @@
 so the receiver knows how much later than others one arrives. A link that is
 given up is reset, so that the kernel discards what it has not sent; a planned
 stop still delivers what was written.
+
+Forwarded requests and their responses carry bodies of callers and servers. A
+large one is announced by its size and sent in parts once the receiver has room
+for all of it. Other frames are sent between the parts. A request without room
+is refused before its body is sent; a response waits at its sender.
 """
 
 import asyncio
@@ -21,6 +26,7 @@
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
 from functools import partial
 from math import inf
 from typing import TypeVar
@@ -29,9 +35,18 @@
 import structlog
 
 from yuccadale_edge._internal.clock import elapsed_s
+from yuccadale_edge._internal.membership.parts import (
+    PART_BYTES,
+    IncomingBody,
+    PartWriter,
+)
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.supervision import contained
 from yuccadale_edge._internal.transport.client_pool import Address
+from yuccadale_edge._internal.transport.held_bytes import (
+    BodyShare,
+    HeldBytes,
+)
 from yuccadale_edge._internal.transport.listening import listen_when_free
 
 _log = structlog.get_logger()
@@ -72,6 +87,15 @@
 _PROBE = 4
 _ECHO = 5
 _FAILURE = 6
+# The receiver has room for a body that was announced.
+_ACCEPT = 7
+_PART = 8
+_NO_ROOM = 9
+_PART_READ = 10
+
+# The topic of requests whose bodies, and those of their responses, are counted
+# as held for others. Other messages are small or cannot be refused.
+FORWARD_TOPIC = 'forward'
 
 
 class Frame(msgspec.Struct, array_like=True):
@@ -82,6 +106,7 @@
         request_id: of a request, its response and its cancellation.
         written_s: when it was written, on the clock of its sender; 0 if that
             runs an earlier version.
+        size: of the body if it follows in parts.
     """
 
     kind: int
@@ -89,6 +114,7 @@
     topic: str
     body: bytes
     written_s: float = 0
+    size: int = 0
 
 
 class LinkLostError(Exception):
@@ -99,6 +125,10 @@
     """No link could be established; nothing was sent."""
 
 
+class NoRoomError(Exception):
+    """The peer has no room for the request; it was not handled."""
+
+
 class RequestFailedError(LinkLostError):
     """The peer failed to handle the request; the link goes on."""
 
@@ -120,8 +150,10 @@
 _decoder = msgspec.msgpack.Decoder(Frame)
 
 
-def _frame(kind: int, request_id: int, topic: str, body: bytes) -> bytes:
-    frame = Frame(kind, request_id, topic, body, elapsed_s())
+def _frame(
+    kind: int, request_id: int, topic: str, body: bytes, size: int = 0
+) -> bytes:
+    frame = Frame(kind, request_id, topic, body, elapsed_s(), size)
     packed = _encoder.encode(frame)
     return len(packed).to_bytes(_LENGTH_BYTES, 'big') + packed
 
@@ -187,9 +219,12 @@
             raise LinkLostError(f'frame of {size} bytes exceeds the size limit')
         packed = await self._read_exactly(size)
         try:
-            return _decoder.decode(packed)
+            frame = _decoder.decode(packed)
         except DECODE_ERRORS as error:
             raise UnreadableMessageError(f'invalid frame: {error}') from error
+        if not 0 <= frame.size <= _MAX_FRAME_BYTES:
+            raise UnreadableMessageError(f'body of {frame.size} bytes')
+        return frame
 
     async def _read_exactly(self, size: int) -> bytes:
         chunks: list[bytes] = []
@@ -217,6 +252,10 @@
                 self._acknowledge()
 
 
+def _keep() -> None:
+    """Gives up nothing: the server has run the request."""
+
+
 def _write(writer: asyncio.StreamWriter, frame: bytes) -> None:
     """Writes a frame, unless the connection has ended.
 
@@ -227,6 +266,22 @@
         writer.write(frame)
 
 
+def _in_parts(topic: str, body: bytes) -> bool:
+    return topic == FORWARD_TOPIC and len(body) > PART_BYTES
+
+
+def _part_writer(writer: asyncio.StreamWriter) -> PartWriter:
+    def write_part(request_id: int, part: bytes) -> None:
+        _write(writer, _frame(_PART, request_id, '', part))
+
+    return PartWriter(write_part)
+
+
+def _add_part(incoming: IncomingBody, part: Frame) -> None:
+    if not incoming.add(part.body):
+        raise UnreadableMessageError('a body is longer than announced')
+
+
 def _set_socket_options(writer: asyncio.StreamWriter) -> None:
     if writer.is_closing():
         raise ConnectionResetError('the connection ended while it was opened')
@@ -252,11 +307,18 @@
     """The dialling side of a link."""
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        held: HeldBytes,
     ) -> None:
         self._frames = FrameReader(reader)
         self._writer = writer
-        self._future_by_request_id: dict[int, asyncio.Future[bytes]] = {}
+        self._held = held
+        self._part_writer = _part_writer(writer)
+        # Each waits for the next frame that concerns its request.
+        self._future_by_request_id: dict[int, asyncio.Future[Frame]] = {}
+        self._incoming_by_request_id: dict[int, IncomingBody] = {}
         self._last_request_id = 0
         self._probe_task: asyncio.Task[None] | None = None
         self._echoed = asyncio.Event()
@@ -295,29 +357,28 @@
 
         Raises:
             PeerUnreachableError: the link was closed before the request.
+            NoRoomError: the peer has no room for the request.
             LinkLostError: the link was lost before the response.
         """
         if not self.open:
             raise PeerUnreachableError('the link is closed')
         self._last_request_id += 1
         request_id = self._last_request_id
-        future: asyncio.Future[bytes] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._future_by_request_id[request_id] = future
-        _write(self._writer, _frame(_REQUEST, request_id, topic, body))
         late = asyncio.get_running_loop().call_later(
             _LATE_RESPONSE_S, self.probe
         )
         try:
-            return await future
+            response = await self._send_request(request_id, topic, body)
+            if not response.size:
+                return response.body
+            return await self._receive_body(request_id, response)
         except asyncio.CancelledError:
             if self.open:
                 _write(self._writer, _frame(_CANCEL, request_id, topic, b''))
             raise
         finally:
             late.cancel()
-            self._future_by_request_id.pop(request_id, None)
+            self._forget(request_id)
 
     def notify(self, topic: str, body: bytes) -> None:
         """Sends a message that gets no response."""
@@ -352,9 +413,60 @@
         _close_after_sending(self._writer)
         self._end()
 
+    async def _send_request(
+        self, request_id: int, topic: str, body: bytes
+    ) -> Frame:
+        """Sends a request; returns the response, or its announcement."""
+        answered = self._expect(request_id)
+        if not _in_parts(topic, body):
+            _write(self._writer, _frame(_REQUEST, request_id, topic, body))
+            return await answered
+        announced = _frame(_REQUEST, request_id, topic, b'', len(body))
+        _write(self._writer, announced)
+        await answered
+        answered = self._expect(request_id)
+        await self._part_writer.write(request_id, body)
+        return await answered
+
+    async def _receive_body(self, request_id: int, response: Frame) -> bytes:
+        """Receives the body of a response once there is room for it."""
+        granted = self._expect(request_id)
+
+        def grant() -> None:
+            if not granted.done():
+                granted.set_result(response)
+
+        with self._held.holding(_keep, for_caller=True) as holding:
+            if not holding.reserve(response.size, grant):
+                await granted
+            completed = self._expect(request_id)
+            incoming = IncomingBody(response.size)
+            self._incoming_by_request_id[request_id] = incoming
+            _write(self._writer, _frame(_ACCEPT, request_id, '', b''))
+            await completed
+            return incoming.take()
+
+    def _forget(self, request_id: int) -> None:
+        self._incoming_by_request_id.pop(request_id, None)
+        future = self._future_by_request_id.pop(request_id, None)
+        if future is not None and future.done() and not future.cancelled():
+            # asyncio logs an exception that nobody has asked for.
+            future.exception()
+
+    def _expect(self, request_id: int) -> asyncio.Future[Frame]:
+        """Returns the next frame that concerns a request."""
+        future: asyncio.Future[Frame] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._future_by_request_id[request_id] = future
+        if self._ended:
+            future.set_exception(LinkLostError('the link was lost'))
+        return future
+
     def _end(self) -> None:
         self._ended = True
         self._echoed.set()
+        self._part_writer.close()
         for future in self._future_by_request_id.values():
             if not future.done():
                 future.set_exception(LinkLostError('the link was lost'))
@@ -362,13 +474,30 @@
     def _handle_frame(self, frame: Frame) -> None:
         if frame.kind == _ECHO:
             self._echoed.set()
+        elif frame.kind == _PART_READ:
+            self._part_writer.acknowledge()
+        else:
+            self._handle_frame_of_request(frame)
+
+    def _handle_frame_of_request(self, frame: Frame) -> None:
+        if frame.kind == _PART:
+            _write(self._writer, _frame(_PART_READ, 0, '', b''))
         future = self._future_by_request_id.get(frame.request_id)
         if future is None or future.done():
             return
-        if frame.kind == _RESPONSE:
-            future.set_result(frame.body)
+        if frame.kind in {_RESPONSE, _ACCEPT} or self._completes_body(frame):
+            future.set_result(frame)
         elif frame.kind == _FAILURE:
             future.set_exception(RequestFailedError('unexpected error'))
+        elif frame.kind == _NO_ROOM:
+            future.set_exception(NoRoomError)
+
+    def _completes_body(self, frame: Frame) -> bool:
+        incoming = self._incoming_by_request_id.get(frame.request_id)
+        if frame.kind != _PART or incoming is None:
+            return False
+        _add_part(incoming, frame)
+        return incoming.complete
 
     async def _await_echo(self) -> None:
         read_before = self._frames.bytes_read
@@ -387,7 +516,14 @@
 class PeerLinks:
     """All links that this instance dialled, by address of the peer."""
 
-    def __init__(self) -> None:
+    def __init__(self, held: HeldBytes | None = None) -> None:
+        """Creates the links.
+
+        Args:
+            held: account of the responses that are received in parts;
+                unbounded by default.
+        """
+        self._held = HeldBytes() if held is None else held
         self._link_by_address: dict[Address, PeerLink] = {}
         self._lock_by_address: dict[Address, asyncio.Lock] = {}
         self._readers: set[asyncio.Task[None]] = set()
@@ -415,6 +551,7 @@
 
         Raises:
             PeerUnreachableError: nothing was sent.
+            NoRoomError: the peer has no room for the request.
             LinkLostError: no response; the peer may have handled the request.
             UnreadableMessageError: the response could not be decoded.
         """
@@ -492,7 +629,7 @@
             _set_socket_options(writer)
         except (OSError, TimeoutError) as error:
             raise PeerUnreachableError(f'cannot connect: {error!r}') from error
-        link = PeerLink(reader, writer)
+        link = PeerLink(reader, writer, self._held)
         task = asyncio.create_task(link.read())
         self._readers.add(task)
         task.add_done_callback(self._readers.discard)
@@ -501,6 +638,60 @@
         return link
 
 
+@dataclass(slots=True)
+class _AnnouncedRequest:
+    """A request whose body is received in parts."""
+
+    frame: Frame
+    due_s: float
+    incoming: IncomingBody
+
+
+@dataclass(slots=True)
+class _AcceptedLink:
+    """The accepting side of one link.
+
+    Attributes:
+        accepted_by_request_id: resolved once the peer has room for a response.
+    """
+
+    writer: asyncio.StreamWriter
+    part_writer: PartWriter
+    task_by_request_id: dict[int, asyncio.Task[None]] = field(
+        default_factory=dict
+    )
+    announced_by_request_id: dict[int, _AnnouncedRequest] = field(
+        default_factory=dict
+    )
+    accepted_by_request_id: dict[int, asyncio.Future[None]] = field(
+        default_factory=dict
+    )
+
+    def write(self, kind: int, frame: Frame, body: bytes = b'') -> None:
+        """Writes a frame about the request of another one."""
+        _write(self.writer, _frame(kind, frame.request_id, frame.topic, body))
+
+    def accept(self, request_id: int) -> None:
+        """Notes that the peer has room for a response."""
+        accepted = self.accepted_by_request_id.get(request_id)
+        if accepted is not None and not accepted.done():
+            accepted.set_result(None)
+
+    async def respond_in_parts(self, frame: Frame, response: bytes) -> None:
+        """Writes a large response once the peer has room for it."""
+        request_id = frame.request_id
+        accepted = asyncio.get_running_loop().create_future()
+        self.accepted_by_request_id[request_id] = accepted
+        size = len(response)
+        announced = _frame(_RESPONSE, request_id, frame.topic, b'', size)
+        _write(self.writer, announced)
+        try:
+            await accepted
+            await self.part_writer.write(request_id, response)
+        finally:
+            self.accepted_by_request_id.pop(request_id)
+
+
 class PeerServer:
     """The accepting side of all links.
 
@@ -513,6 +704,8 @@
         handle_request: RequestHandler,
         handle_message: MessageHandler,
         metrics: Metrics,
+        bodies: BodyShare | None = None,
+        held: HeldBytes | None = None,
     ) -> None:
         """Creates the server.
 
@@ -522,7 +715,12 @@
                 ``elapsed_s``, since they may have arrived late.
             handle_message: handles a topic and body without a response.
             metrics: counts messages that could not be handled.
+            bodies: bound of the forwarded requests that are received or
+                handled; unbounded by default.
+            held: account of the responses that are sent in parts.
         """
+        self._bodies = BodyShare() if bodies is None else bodies
+        self._held = HeldBytes() if held is None else held
         self._handle_request = handle_request
         self._handle_message = handle_message
         self._metrics = metrics
@@ -539,20 +737,20 @@
         the handling of its message.
         """
         self._writers.add(writer)
-        task_by_request_id: dict[int, asyncio.Task[None]] = {}
+        link = _AcceptedLink(writer, _part_writer(writer))
 
         def acknowledge() -> None:
             _write(writer, _frame(_ECHO, 0, '', b''))
 
         frames = FrameReader(reader, acknowledge)
         try:
-            await self._serve_frames(writer, task_by_request_id, frames)
+            await self._serve_frames(link, frames)
         except UnreadableMessageError as error:
             self._log_unreadable(writer, str(error))
         except _LINK_ERRORS as error:
             _log.debug('link from a peer closed', reason=repr(error))
         finally:
-            self._close_link(writer, task_by_request_id)
+            self._close_link(link)
 
     def close(self) -> None:
         """Closes all accepted links; what was written is still delivered."""
@@ -560,12 +758,9 @@
             _close_after_sending(writer)
 
     async def _serve_frames(
-        self,
-        writer: asyncio.StreamWriter,
-        task_by_request_id: dict[int, asyncio.Task[None]],
-        frames: FrameReader,
+        self, link: _AcceptedLink, frames: FrameReader
     ) -> None:
-        _set_socket_options(writer)
+        _set_socket_options(link.writer)
         due_times = DueTimes()
         while True:
             frame = await frames.read()
@@ -575,36 +770,96 @@
                 self._metrics,
                 passing=(UnreadableMessageError,),
             ):
-                self._handle_frame(writer, task_by_request_id, frame, due_s)
+                self._handle_frame(link, frame, due_s)
 
     def _handle_frame(
-        self,
-        writer: asyncio.StreamWriter,
-        task_by_request_id: dict[int, asyncio.Task[None]],
-        frame: Frame,
-        due_s: float,
+        self, link: _AcceptedLink, frame: Frame, due_s: float
     ) -> None:
         if frame.kind == _NOTIFICATION:
             self._receive(frame)
         elif frame.kind == _PROBE:
-            _write(writer, _frame(_ECHO, frame.request_id, frame.topic, b''))
-        elif frame.kind == _CANCEL:
-            _cancel(task_by_request_id.pop(frame.request_id, None))
+            link.write(_ECHO, frame)
         elif frame.kind == _REQUEST:
-            self._start_request(writer, task_by_request_id, frame, due_s)
+            self._admit(link, frame, due_s)
+        else:
+            self._handle_frame_of_request(link, frame, due_s)
+
+    def _handle_frame_of_request(
+        self, link: _AcceptedLink, frame: Frame, due_s: float
+    ) -> None:
+        """Handles a frame about a request that was sent before."""
+        if frame.kind == _CANCEL:
+            _cancel(link.task_by_request_id.pop(frame.request_id, None))
+            self._drop_announced(link, frame.request_id)
+        elif frame.kind == _ACCEPT:
+            link.accept(frame.request_id)
+        elif frame.kind == _PART_READ:
+            link.part_writer.acknowledge()
+        elif frame.kind == _PART:
+            link.write(_PART_READ, frame)
+            self._receive_part(link, frame, due_s)
+
+    def _admit(self, link: _AcceptedLink, frame: Frame, due_s: float) -> None:
+        """Starts a request, or asks for its body, if there is room."""
+        size = frame.size or len(frame.body)
+        if frame.topic != FORWARD_TOPIC:
+            self._start_request(link, frame, due_s, due_s, 0)
+        elif not self._bodies.hold(size):
+            self._metrics.count('refused_forwards')
+            link.write(_NO_ROOM, frame)
+        elif frame.size:
+            self._drop_announced(link, frame.request_id)
+            link.announced_by_request_id[frame.request_id] = _AnnouncedRequest(
+                frame, due_s, IncomingBody(frame.size)
+            )
+            link.write(_ACCEPT, frame)
+        else:
+            self._start_request(link, frame, due_s, due_s, size)
+
+    def _receive_part(
+        self, link: _AcceptedLink, part: Frame, due_s: float
+    ) -> None:
+        announced = link.announced_by_request_id.get(part.request_id)
+        if announced is None:
+            return
+        _add_part(announced.incoming, part)
+        if not announced.incoming.complete:
+            return
+        link.announced_by_request_id.pop(part.request_id)
+        frame = announced.frame
+        frame.body = announced.incoming.take()
+        self._start_request(link, frame, announced.due_s, due_s, frame.size)
+
+    def _drop_announced(self, link: _AcceptedLink, request_id: int) -> None:
+        announced = link.announced_by_request_id.pop(request_id, None)
+        if announced is not None:
+            self._bodies.release(announced.frame.size)
 
     def _start_request(
         self,
-        writer: asyncio.StreamWriter,
-        task_by_request_id: dict[int, asyncio.Task[None]],
+        link: _AcceptedLink,
         frame: Frame,
         due_s: float,
+        complete_due_s: float,
+        held: int,
     ) -> None:
+        """Starts a request.
+
+        Args:
+            link: where it came from.
+            frame: the request with its body.
+            due_s: when the request was due.
+            complete_due_s: when the last of its frames was due.
+            held: the bytes that were counted for it.
+        """
+
         def forget(_done: asyncio.Task[None]) -> None:
-            task_by_request_id.pop(frame.request_id, None)
+            link.task_by_request_id.pop(frame.request_id, None)
+            self._bodies.release(held)
 
-        task = asyncio.create_task(self._respond(writer, frame, due_s))
-        task_by_request_id[frame.request_id] = task
+        late = elapsed_s() - complete_due_s > _LATE_REQUEST_S
+        task = asyncio.create_task(self._respond(link, frame, due_s, late=late))
+        link.task_by_request_id[frame.request_id] = task
         task.add_done_callback(forget)
 
     def _receive(self, frame: Frame) -> None:
@@ -615,40 +870,52 @@
                 f'unreadable message {frame.topic}: {error}'
             ) from error
 
-    def _close_link(
-        self,
-        writer: asyncio.StreamWriter,
-        task_by_request_id: dict[int, asyncio.Task[None]],
-    ) -> None:
-        for waiting in list(task_by_request_id.values()):
+    def _close_link(self, link: _AcceptedLink) -> None:
+        for waiting in list(link.task_by_request_id.values()):
             waiting.cancel()
-        self._writers.discard(writer)
-        writer.transport.abort()
+        for request_id in list(link.announced_by_request_id):
+            self._drop_announced(link, request_id)
+        self._writers.discard(link.writer)
+        link.writer.transport.abort()
 
     async def _respond(
-        self, writer: asyncio.StreamWriter, frame: Frame, due_s: float
+        self, link: _AcceptedLink, frame: Frame, due_s: float, *, late: bool
+    ) -> None:
+        self.active_requests += 1
+        try:
+            await self._handle_and_respond(link, frame, due_s, late=late)
+        finally:
+            self.active_requests -= 1
+
+    async def _handle_and_respond(
+        self, link: _AcceptedLink, frame: Frame, due_s: float, *, late: bool
     ) -> None:
-        if elapsed_s() - due_s > _LATE_REQUEST_S:
+        if late:
             self._metrics.count('late_peer_requests', topic=frame.topic)
             await asyncio.sleep(_SETTLE_S)
-        self.active_requests += 1
-        kind = _FAILURE
-        response = b''
+        response: bytes | None = None
         try:
             with contained(
                 'request of a peer', self._metrics, passing=DECODE_ERRORS
             ):
-                response = await self._handle_request(
-                    frame.topic, frame.body, due_s
-                )
-                kind = _RESPONSE
+                handling = self._handle_request(frame.topic, frame.body, due_s)
+                # The handler may hold a decoded copy meanwhile.
+                frame.body = b''
+                response = await handling
         except DECODE_ERRORS as error:
-            self._log_unreadable(writer, str(error))
-            writer.transport.abort()
+            self._log_unreadable(link.writer, str(error))
+            link.writer.transport.abort()
             return
-        finally:
-            self.active_requests -= 1
-        _write(writer, _frame(kind, frame.request_id, frame.topic, response))
+        if response is None:
+            link.write(_FAILURE, frame)
+            return
+        if not _in_parts(frame.topic, response):
+            link.write(_RESPONSE, frame, response)
+            return
+        with self._held.holding(_keep) as holding:
+            holding.give_up = None
+            holding.grow_to(len(response))
+            await link.respond_in_parts(frame, response)
 
     def _log_unreadable(
         self, writer: asyncio.StreamWriter, reason: str
--- a/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
@@ -38,10 +38,16 @@
     def forwarded_headers(self, message: CallerMessage) -> Headers:
         """Returns the headers to send to the server."""
 
-    def encode_request(
+    def encode_head(
         self, request: RoutedRequest, server: Server, remaining_ms: float
     ) -> bytes:
-        """Encodes a request to a server with its remaining time in ms."""
+        """Encodes what is before the body of a request to a server.
+
+        Args:
+            request: the request.
+            server: the server.
+            remaining_ms: the time that the server has.
+        """
 
     def named_request(self, answer: Answer) -> str | None:
         """Returns the id of the request that an answer names, if any."""
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -390,19 +390,20 @@
                 if refused is not None:
                     return refused
                 left_s = deadline_s - elapsed_s()
-                encoded = self._codec.encode_request(
+                head = self._codec.encode_head(
                     request, server, left_s * _MS_PER_S
                 )
                 self.rate_limits.count_sent(server)
                 sending = Sending(request, server, connection)
                 async with asyncio.timeout(max(0, left_s)):
                     answer = await connection.exchange(
-                        encoded,
+                        head,
                         answer_matcher(sending, self._codec, self._metrics),
                         # No kernel sends it after its deadline, also if this
                         # process is stopped.
                         min(left_s, UNACKNOWLEDGED_S),
                         head_only=request.method == b'HEAD',
+                        body=request.body,
                     )
                 record_answer(sending, answer, self._codec, self._metrics)
                 if self._codec.named_request(answer) is None:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
@@ -8,7 +8,9 @@
 from yuccadale_core.codes import ResultCode
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.links import (
+    FORWARD_TOPIC,
     LinkLostError,
+    NoRoomError,
     PeerLinks,
     PeerUnreachableError,
     RequestFailedError,
@@ -42,7 +44,8 @@
 # tolerates. Instances after these send nothing to a limited server.
 LIMIT_SHARES = (1.0, 0.25, 0.1, 0.05)
 
-FORWARD_TOPIC = 'forward'
+# When a caller may return whose request found no room.
+_NO_ROOM_RETRY_S = 0.5
 
 encode_message = msgspec.msgpack.Encoder().encode
 decode_request = msgspec.msgpack.Decoder(RoutedRequest).decode
@@ -152,6 +155,13 @@
             request.forwards -= 1
             self._mark_suspected(sender, str(error))
             return None
+        except NoRoomError:
+            request.forwards -= 1
+            return Refused(
+                ResultCode.bodies_full,
+                f'{sender.name} has no room for the body',
+                _NO_ROOM_RETRY_S,
+            )
         except LinkLostError as error:
             if not isinstance(error, RequestFailedError):
                 self._mark_suspected(sender, str(error))
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import structlog
 
@@ -69,6 +69,8 @@
 # capacity after some ms, and one that sheds a share of its requests may accept
 # the next one.
 _SHED_RETRY_DELAY_S = 0.03
+# A request with a larger body is sent straight to its server.
+_MAX_FORWARDED_BODY_BYTES = 1024 * 1024
 
 
 class WeightedRoundRobin:
@@ -168,14 +170,18 @@
             Refused(ResultCode.instance_failed, 'unexpected error'),
         )
 
-    async def handle_forwarded(self, body: bytes, due_s: float) -> bytes:
+    def handle_forwarded(self, body: bytes, due_s: float) -> Awaitable[bytes]:
         """Serves a request that another instance forwarded.
 
         Args:
-            body: the encoded request.
+            body: the encoded request, which is not kept.
             due_s: when it was due to arrive; its times count from then.
         """
-        routed = decode_request(body)
+        return self._serve_forwarded(decode_request(body), due_s)
+
+    async def _serve_forwarded(
+        self, routed: RoutedRequest, due_s: float
+    ) -> bytes:
         now_s = elapsed_s()
         asked_until_s = due_s + routed.remaining_ms / _MS_PER_S
         if asked_until_s <= now_s:
@@ -417,12 +423,20 @@
             if sender is None:
                 return await self._dispatcher.serve(routed)
             result = await self._forwarder.forward(sender, routed)
+            if _found_no_room(result):
+                return await self._dispatcher.serve(routed)
             if result is not None:
                 self._dispatcher.statements.observe_forwarded(result)
                 return result
 
     def _reachable_sender(self, routed: RoutedRequest) -> Instance | None:
-        """Returns the instance to forward to; None if this one serves it."""
+        """Returns the instance to forward to; None if this one serves it.
+
+        The queue of the sender knows the load of a server. For a large body
+        that is worth less than a second transfer and a second copy of it.
+        """
+        if len(routed.body) > _MAX_FORWARDED_BODY_BYTES:
+            return None
         if routed.server_id is None:
             # One instance per region sends the requests to a service without
             # keys.
@@ -533,5 +547,9 @@
     return later
 
 
+def _found_no_room(result: Result | None) -> bool:
+    return isinstance(result, Refused) and result.code == ResultCode.bodies_full
+
+
 def _since_ms(moment_s: float) -> float:
     return round((elapsed_s() - moment_s) * _MS_PER_S, 1)
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -11,10 +11,15 @@
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from io import BytesIO
 
 import httptools
 
-from yuccadale_edge._internal.transport.held_bytes import HeldBytes, Holding
+from yuccadale_edge._internal.transport.held_bytes import (
+    SMALL_BYTES,
+    HeldBytes,
+    Holding,
+)
 from yuccadale_edge._internal.transport.sockets import is_readable
 
 Headers = list[tuple[bytes, bytes]]
@@ -163,16 +168,18 @@
         unacknowledged_s: float = UNACKNOWLEDGED_S,
         *,
         head_only: bool = False,
+        body: bytes = b'',
     ) -> Answer:
         """Sends a request and returns the answer that matches it.
 
         Args:
-            request: the whole request.
+            request: the whole request, or its part before ``body``.
             matches: tells whether an answer belongs to the request.
             unacknowledged_s: the connection ends when the server's machine
                 has not acknowledged the request for this long, even if this
                 process is stopped meanwhile.
             head_only: the answer has no body, whatever its head announces.
+            body: the body; a large one is not copied.
 
         Raises:
             NotSentError: the connection was closed before the request was sent.
@@ -188,7 +195,11 @@
         self._other_answers = 0
         self.used = True
         self._limit_unacknowledged(unacknowledged_s)
-        transport.write(request)
+        if len(body) > SMALL_BYTES:
+            transport.write(request)
+            transport.write(body)
+        else:
+            transport.write(request + body)
         with self._held.holding(self._give_up_answer) as holding:
             self._holding = holding
             try:
@@ -282,7 +293,7 @@
         if self._body_bytes > _MAX_ANSWER_BYTES:
             self._fail(AnswerMalformedError('the answer is too large'))
             return
-        self._pieces.append(chunk)
+        self._body.write(chunk)
         if self._holding is not None:
             self._holding.grow_to(self._body_bytes)
 
@@ -364,7 +375,7 @@
 
     def _reset_answer(self) -> None:
         self._headers: Headers = []
-        self._pieces: list[bytes] = []
+        self._body = BytesIO()
         self._body_bytes = 0
         self._announced_bytes = 0
         self._framed = False
@@ -383,7 +394,7 @@
         answer = Answer(
             self._parser.get_status_code(),
             self._headers,
-            b''.join(self._pieces),
+            self._body.getvalue(),
         )
         self._reset_answer()
         if self._matches is not None and not self._matches(answer):
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -11,6 +11,7 @@
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from io import BytesIO
 from math import inf
 
 import httptools
@@ -20,6 +21,7 @@
 from yuccadale_edge._internal.transport.client_connection import Headers
 from yuccadale_edge._internal.transport.held_bytes import (
     SMALL_BYTES,
+    BodyShare,
     HeldBytes,
     Holding,
 )
@@ -96,9 +98,8 @@
     """Shared state of all connections of one listener.
 
     Attributes:
-        max_held_bytes: bodies of all requests that are read or handled.
-        held_bytes: their present size, as announced or as read so far.
-        refused_bodies: number of requests refused for the bound.
+        bodies: bodies of all requests that are read or handled, by their
+            announced size or as read so far.
         held: account of all bytes that the process holds for others.
     """
 
@@ -111,43 +112,34 @@
     ) -> None:
         self.handler = handler
         self.limits = limits
-        self.max_held_bytes = max_held_bytes
         self.held = HeldBytes() if held is None else held
-        self.held_bytes = 0
-        self.refused_bodies = 0
+        self.bodies = BodyShare(max_held_bytes, self.held)
         self.connections: set[ServerConnection] = set()
         self.closing = False
 
-    def hold(self, size: int) -> bool:
-        """Counts bytes of a body; False if there is no room for them.
+    @property
+    def held_bytes(self) -> int:
+        """The size of the bodies that are held."""
+        return self.bodies.size
 
-        A body that is larger than the bound is accepted when it is alone.
-        """
-        if not self._has_room(size):
-            self.refused_bodies += 1
-            _log.warning(
-                'request body refused', size=size, held_bytes=self.held_bytes
-            )
-            return False
-        self.held_bytes += size
-        self.held.charge(size)
-        return True
+    def hold(self, size: int) -> bool:
+        """Counts bytes of a body; False if there is no room for them."""
+        if self.bodies.hold(size):
+            return True
+        _log.warning(
+            'request body refused', size=size, held_bytes=self.bodies.size
+        )
+        return False
 
     def release(self, size: int) -> None:
         """Counts bytes of a body that is no longer kept."""
-        self.held_bytes -= size
-        self.held.charge(-size)
+        self.bodies.release(size)
 
     def abort(self) -> None:
         """Aborts all connections."""
         for connection in list(self.connections):
             connection.abort()
 
-    def _has_room(self, size: int) -> bool:
-        if self.held_bytes and self.held_bytes + size > self.max_held_bytes:
-            return False
-        return size <= SMALL_BYTES or self.held.make_room(size)
-
 
 class ServerConnection(asyncio.Protocol):
     """One connection of a caller."""
@@ -171,7 +163,7 @@
         self._rejected = False
         self._headers: Headers = []
         self._target = b''
-        self._pieces: list[bytes] = []
+        self._body = BytesIO()
         self._arrived_s: float = 0
         self._reject_status: int | None = None
         self._final_answer: asyncio.Task[Reply] | None = None
@@ -248,7 +240,7 @@
         self._reading_request = True
         self._headers = []
         self._target = b''
-        self._pieces = []
+        self._body = BytesIO()
         self._header_bytes = 0
         self._body_bytes = 0
         self._unparsed_bytes = 0
@@ -282,7 +274,7 @@
         if self._reject_status is None:
             self._hold_body(self._body_bytes)
         if self._reject_status is None:
-            self._pieces.append(piece)
+            self._body.write(piece)
 
     def on_message_complete(self) -> None:
         """Starts handling the request."""
@@ -298,7 +290,7 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            b''.join(self._pieces),
+            self._body.getvalue(),
             self._arrived_s,
         )
         keep = self._parser.should_keep_alive()
@@ -306,7 +298,7 @@
         answer.add_done_callback(self._flush)
         answer.add_done_callback(self._releases(self._held_bytes))
         self._held_bytes = 0
-        self._pieces = []
+        self._body = BytesIO()
         self._answers.append(answer)
         if not keep:
             self._final_answer = answer
@@ -362,7 +354,7 @@
         """Releases a body that was not handed to a handler."""
         self._listener.release(self._held_bytes)
         self._held_bytes = 0
-        self._pieces = []
+        self._body = BytesIO()
 
     def _releases(self, size: int) -> Callable[[asyncio.Task[Reply]], None]:
         listener = self._listener
@@ -394,7 +386,7 @@
         """Opens the holding of a connection; most never need one."""
         self._resources = ExitStack()
         return self._resources.enter_context(
-            self._listener.held.holding(self.abort)
+            self._listener.held.holding(self.abort, for_caller=True)
         )
 
     def _may_write(self) -> bool:
@@ -407,7 +399,7 @@
                 self.abort()
                 return
             last = answer is self._final_answer or self._should_close()
-            self._write(encode_reply(answer.result(), last=last))
+            self._write_reply(answer.result(), last=last)
             if last:
                 self._close()
         if self._may_write():
@@ -437,7 +429,7 @@
         reply = Reply(status)
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
             reply.headers.append((b'retry-after', _NO_ROOM_RETRY_S))
-        self._write(encode_reply(reply, last=True))
+        self._write_reply(reply, last=True)
         self._close()
 
     def _start_idle_timer(self, limit_s: float) -> None:
@@ -455,6 +447,15 @@
         else:
             self._close()
 
+    def _write_reply(self, reply: Reply, *, last: bool) -> None:
+        """Writes an answer; a large body is not copied behind its head."""
+        head = encode_reply_head(reply, last=last)
+        if len(reply.body) <= SMALL_BYTES:
+            self._write(head + reply.body)
+        else:
+            self._write(head)
+            self._write(reply.body)
+
     def _write(self, encoded: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(encoded)
@@ -524,8 +525,8 @@
     return len(answer.result().body)
 
 
-def encode_reply(reply: Reply, *, last: bool) -> bytes:
-    """Encodes an answer; ``last`` closes the connection after it."""
+def encode_reply_head(reply: Reply, *, last: bool) -> bytes:
+    """Encodes the head; ``last`` closes the connection after the answer."""
     try:
         phrase = HTTPStatus(reply.status).phrase
     except ValueError:
@@ -537,5 +538,4 @@
     if last:
         lines.append(b'connection: close\r\n')
     lines.append(b'\r\n')
-    lines.append(reply.body)
     return b''.join(lines)
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -195,9 +195,11 @@
         _unacknowledged_s: float,
         *,
         head_only: bool,
+        body: bytes,
     ) -> Answer:
         """Sends a request; fails if the server has started again meanwhile."""
         assert not head_only
+        assert not body
         expected = f'x-expect-instance: {self._server.server.server_id}\r\n'
         assert expected.encode() in request
         before = self._server.server.incarnation
--- a/tests/edge/test_held_bytes.py
+++ b/tests/edge/test_held_bytes.py
@@ -1,5 +1,6 @@
 """The account of bytes that a process holds for others."""
 
+from collections.abc import Callable
 from contextlib import ExitStack
 
 from hypothesis import given, settings
@@ -7,6 +8,7 @@
 
 from yuccadale_edge._internal.transport.held_bytes import (
     SMALL_BYTES,
+    BodyShare,
     HeldBytes,
     Holding,
 )
@@ -94,6 +96,84 @@
     assert account.size == 0
 
 
+def test_an_answer_passes_others_that_wait_for_its_instance() -> None:
+    """Guards against two instances that wait for each other's room.
+
+    The account is full of answers that leave once another instance has room.
+    """
+    account = HeldBytes(_MAX)
+    granted: list[str] = []
+    with ExitStack() as stack:
+        outgoing = _held(stack, account, 0)
+        assert outgoing.reserve(_MAX, _ignore)
+        local = _held(stack, account, 0)
+        assert not local.reserve(_MAX, lambda: granted.append('local'))
+        first, second = [
+            stack.enter_context(account.holding(_ignore, for_caller=True))
+            for _ in range(2)
+        ]
+        assert first.reserve(400 * _KB, _ignore)
+        assert not second.reserve(400 * _KB, lambda: granted.append('second'))
+        first.resize(0)
+        assert granted == ['second']
+
+
+def test_the_only_answer_to_a_caller_is_kept() -> None:
+    """Guards against an answer that is accepted alone and then given up."""
+    account = HeldBytes(_MAX)
+    with ExitStack() as stack:
+        outgoing = _held(stack, account, 0)
+        assert outgoing.reserve(_MAX, _ignore)
+        first, second = [
+            stack.enter_context(account.holding(_ignore, for_caller=True))
+            for _ in range(2)
+        ]
+        first.grow_to(400 * _KB)
+        assert account.given_up == 0
+        second.grow_to(300 * _KB)
+        assert account.given_up == 1
+        assert (first.size, second.size) == (0, 300 * _KB)
+
+
+def test_room_is_kept_for_the_next_holder_of_an_answer() -> None:
+    """Guards against replies that are given up as their room was reused.
+
+    An answer left the account of its connection and was counted as a reply
+    one step of the event loop later. Another was accepted in between.
+    """
+    later: list[Callable[[], None]] = []
+    account = HeldBytes(_MAX, later.append)
+    granted: list[str] = []
+    with ExitStack() as stack:
+        waiting = _held(stack, account, 0)
+        with account.holding(_ignore) as answer:
+            assert answer.reserve(700 * _KB, _ignore)
+            waiting.reserve(700 * _KB, lambda: granted.append('waiting'))
+        assert not granted
+        assert not account.has_room(700 * _KB)
+        reply = _held(stack, account, 700 * _KB)
+        later.pop()()
+        assert not granted
+        assert account.given_up == 0
+        reply.resize(0)
+        assert granted == ['waiting']
+
+
+def test_a_share_is_bounded_beside_the_account() -> None:
+    """Guards against one kind of bodies that takes the room of all."""
+    account = HeldBytes(_MAX)
+    share = BodyShare(300 * _KB, account)
+    other = BodyShare(300 * _KB, account)
+    assert share.hold(500 * _KB)
+    assert not share.hold(1)
+    assert other.hold(200 * _KB)
+    assert share.refused == 1
+    assert account.size == 700 * _KB
+    share.release(500 * _KB)
+    other.release(200 * _KB)
+    assert account.size == 0
+
+
 @settings(derandomize=True, max_examples=200)
 @given(
     st.lists(
