Test answers without end in every form

Other operators reported a faulty server whose bytes without end, in a head or a body, filled the machine that had called it. The tests lacked bytes of another protocol, blank lines, a chunk size without end, a length beyond the limit, bodies until the end of the connection and an instance that forwards. All of these passed on as well: no fault was found, and no product code changes.

--- a/tests/edge/test_client_pool.py
+++ b/tests/edge/test_client_pool.py
@@ -115,6 +115,16 @@
             b'',
             b'HTTP/1.1 204 No Content\r\nother: 1\r\n\r\n',
         ),
+        'bytes of another protocol': (b'', b'\x15\x03\x01' * 500),
+        'blank lines': (b'', b'\r\n' * 500),
+        'a chunk size': (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+            b'0' * 1000,
+        ),
+        'a length beyond the limit': (
+            b'HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n',
+            b'z' * 1000,
+        ),
         'trailers': (
             b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n',
             b'x: %b\r\n' % (b'y' * 1000),
@@ -265,6 +275,7 @@
     b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
     b'8000\r\n%b\r\n' % bytes(0x8000),
 )
+_UNTIL_CLOSE = (b'HTTP/1.1 200 OK\r\n\r\n', bytes(0x8000))
 _MAX_HELD = 3_000_000
 # Reads of the event loop that are parsed at once.
 _READ_BYTES = 512 * 1024
@@ -275,8 +286,9 @@
         await _send(pool, address, force_new=True)
 
 
+@pytest.mark.parametrize('parts', [_ENDLESS_BODY, _UNTIL_CLOSE])
 async def test_bodies_without_end_share_a_bound(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, parts: tuple[bytes, bytes]
 ) -> None:
     """Guards against a process that exceeds its memory (review case 3).
 
@@ -291,7 +303,7 @@
         sizes.append(held.size)
 
     monkeypatch.setattr(held, 'charge', record_size)
-    endless = _sends_without_end(*_ENDLESS_BODY)
+    endless = _sends_without_end(*parts)
     body = b'z' * (_MAX_HELD // 2)
     head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
     sound = _sends_without_end(head + body, b' ' * _ENDLESS_BYTES)
--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from types import MappingProxyType
 
 import pytest
 
 from tests.builders.platform_servers import PlatformServer
 from tests.builders.platform_system import PlatformSystem, platform_system
 from tests.builders.raw_server import RawServer, Script, run_raw_server
+from yuccadale_edge._internal.transport.held_bytes import HeldBytes
 from yuccadale_edge.instance import CallKind, ClientPool, OwnershipCall
 from yuccadale_edge.ownership import Holder
 from yuccadale_platform.adapter import PlatformServerCalls, parse_address
@@ -209,3 +211,86 @@
                 )
                 assert status == 200
             assert set(await asyncio.gather(*endless)) == {502}
+
+
+_CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+_PIECE = bytes(0x8000)
+# What comes once, and what is repeated.
+_ENDLESS = MappingProxyType(
+    {
+        'status line': (b'HTTP/1.1 200 ', b'O' * 1000),
+        'head': (b'HTTP/1.1 200 OK\r\n', b'x: %b\r\n' % (b'y' * 1000)),
+        'chunk extension': (b'%b5;x=' % _CHUNKED, b'y' * 1000),
+        'chunks': (_CHUNKED, b'8000\r\n%b\r\n' % _PIECE),
+        'trailer': (b'%b0\r\n' % _CHUNKED, b'x: %b\r\n' % (b'y' * 1000)),
+        'body until close': (b'HTTP/1.1 200 OK\r\n\r\n', _PIECE),
+        'body with a length': (
+            b'HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n',
+            _PIECE,
+        ),
+    }
+)
+_MAX_HELD_BYTES = 3_000_000
+# Reads of the event loop that are parsed at once.
+_READ_BYTES = 512 * 1024
+
+
+def _never_ends(begin: bytes, repeated: bytes) -> Callable[[RawServer], Script]:
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await raw.read_request(reader)
+            writer.write(begin)
+            while True:
+                writer.write(repeated)
+                await writer.drain()
+
+        return script
+
+    return make_script
+
+
+@pytest.mark.parametrize('part', sorted(_ENDLESS))
+async def test_an_answer_without_end_costs_no_other_request(part: str) -> None:
+    """Guards against instances that a faulty server fills, with a forward.
+
+    The account of each instance stays within its bound, and the requests of
+    others are served meanwhile.
+    """
+    async with run_raw_server(_never_ends(*_ENDLESS[part])) as raw:
+        async with _system_with(raw) as (system, first):
+            second = await system.add_instance()
+            await system.add_server(
+                PlatformServer('k', 'ledger', 'a', keyed=True)
+            )
+            sizes: list[int] = []
+            for name in (first, second):
+                await system.wait_until_served(name, 7)
+                held = system.instance_by_name[name]._held
+                held.max_bytes = _MAX_HELD_BYTES
+                _record_sizes(held, sizes)
+            endless = [
+                asyncio.create_task(_status(system, entry, f'{entry}-{number}'))
+                for number in range(2)
+                for entry in (first, second)
+            ]
+            for name in (first, second):
+                for number in range(10):
+                    assert await system.is_served(name, number)
+            assert set(await asyncio.gather(*endless)) <= {429, 502, 504}
+            assert raw.heads
+            assert max(sizes, default=0) <= _MAX_HELD_BYTES + _READ_BYTES
+            for instance in system.instance_by_name.values():
+                assert instance._held.size == 0
+
+
+def _record_sizes(held: HeldBytes, sizes: list[int]) -> None:
+    """Records the size of an account after each change."""
+    charge = held.charge
+
+    def record(added: int) -> None:
+        charge(added)
+        sizes.append(held.size)
+
+    held.charge = record  # type: ignore[method-assign]
