--- /dev/null
+++ b/tests/soak/report.py
@@ -0,0 +1,14 @@
+"""What a soak test saw."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+@dataclass
+class SoakReport:
+    """Answers to callers, injected faults and violated guarantees."""
+
+    seed: int
+    status_counts: Counter[int] = field(default_factory=Counter)
+    faults: list[str] = field(default_factory=list)
+    problems: list[str] = field(default_factory=list)
