Let servers of the soak test refuse requests and copy their answers

Callers were told that unsafe requests had not run, though they ran, and the soak test did not find it: its servers never sent an answer a second time, and their refusals had no id.

A server of the soak test now refuses a third of the new requests for one or two seconds, with their id and status 503, 429, 421 or 400. Meanwhile it copies answers: the refusal of a request that comes again on the connection, on arrival or during the work; other answers where a later request or grant is due; and any answer up to 0.5 s later, whatever the connection carries then. What it copies is decided by the seed of the run. This fault has a random source of its own, so the other faults of a seed stay the same. It excuses no unanswered request: the servers end no connection for it, so it is part of planned work too.

--- a/tests/builders/copied_refusals.py
+++ b/tests/builders/copied_refusals.py
@@ -48,7 +48,7 @@
         """Keeps a refusal that is about to be sent."""
         assert request.transport is not None
         copies = self._copies_by_connection.setdefault(request.transport, {})
-        copies[refusal.headers['X-Attempt-Id']] = _encode(refusal)
+        copies[refusal.headers['X-Attempt-Id']] = encode_answer(refusal)
 
     def send_copy(self, request: web.Request) -> None:
         """Sends the refusal again that this connection had to a request."""
@@ -63,21 +63,26 @@
         self.sent += 1
         if self.after_s:
             loop = asyncio.get_running_loop()
-            loop.call_later(self.after_s, _write, transport, copy)
+            loop.call_later(self.after_s, write_copy, transport, copy)
         else:
-            _write(transport, copy)
+            write_copy(transport, copy)
 
 
-def _encode(refusal: web.Response) -> bytes:
+def encode_answer(answer: web.Response) -> bytes:
+    """Returns a whole answer with its own headers."""
     headers = ''.join(
-        f'{name}: {text}\r\n' for name, text in refusal.headers.items()
+        f'{name}: {text}\r\n' for name, text in answer.headers.items()
     )
+    body = answer.body
+    assert body is None or isinstance(body, bytes)
+    content = body or b''
     return (
-        f'HTTP/1.1 {refusal.status} Refused\r\n{headers}'
-        'Content-Length: 0\r\n\r\n'
-    ).encode()
+        f'HTTP/1.1 {answer.status} {answer.reason}\r\n{headers}'
+        f'Content-Length: {len(content)}\r\n\r\n'
+    ).encode() + content
 
 
-def _write(transport: asyncio.Transport, encoded: bytes) -> None:
+def write_copy(transport: asyncio.Transport, encoded: bytes) -> None:
+    """Sends an answer, unless the connection was closed meanwhile."""
     if not transport.is_closing():
         transport.write(encoded)
--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -12,6 +12,7 @@
 import msgspec
 from aiohttp import web
 
+from tests.builders.copied_answers import GRANT_PATH, CopiedAnswers
 from tests.builders.copied_refusals import CopiedRefusals
 from tests.builders.platform_store import RunningStore
 from yuccadale_standins.serving import drop_connection, listening
@@ -42,6 +43,8 @@
         send_extra_answers: send a second answer shortly after each answer.
         shed_next: number of requests to refuse although there is capacity.
         copied_refusals: refusals that it sends once more; none by default.
+        copied_answers: answers of any kind that it sends once more, set before
+            it runs.
         limit_text: the limit that its answers name, None to name none.
         leaving: whether all its answers say that it leaves.
         left_answer_s: when an answer first said so, on a monotonic clock.
@@ -66,6 +69,7 @@
     full: bool = False
     shed_next: int = 0
     copied_refusals: CopiedRefusals = field(default_factory=CopiedRefusals)
+    copied_answers: CopiedAnswers | None = None
     limit_text: str | None = None
     leaving: bool = False
     left_answer_s: float = inf
@@ -166,10 +170,14 @@
 ) -> AsyncIterator[PlatformServer]:
     """Runs a server and writes its entry to the store."""
     application = web.Application()
-    application.router.add_post('/v1/grant', _grant(server))
+    grant, request = _grant(server), _request(server)
+    if server.copied_answers is not None:
+        grant = server.copied_answers.around(grant)
+        request = server.copied_answers.around(request)
+    application.router.add_post(GRANT_PATH, grant)
     application.router.add_post('/v1/release', _release(server))
     application.router.add_get(server.health_path, _health(server))
-    application.router.add_route('*', '/{path:.*}', _request(server))
+    application.router.add_route('*', '/{path:.*}', request)
     async with listening(application) as listener:
         server.address = listener.address
         store.state.put('servers', server.server_id, server.entry())
@@ -301,7 +309,11 @@
         return web.Response(
             status=503, headers=not_executed | server.pause_headers()
         )
-    return None
+    if server.copied_answers is None:
+        return None
+    return server.copied_answers.refuse(
+        request.headers['X-Attempt-Id'], not_executed
+    )
 
 
 def _send_extra_later(request: web.Request) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -28,6 +28,9 @@
 # As the users' servers wait after they have said that they leave.
 _DRAINING_S = 2.0
 _END_OF_WORK_CHECK_S = 0.1
+_COPIES_S = (1.0, 2.0)
+_REFUSED_SHARE = 1 / 3
+_REFUSAL_STATUSES = (503, 429, 421, 400)
 _ROUTE_TIMEOUTS = ('2000ms', '3000ms')
 
 Fault = Callable[[random.Random], Coroutine[None, None, None]]
@@ -116,14 +119,16 @@
                     self._change_work,
                 ],
                 'configuration': [self._change_configuration],
-                # It excuses no unanswered request.
+                # These excuse no unanswered request.
                 'store': [self._store_down, self._drop_store_answers],
+                'answers': [self._copy_answers],
             }
         return {
             'processes': self._process_faults(),
             'connections': self._connection_faults(),
             'input': self._input_faults(),
             'limits': [self._limit_server],
+            'answers': [self._copy_answers],
         }
 
     def _process_faults(self) -> list[Fault]:
@@ -272,6 +277,14 @@
         await asyncio.sleep(0.5)
         server.drop_answers = False
 
+    async def _copy_answers(self, random_source: random.Random) -> None:
+        """Lets a server refuse requests, and send answers a second time."""
+        server = random_source.choice(self._servers)
+        status = random_source.choice(_REFUSAL_STATUSES)
+        assert server.copied_answers is not None
+        with server.copied_answers.active(status, _REFUSED_SHARE):
+            await asyncio.sleep(random_source.choice(_COPIES_S))
+
     async def _damage_row(self, random_source: random.Random) -> None:
         """Makes the record of keys unreadable until the leader writes it."""
         damaged = random_source.choice((b'', b'[', b'\xff\xff'))
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -6,9 +6,14 @@
 
 @dataclass
 class SoakReport:
-    """Answers to callers, injected faults and violated guarantees."""
+    """Answers to callers, injected faults and violated guarantees.
+
+    Attributes:
+        copies: counts of all servers; see ``CopiedAnswers``.
+    """
 
     seed: int
     status_counts: Counter[int] = field(default_factory=Counter)
+    copies: Counter[str] = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,6 +20,7 @@
 
 import aiohttp
 
+from tests.builders.copied_answers import CopiedAnswers
 from tests.builders.platform_servers import PlatformServer, running_server
 from tests.builders.platform_store import RunningStore, running_store
 from tests.builders.platform_system import HOST, configuration
@@ -107,6 +108,9 @@
         self._check_executions()
         self._check_unanswered()
         self._check_limits()
+        for server in self._servers:
+            if server.copied_answers is not None:
+                self.report.copies.update(server.copied_answers.counts)
         return self.report
 
     async def _send_requests(self) -> None:
@@ -271,6 +275,20 @@
             yield proxy
 
 
+def _servers(seed: int) -> list[PlatformServer]:
+    """Returns servers with keys and one without."""
+    servers = [
+        PlatformServer(f'k{number}', 'ledger', 'ab'[number % 2], keyed=True)
+        for number in range(KEYED_SERVERS)
+    ]
+    servers.append(PlatformServer('p0', 'stage', 'a', keyed=False))
+    for server in servers:
+        server.copied_answers = CopiedAnswers(
+            random.Random(f'{seed} {server.server_id}')
+        )
+    return servers
+
+
 async def run_seed(
     seed: int,
     duration_s: float,
@@ -283,11 +301,7 @@
 
     Logs and settings stay in the directory.
     """
-    servers = [
-        PlatformServer(f'k{number}', 'ledger', 'ab'[number % 2], keyed=True)
-        for number in range(KEYED_SERVERS)
-    ]
-    servers.append(PlatformServer('p0', 'stage', 'a', keyed=False))
+    servers = _servers(seed)
     client_timeout = aiohttp.ClientTimeout(total=LIMIT_MS / 1000 + 1)
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_store())
@@ -329,7 +343,13 @@
                 planned=options.planned,
             )
         )
-        print(seed, dict(report.status_counts), report.faults, flush=True)
+        print(
+            seed,
+            dict(report.status_counts),
+            dict(report.copies),
+            report.faults,
+            flush=True,
+        )
         for problem in report.problems:
             status = 1
             print(f'seed {seed}: {problem}; logs in {directory}')
