--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -13,6 +13,7 @@
 import msgspec
 from aiohttp import web
 
+from tests.builders.copied_answers import GRANT_PATH, CopiedAnswers
 from tests.builders.copied_refusals import CopiedRefusals
 from tests.builders.platform_store import RunningStore
 from yuccadale_standins.serving import drop_connection, listening
@@ -47,6 +48,8 @@
             answered. If the connection has had an answer to a grant before,
             its copy comes at once.
         granted_connections: those that have had an answer to a grant.
+        copied_answers: answers of any kind that it sends once more, set before
+            it runs.
         limit_text: the limit that its answers name, None to name none.
         leaving: whether all its answers say that it leaves.
         left_answer_s: when an answer first said so, on a monotonic clock.
@@ -75,6 +78,7 @@
     granted_connections: WeakSet[asyncio.Transport] = field(
         default_factory=WeakSet
     )
+    copied_answers: CopiedAnswers | None = None
     limit_text: str | None = None
     leaving: bool = False
     left_answer_s: float = inf
@@ -175,10 +179,14 @@
 ) -> AsyncIterator[PlatformServer]:
     """Runs a server and writes its entry to the store."""
     application = web.Application()
-    application.router.add_post('/v1/grant', _grant(server))
+    grant, request = _grant(server), _request(server)
+    if server.copied_answers is not None:
+        grant = server.copied_answers.around(grant)
+        request = server.copied_answers.around(request)
+    application.router.add_post(GRANT_PATH, grant)
     application.router.add_post('/v1/release', _release(server))
     application.router.add_get(server.health_path, _health(server))
-    application.router.add_route('*', '/{path:.*}', _request(server))
+    application.router.add_route('*', '/{path:.*}', request)
     async with listening(application) as listener:
         server.address = listener.address
         store.state.put('servers', server.server_id, server.entry())
@@ -320,7 +328,11 @@
         return web.Response(
             status=503, headers=not_executed | server.pause_headers()
         )
-    return None
+    if server.copied_answers is None:
+        return None
+    return server.copied_answers.refuse(
+        request.headers['X-Attempt-Id'], not_executed
+    )
 
 
 def _send_extra_later(request: web.Request) -> None:
