Learn the limit in a refusal of a server that has lost its keys

Cause: the limit in these answers was ignored, as another server at a reused address refuses in the same way: "any other server responds with 421 and does not run the request". Nothing in the answer names its sender: X-Instance-Id is for health checks only.

The connection can tell. A request that names its server runs at that server only, so once it has run, the connection leads to this process until it ends; a refusal that follows on it is the server's own. There the limit is learned. On other connections it is not, and a refusal without a limit does not end one.

Evidence: test_a_limit_in_a_refusal_without_the_key failed before on both event loops for a connection that has answered, and holds for one that has not.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
@@ -11,6 +11,7 @@
 
 from yuccadale_edge._internal.model import Server
 from yuccadale_edge._internal.observability.metrics import Metrics
+from yuccadale_edge._internal.ownership.segments import Holder
 from yuccadale_edge._internal.routing.codec import RequestCodec
 from yuccadale_edge._internal.routing.requests import RoutedRequest
 from yuccadale_edge._internal.transport.client_connection import (
@@ -83,9 +84,11 @@
 def record_answer(
     sending: Sending, answer: Answer, codec: RequestCodec, metrics: Metrics
 ) -> None:
-    """Records a refusal and what shows that it is the answer."""
+    """Records an answer, and what shows that a refusal is the one."""
     connection = sending.connection
     if not codec.not_executed(answer):
+        # Another server would have refused the request.
+        connection.peer = _holder(sending)
         return
     if codec.named_request(answer) is not None:
         evidence = Evidence.named
@@ -107,6 +110,15 @@
     )
 
 
+def leads_to_server(sending: Sending) -> bool:
+    """Whether the connection surely leads to the server of the request."""
+    return sending.connection.peer == _holder(sending)
+
+
+def _holder(sending: Sending) -> Holder:
+    return Holder(sending.server.server_id, sending.server.incarnation)
+
+
 def _described(sending: Sending) -> dict[str, str | int]:
     return {
         'request': sending.request.request_id,
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -9,7 +9,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 
 import httptools
@@ -83,6 +83,7 @@
     Attributes:
         number: distinguishes the connections of a process in logs.
         answers: how many requests have got their answer on it.
+        peer: the server that has surely answered on it; None if unknown.
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         self._held = held
         self.number = number
         self.answers = 0
+        self.peer: Hashable = None
         self._refused_ids: set[str] = set()
         self._holding: Holding | None = None
         self._transport: asyncio.Transport | None = None
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -187,10 +187,12 @@
     Attributes:
         number: see ``ClientConnection``.
         answers: how many were read.
+        peer: see ``ClientConnection``.
     """
 
     number = 0
     answers = 1
+    peer: object = None
 
     def __init__(self, node: 'SimulatedInstance') -> None:
         self._node = node
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -130,3 +130,31 @@
         server.limit_text = None
         assert await _status(system, name, '/once/x', None) == 200
         assert 'server_limit_per_s' not in await _metrics(system, name)
+
+
+@pytest.mark.parametrize('answered_before', [True, False])
+async def test_a_limit_in_a_refusal_without_the_key(
+    answered_before: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a server that lost its leases and gets all requests.
+
+    Another server at a reused address refuses in the same way. Only after an
+    answer to a request that ran does a connection surely lead to the server.
+    """
+    async with platform_system(keyed=1, unkeyed=0) as system:
+        name = await system.add_instance()
+        await system.wait_until_served(name, 7)
+        server = system.server_by_id['k0']
+        monkeypatch.setattr(PlatformServer, 'holds', lambda *_: False)
+        if not answered_before:
+            host, port = server.address.split(':')
+            pool = system.instance_by_name[name]._pool
+            pool.close_idle((host, int(port)))
+        server.limit_text = '3'
+        arrived = len(server.arrivals_s)
+        await system.send_request(name, '/keyed/x', key=7)
+        is_known = 'server_limit_per_s{server="k0"} 3.0' in await _metrics(
+            system, name
+        )
+        assert is_known == answered_before
+        assert len(server.arrivals_s) > arrived
