--- a/tests/builders/queued_requests.py
+++ b/tests/builders/queued_requests.py
@@ -109,7 +109,7 @@
             repeatable=False,
             remaining_ms=DEADLINE_S * 1000,
             until_target_ms=DEADLINE_S * 1000,
-            max_attempts=1,
+            allowed_attempts=1,
             server_id=server_id,
             incarnation=1,
         )
