--- a/tests/platform/test_lost_senders.py
+++ b/tests/platform/test_lost_senders.py
@@ -125,7 +125,7 @@
 async def test_unreported_attempts_count_against_the_route(
     instances: int, limit_text: str | None
 ) -> None:
-    """Guards against a request at more servers than its route allows."""
+    """Guards against a request sent more often than its route allows."""
     status, servers = await _lose_sender(
         instances, 2, sender_lost_at=2, limit_text=limit_text
     )
