--- a/tests/builders/queued_requests.py
+++ b/tests/builders/queued_requests.py
@@ -44,12 +44,15 @@
 
     @asynccontextmanager
     async def acquire(
-        self, address: Address, *_: object, request_id: str
+        self, address: Address, *_: object, force_new: bool, request_id: str
     ) -> AsyncIterator[Mock]:
         """Provides a connection to a server."""
 
-        async def exchange(*_: object, head_only: bool) -> Answer:
+        assert not force_new
+
+        async def exchange(*_: object, head_only: bool, body: bytes) -> Answer:
             assert not head_only
+            assert not body
             self.sent.append(SentRequest(address[0], request_id, elapsed_s()))
             await asyncio.sleep(WORK_S)
             return Answer(200, [(b'x-attempt-id', request_id.encode())])
