Check whether a forwarded request is late when its handling begins

An instance that was suspended worked on requests whose senders had given them up.

Cause: since the lateness of a request was taken when its frame was read. A process that is suspended between that and the begin of the task took the request for one in time, and did not wait for the reset of the link.

The new test_a_peer_that_was_suspended_after_reading_does_not_begin pauses the process at that point; it failed before.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -857,8 +857,9 @@
             link.task_by_request_id.pop(frame.request_id, None)
             self._bodies.release(held)
 
-        late = elapsed_s() - complete_due_s > _LATE_REQUEST_S
-        task = asyncio.create_task(self._respond(link, frame, due_s, late=late))
+        task = asyncio.create_task(
+            self._respond(link, frame, due_s, complete_due_s)
+        )
         link.task_by_request_id[frame.request_id] = task
         task.add_done_callback(forget)
 
@@ -879,8 +880,14 @@
         link.writer.transport.abort()
 
     async def _respond(
-        self, link: _AcceptedLink, frame: Frame, due_s: float, *, late: bool
+        self,
+        link: _AcceptedLink,
+        frame: Frame,
+        due_s: float,
+        complete_due_s: float,
     ) -> None:
+        # The process may have been suspended since the frame was read.
+        late = elapsed_s() - complete_due_s > _LATE_REQUEST_S
         self.active_requests += 1
         try:
             await self._handle_and_respond(link, frame, due_s, late=late)
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -15,6 +15,8 @@
 from dataclasses import dataclass, field
 from socket import socket
 
+import pytest
+
 from tests.builders.link_sender import FIRST_BODY, link_sender, send_request
 from tests.builders.ports import free_port
 from tests.builders.silent_path import accept_packets, drop_packets
@@ -168,3 +170,28 @@
     for pause_s, wait_s in itertools.product(_PAUSES_S, _WAITS_S):
         late.extend(asyncio.run(_late_after_pause(pause_s, wait_s)))
     assert not late
+
+
+async def _late_after_pause_before_begin(pause_s: float) -> list[str]:
+    """Returns the work of a receiver that was paused after it had read."""
+    async with (
+        _receiver() as receiver,
+        link_sender(receiver.address) as process,
+    ):
+        start = PeerServer._start_request
+
+        def start_and_pause(*arguments: object) -> None:
+            start(*arguments)  # type: ignore[arg-type]
+            time.sleep(pause_s)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(PeerServer, '_start_request', start_and_pause)
+            await send_request(process, max(_WAITS_S))
+            await asyncio.sleep(_AFTER_S)
+        return [f'begun at {begun_s}' for begun_s in receiver.begun_s]
+
+
+def test_a_peer_that_was_suspended_after_reading_does_not_begin() -> None:
+    """Guards against old requests that run, as they were read in time."""
+    pause_s = max(_PAUSES_S)
+    assert not asyncio.run(_late_after_pause_before_begin(pause_s))
