Keep the room of an answer until it is counted as a reply

What callers saw: at a load of 9 to 13 on 8 cores, some of 15 large answers that were asked for at once at three instances ended without being complete (test_large_bodies, 24 MiB, 5 requests an instance).

Cause: an answer leaves the holding of its connection, or of its link, before it is counted as the reply to its caller. Its room was kept for 0.1 s by the clock. With copies of 25 MB between, the process took longer; the room went to another answer, or the answer on its way was overlooked and another one was accepted as the only answer to a caller. When the reply was counted, the account exceeded its bound and gave up a reply whose caller was reading. The log of a failing run shows it: 147,193,389 bytes held at a bound of 120,000,000, "largest part given up".

The fix: the room belongs to the request until the reply is charged, and passes to it in one step, without a clock. It counts as an answer on its way to a caller meanwhile. What was accepted without room does not count against the others.

test_room_is_kept_for_the_next_holder_of_an_answer drove the timer by hand, which is gone; it now hands the room over, and also checks that no other answer is accepted as the only one meanwhile.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -92,9 +92,6 @@
 # Share of the process's memory for all bytes that are held for others. Joining
 # an answer, or passing it to another instance, copies it for a moment.
 _HELD_SHARE = 0.4
-# An answer leaves the connection to its server, or the link to its sender, a
-# moment before it is counted as the reply to its caller.
-_REUSE_ROOM_AFTER_S = 0.1
 _OK = 200
 _UNAVAILABLE = 503
 _NOT_FOUND = 404
@@ -142,10 +139,7 @@
         self._metrics = Metrics()
         memory_bytes = settings.machine.memory_mb * _BYTES_PER_MB
         loop = asyncio.get_running_loop()
-        self._held = HeldBytes(
-            memory_bytes * _HELD_SHARE,
-            partial(loop.call_later, _REUSE_ROOM_AFTER_S),
-        )
+        self._held = HeldBytes(memory_bytes * _HELD_SHARE)
         self._pool = ClientPool(loop, self._held)
         self._links = PeerLinks(self._held)
         self._system_view = SystemView(
--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -44,6 +44,7 @@
 from yuccadale_edge._internal.supervision import contained
 from yuccadale_edge._internal.transport.client_pool import Address
 from yuccadale_edge._internal.transport.held_bytes import (
+    AnswerRoom,
     BodyShare,
     HeldBytes,
 )
@@ -890,12 +891,21 @@
         late = elapsed_s() - complete_due_s > _LATE_REQUEST_S
         self.active_requests += 1
         try:
-            await self._handle_and_respond(link, frame, due_s, late=late)
+            with self._held.answer_room() as room:
+                await self._handle_and_respond(
+                    link, frame, due_s, room, late=late
+                )
         finally:
             self.active_requests -= 1
 
     async def _handle_and_respond(
-        self, link: _AcceptedLink, frame: Frame, due_s: float, *, late: bool
+        self,
+        link: _AcceptedLink,
+        frame: Frame,
+        due_s: float,
+        room: AnswerRoom,
+        *,
+        late: bool,
     ) -> None:
         if late:
             self._metrics.count('late_peer_requests', topic=frame.topic)
@@ -921,7 +931,8 @@
             return
         with self._held.holding(_keep) as holding:
             holding.give_up = None
-            holding.grow_to(len(response))
+            with room.handed_over():
+                holding.grow_to(len(response))
             await link.respond_in_parts(frame, response)
 
     def _log_unreadable(
--- a/packages/edge/src/yuccadale_edge/_internal/transport/held_bytes.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/held_bytes.py
@@ -6,13 +6,18 @@
 new bodies are refused, and answers of a known length wait unread. An answer on
 its way to a caller of this instance is accepted when it is the only one, also
 if the account is full of answers for other instances: they leave when the
-others have room, which must not depend on room here.
+others have room, which must not depend on room here. It doesn't count against
+the bound until it has left.
+
+An answer passes through several holdings, such as that of the connection to
+its server and that of the connection of its caller. Between them its room
+belongs to the request (``AnswerRoom``).
 """
 
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from functools import partial
+from contextvars import ContextVar
 from math import inf
 
 import structlog
@@ -20,15 +25,15 @@
 _log = structlog.get_logger()
 
 Notification = Callable[[], None]
-Later = Callable[[Notification], object]
 
 # Bodies up to this size are always accepted. Their number is bounded by the
 # connections, and a few large bodies never block them.
 SMALL_BYTES = 64 * 1024
 
-
-def _at_once(notification: Notification) -> None:
-    notification()
+# The room of the request that runs in this context.
+_answer_room: ContextVar['AnswerRoom | None'] = ContextVar(
+    'answer_room', default=None
+)
 
 
 class Holding:
@@ -36,6 +41,7 @@
 
     Attributes:
         size: the bytes charged.
+        without_room: how many of them were accepted without room.
         give_up: discards the bytes; None if they must be kept.
         for_caller: whether they are an answer on its way to a caller.
     """
@@ -48,6 +54,7 @@
         for_caller: bool = False,
     ) -> None:
         self.size = 0
+        self.without_room = 0
         self.for_caller = for_caller
         self.give_up: Notification | None = give_up
         self._account = account
@@ -62,6 +69,8 @@
         """Charges or releases the difference to the present size."""
         added = size - self.size
         self.size = size
+        self.without_room += self._account.take_without_room(added)
+        self.without_room = min(self.without_room, size)
         self._account.charge(added)
 
     def grow_to(self, size: int) -> None:
@@ -80,13 +89,66 @@
             Whether the room was reserved at once.
         """
         self.give_up = None
-        if size <= SMALL_BYTES or self._account.make_room_for(self, size):
+        added = size - self.size
+        if size <= SMALL_BYTES or self._account.make_room(added):
+            self.grow_to(size)
+            return True
+        if self._account.is_only_answer(self):
+            self.without_room = added
             self.grow_to(size)
             return True
         self._account.wait_for_room(self, size, granted)
         return False
 
 
+class AnswerRoom:
+    """Room of the answer to one request between its holdings.
+
+    It lasts until it is handed over.
+
+    Attributes:
+        size: the bytes charged.
+        without_room: see ``Holding``.
+        for_caller: see ``Holding``.
+    """
+
+    def __init__(
+        self, account: 'HeldBytes', *, for_caller: bool = False
+    ) -> None:
+        self.size = 0
+        self.without_room = 0
+        self.for_caller = for_caller
+        self._account = account
+        self._closed = False
+
+    @contextmanager
+    def collecting(self) -> Iterator[None]:
+        """Keeps the room of the large answers that are read in the block."""
+        token = _answer_room.set(self)
+        try:
+            yield
+        finally:
+            _answer_room.reset(token)
+
+    @contextmanager
+    def handed_over(self) -> Iterator[None]:
+        """Gives the room to what is charged in the block, and closes it."""
+        with self._account.handing_over(self.without_room):
+            self.keep(0, 0)
+            self._closed = True
+            yield
+
+    def keep(self, size: int, without_room: int) -> None:
+        """Keeps room in place of that of an earlier answer, unless closed."""
+        if self._closed:
+            return
+        added = size - self.size
+        self.size = size
+        self.without_room = without_room
+        self._account.note_room(self)
+        self._account.charge(added)
+
+
 _WaitingHolding = tuple[Holding, int, Notification]
 
 
@@ -100,20 +162,19 @@
         given_up: number of holdings that were given up.
     """
 
-    def __init__(self, max_bytes: float = inf, later: Later = _at_once) -> None:
+    def __init__(self, max_bytes: float = inf) -> None:
         """Creates an empty account.
 
         Args:
             max_bytes: bound of all bytes together.
-            later: calls a function once the next part of the process has
-                charged bytes that another one has just released.
         """
         self.max_bytes = max_bytes
         self.size = 0
         self.given_up = 0
-        self._later = later
-        self._passed_on = 0
+        self._grants_room = True
+        self._handed_over = 0
         self._holdings: set[Holding] = set()
+        self._rooms: set[AnswerRoom] = set()
         self._waiting: deque[_WaitingHolding] = deque()
         self._waiting_for_callers: deque[_WaitingHolding] = deque()
 
@@ -136,10 +197,50 @@
             self._holdings.discard(holding)
             self._pass_on(holding)
 
+    @contextmanager
+    def answer_room(self) -> Iterator[AnswerRoom]:
+        """Provides the room of the answer to a request of another instance."""
+        room = AnswerRoom(self)
+        try:
+            with room.collecting():
+                yield room
+        finally:
+            with room.handed_over():
+                """Whoever takes the answer has charged it."""
+
+    @contextmanager
+    def handing_over(self, without_room: int = 0) -> Iterator[None]:
+        """Grants the room that is released in the block after the block.
+
+        Args:
+            without_room: bytes accepted without room that the next holding
+                takes over.
+        """
+        granted_before = self._grants_room
+        handed_over_before = self._handed_over
+        self._grants_room = False
+        self._handed_over = without_room
+        try:
+            yield
+        finally:
+            self._resume_granting(granted_before, handed_over_before)
+
+    def take_without_room(self, added: int) -> int:
+        """Returns how many of added bytes were accepted without room before."""
+        taken = max(0, min(added, self._handed_over))
+        self._handed_over -= taken
+        return taken
+
+    def note_room(self, room: AnswerRoom) -> None:
+        """Remembers the rooms that are in use."""
+        if room.size:
+            self._rooms.add(room)
+        else:
+            self._rooms.discard(room)
+
     def has_room(self, size: int) -> bool:
         """Whether bytes can be added within the bound."""
-        held = self.size + self._passed_on
-        return not held or held + size <= self.max_bytes
+        return not self.size or self.size + size <= self.max_bytes
 
     def make_room(self, size: int) -> bool:
         """Whether bytes can be added, after others were given up for them."""
@@ -148,17 +249,18 @@
                 return False
         return True
 
-    def make_room_for(self, holding: Holding, size: int) -> bool:
-        """Whether a holding can grow, after others were given up for it."""
-        added = size - holding.size
-        return self.make_room(added) or self._is_only_answer(holding)
+    def is_only_answer(self, holding: Holding) -> bool:
+        """Whether no other large answer is on its way to a caller."""
+        return holding.for_caller and not any(
+            one is not holding for one in self._large_answers()
+        )
 
     def charge(self, added: int) -> None:
         """Counts bytes; a negative number releases them."""
         self.size += added
         if added < 0:
             self._grant_room()
-        while self.size > self.max_bytes:
+        while self._exceeds_bound():
             if not self._give_up_largest():
                 break
 
@@ -171,6 +273,20 @@
             waiting = self._waiting_for_callers
         waiting.append((holding, size, granted))
 
+    def _resume_granting(self, grants_room: bool, handed_over: int) -> None:
+        self._grants_room = grants_room
+        self._handed_over = handed_over
+        self._grant_room()
+
+    def _exceeds_bound(self) -> bool:
+        """Whether the bytes accepted with room are too many."""
+        if self.size <= self.max_bytes:
+            return False
+        without_room = sum(
+            one.without_room for one in (*self._holdings, *self._rooms)
+        )
+        return self.size - without_room > self.max_bytes
+
     def _give_up_largest(self) -> bool:
         """Gives up the largest part that may be; False if there is none."""
         answers = self._large_answers()
@@ -195,34 +311,28 @@
         return True
 
     def _pass_on(self, holding: Holding) -> None:
-        """Releases a holding; its room is kept for who gets the bytes."""
+        """Releases a holding; the request keeps the room of a large answer."""
         size = holding.size
-        if size <= SMALL_BYTES:
+        room = _answer_room.get()
+        if size <= SMALL_BYTES or room is None:
             holding.resize(0)
             return
-        self._passed_on += size
-        holding.resize(0)
-        self._later(partial(self._reuse_room, size))
-
-    def _reuse_room(self, size: int) -> None:
-        self._passed_on -= size
-        self._grant_room()
-
-    def _is_only_answer(self, holding: Holding) -> bool:
-        """Whether no other large answer is on its way to a caller."""
-        return holding.for_caller and not any(
-            one is not holding for one in self._large_answers()
-        )
+        without_room = holding.without_room
+        with self.handing_over():
+            holding.resize(0)
+            room.keep(size, without_room)
 
-    def _large_answers(self) -> list[Holding]:
+    def _large_answers(self) -> list[Holding | AnswerRoom]:
         """Returns the large answers on their way to callers."""
         return [
             one
-            for one in self._holdings
+            for one in (*self._holdings, *self._rooms)
             if one.for_caller and one.size > SMALL_BYTES
         ]
 
     def _grant_room(self) -> None:
+        if not self._grants_room:
+            return
         self._grant_room_to(self._waiting_for_callers)
         self._grant_room_to(self._waiting)
 
@@ -232,10 +342,13 @@
             if holding not in self._holdings:
                 waiting.popleft()
                 continue
-            has_room = self.has_room(size - holding.size)
-            if not has_room and not self._is_only_answer(holding):
+            added = size - holding.size
+            has_room = self.has_room(added)
+            if not has_room and not self.is_only_answer(holding):
                 return
             waiting.popleft()
+            if not has_room:
+                holding.without_room = added
             holding.grow_to(size)
             granted()
 
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 from io import BytesIO
 from math import inf
@@ -21,6 +22,7 @@
 from yuccadale_edge._internal.transport.client_connection import Headers
 from yuccadale_edge._internal.transport.held_bytes import (
     SMALL_BYTES,
+    AnswerRoom,
     BodyShare,
     HeldBytes,
     Holding,
@@ -294,8 +296,9 @@
             self._arrived_s,
         )
         keep = self._parser.should_keep_alive()
-        answer = self._loop.create_task(self._handle(message))
-        answer.add_done_callback(self._flush)
+        room = AnswerRoom(self._listener.held, for_caller=True)
+        answer = self._loop.create_task(self._handle(message, room))
+        answer.add_done_callback(partial(self._flush, room))
         answer.add_done_callback(self._releases(self._held_bytes))
         self._held_bytes = 0
         self._body = BytesIO()
@@ -321,9 +324,10 @@
         if self._transport is not None:
             self._transport.abort()
 
-    async def _handle(self, message: CallerMessage) -> Reply:
+    async def _handle(self, message: CallerMessage, room: AnswerRoom) -> Reply:
         try:
-            reply = await self._listener.handler(message)
+            with room.collecting():
+                reply = await self._listener.handler(message)
         except Exception as error:
             # Other requests on the connection still get their answers.
             _log.error('request handler failed', reason=repr(error))
@@ -364,9 +368,10 @@
 
         return release
 
-    def _flush(self, _task: asyncio.Task[Reply]) -> None:
-        self._write_answers()
-        self._count_unwritten()
+    def _flush(self, room: AnswerRoom, _task: asyncio.Task[Reply]) -> None:
+        with room.handed_over():
+            self._write_answers()
+            self._count_unwritten()
 
     def _count_unwritten(self) -> None:
         """Counts replies that the caller has not read yet."""
--- a/tests/edge/test_held_bytes.py
+++ b/tests/edge/test_held_bytes.py
@@ -1,6 +1,5 @@
 """The account of bytes that a process holds for others."""
 
-from collections.abc import Callable
 from contextlib import ExitStack
 
 from hypothesis import given, settings
@@ -8,6 +7,7 @@
 
 from yuccadale_edge._internal.transport.held_bytes import (
     SMALL_BYTES,
+    AnswerRoom,
     BodyShare,
     HeldBytes,
     Holding,
@@ -139,24 +139,75 @@
     """Guards against replies that are given up as their room was reused.
 
     An answer left the account of its connection and was counted as a reply
-    one step of the event loop later. Another was accepted in between.
+    some time later. Others were accepted in between: one that waited for room,
+    and one as the only answer to a caller.
     """
-    later: list[Callable[[], None]] = []
-    account = HeldBytes(_MAX, later.append)
+    account = HeldBytes(_MAX)
+    room = AnswerRoom(account, for_caller=True)
     granted: list[str] = []
     with ExitStack() as stack:
         waiting = _held(stack, account, 0)
-        with account.holding(_ignore) as answer:
+        only = stack.enter_context(account.holding(_ignore, for_caller=True))
+        with room.collecting(), account.holding(_ignore) as answer:
             assert answer.reserve(700 * _KB, _ignore)
             waiting.reserve(700 * _KB, lambda: granted.append('waiting'))
+        assert not only.reserve(700 * _KB, lambda: granted.append('only'))
         assert not granted
         assert not account.has_room(700 * _KB)
-        reply = _held(stack, account, 700 * _KB)
-        later.pop()()
+        reply = stack.enter_context(account.holding(_ignore, for_caller=True))
+        with room.handed_over():
+            reply.resize(700 * _KB)
         assert not granted
         assert account.given_up == 0
         reply.resize(0)
-        assert granted == ['waiting']
+        assert granted == ['only']
+        only.resize(0)
+        assert granted == ['only', 'waiting']
+    assert account.size == 0
+
+
+def test_the_only_answer_to_a_caller_ends_no_other_reply() -> None:
+    """Guards against replies that are given up for one beyond the bound.
+
+    The answer of a server was read with room for it, and became a reply after
+    the only answer to a caller had been accepted without room.
+    """
+    account = HeldBytes(_MAX)
+    room = AnswerRoom(account, for_caller=True)
+    with ExitStack() as stack:
+        outgoing = _held(stack, account, 0)
+        assert outgoing.reserve(300 * _KB, _ignore)
+        with room.collecting(), account.holding(_ignore) as answer:
+            assert answer.reserve(700 * _KB, _ignore)
+            only = stack.enter_context(
+                account.holding(_ignore, for_caller=True)
+            )
+            assert only.reserve(700 * _KB, _ignore)
+        with room.handed_over():
+            reply = stack.enter_context(
+                account.holding(_ignore, for_caller=True)
+            )
+            reply.resize(700 * _KB)
+        assert account.given_up == 0
+        assert account.size == 1700 * _KB
+
+
+def test_room_of_an_answer_that_was_not_used_is_released() -> None:
+    """Guards against room that is lost with a request that was cancelled."""
+    account = HeldBytes(_MAX)
+    room = AnswerRoom(account)
+    for size in (400 * _KB, 300 * _KB):
+        with room.collecting(), account.holding(_ignore) as answer:
+            assert answer.reserve(size, _ignore)
+        assert account.size == size
+    with room.handed_over():
+        assert account.size == 0
+    with room.collecting(), account.holding(_ignore) as late:
+        assert late.reserve(400 * _KB, _ignore)
+    assert account.size == 0
+    with account.answer_room(), account.holding(_ignore) as unused:
+        assert unused.reserve(400 * _KB, _ignore)
+    assert account.size == 0
 
 
 def test_a_share_is_bounded_beside_the_account() -> None:
