Do not end replies that are being read to make room for answers that can wait

Cause: an answer of a known length may wait unread until there is room, and a new body of a caller is refused. Before that, the account gave up the largest reply with unwritten bytes. These are all replies larger than the buffers of the kernel, also those whose callers read.

The fix: room for what can wait or be refused is made of answers without a known end and of replies whose caller has read nothing for 2 s. When a caller stops reading, those that wait get the room. Only bytes that can neither wait nor be refused still end replies that are being read. A caller that reads nothing is noticed after its idle time, as before, now counted from its last read, and what it has read is released from the account meanwhile.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/held_bytes.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/held_bytes.py
@@ -2,8 +2,10 @@
 
 Bytes are charged where they are read and released where they leave. When the
 account is full, the largest part is given up that is an answer whose end is
-unknown, or the replies to a caller that does not read them. When there is none,
-new bodies are refused, and answers of a known length wait unread. An answer on
+unknown, or the replies to a caller that has stopped reading. When there is
+none, new bodies are refused, and answers of a known length wait unread. Bytes
+that can neither be refused nor wait may also end replies that are being read.
+An answer on
 its way to a caller of this instance is accepted when it is the only one, also
 if the account is full of answers for other instances: they leave when the
 others have room, which must not depend on room here. It doesn't count against
@@ -44,6 +46,7 @@
         without_room: how many of them were accepted without room.
         give_up: discards the bytes; None if they must be kept.
         for_caller: whether they are an answer on its way to a caller.
+        stalled: whether that caller has stopped reading.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         self.size = 0
         self.without_room = 0
         self.for_caller = for_caller
+        self.stalled = False
         self.give_up: Notification | None = give_up
         self._account = account
         self._give_up_initially = give_up
@@ -73,6 +77,12 @@
         self.without_room = min(self.without_room, size)
         self._account.charge(added)
 
+    def mark_stalled(self, *, stalled: bool) -> None:
+        """Notes whether the caller has stopped reading."""
+        self.stalled = stalled
+        if stalled:
+            self._account.make_room_for_waiting()
+
     def grow_to(self, size: int) -> None:
         """Charges bytes beyond those that are charged already."""
         if size > self.size:
@@ -245,10 +255,18 @@
     def make_room(self, size: int) -> bool:
         """Whether bytes can be added, after others were given up for them."""
         while not self.has_room(size):
-            if not self._give_up_largest():
+            if not self._give_up_largest(_not_being_read):
                 return False
         return True
 
+    def make_room_for_waiting(self) -> None:
+        """Gives up what may be for the answers that wait."""
+        for waiting in (self._waiting_for_callers, self._waiting):
+            if waiting:
+                holding, size, _ = waiting[0]
+                self.make_room(size - holding.size)
+        self._grant_room()
+
     def is_only_answer(self, holding: Holding) -> bool:
         """Whether no other large answer is on its way to a caller."""
         return holding.for_caller and not any(
@@ -261,7 +279,7 @@
         if added < 0:
             self._grant_room()
         while self._exceeds_bound():
-            if not self._give_up_largest():
+            if not self._give_up_largest(_any_holding):
                 break
 
     def wait_for_room(
@@ -287,12 +305,14 @@
         )
         return self.size - without_room > self.max_bytes
 
-    def _give_up_largest(self) -> bool:
+    def _give_up_largest(self, may_end: Callable[[Holding], bool]) -> bool:
         """Gives up the largest part that may be; False if there is none."""
         answers = self._large_answers()
         kept = answers if len(answers) == 1 else []
         candidates = [
-            one for one in self._holdings if one.give_up and one not in kept
+            one
+            for one in self._holdings
+            if one.give_up and (one.stalled or one not in kept) and may_end(one)
         ]
         largest = max(candidates, key=lambda one: one.size, default=None)
         if largest is None or largest.size <= SMALL_BYTES:
@@ -353,6 +373,14 @@
             granted()
 
 
+def _any_holding(_holding: Holding) -> bool:
+    return True
+
+
+def _not_being_read(holding: Holding) -> bool:
+    return holding.stalled or not holding.for_caller
+
+
 class BodyShare:
     """Bound of one kind of bodies, beside that of the account.
 
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -39,6 +39,8 @@
 _HEADER_OVERHEAD_BYTES = 4
 # Part of a head, such as the method, that its limit does not count.
 _UNCOUNTED_BYTES = 1024
+# A caller that has read nothing for this long has stopped reading.
+_STALLED_S = 2.0
 # Return of a caller whose body found no room, in seconds.
 _NO_ROOM_RETRY_S = b'0.5'
 
@@ -204,11 +206,13 @@
         if self._transport is not None:
             self._transport.pause_reading()
         self._count_unwritten()
-        self._await_reader(self._unwritten_bytes())
+        self._await_reader(self._unwritten_bytes(), elapsed_s())
 
     def resume_writing(self) -> None:
         """Writes the answers that waited."""
         self._writing_paused = False
+        if self._unwritten is not None:
+            self._unwritten.mark_stalled(stalled=False)
         if self._timer is not None and not self._closing:
             self._timer.cancel()
         self._write_answers()
@@ -499,23 +503,35 @@
             _LINGER_S, self._end_lingering, until_s, unwritten
         )
 
-    def _await_reader(self, unwritten_before: int) -> None:
-        """Starts the timer of a caller that does not read."""
+    def _await_reader(self, unwritten_before: int, read_s: float) -> None:
+        """Starts the timer of a caller that may have stopped reading.
+
+        Args:
+            unwritten_before: bytes that it has to read.
+            read_s: when it last read, on the clock of ``elapsed_s``.
+        """
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._loop.call_later(
-            self._listener.limits.idle_timeout_s,
-            self._on_write_timeout,
+            min(_STALLED_S, self._listener.limits.idle_timeout_s),
+            self._check_reader,
             unwritten_before,
+            read_s,
         )
 
-    def _on_write_timeout(self, unwritten_before: int) -> None:
-        """Aborts the connection unless the caller has read something."""
+    def _check_reader(self, unwritten_before: int, read_s: float) -> None:
+        """Ends the connection when the caller has read nothing for too long."""
         unwritten = self._unwritten_bytes()
-        if unwritten < unwritten_before:
-            self._await_reader(unwritten)
-        else:
+        has_read = unwritten < unwritten_before
+        if has_read:
+            read_s = elapsed_s()
+            self._count_unwritten()
+        elif elapsed_s() - read_s >= self._listener.limits.idle_timeout_s:
             self.abort()
+            return
+        self._await_reader(unwritten, read_s)
+        if self._unwritten is not None:
+            self._unwritten.mark_stalled(stalled=not has_read)
 
     def _unwritten_bytes(self) -> int:
         if self._transport is None:
--- a/tests/edge/test_held_bytes.py
+++ b/tests/edge/test_held_bytes.py
@@ -210,6 +210,27 @@
     assert account.size == 0
 
 
+def test_an_answer_waits_for_replies_that_are_being_read() -> None:
+    """Guards against replies that are cut off to make room for others."""
+    account = HeldBytes(_MAX)
+    granted: list[str] = []
+    with ExitStack() as stack:
+        replies = [
+            stack.enter_context(account.holding(_ignore, for_caller=True))
+            for _ in range(2)
+        ]
+        for reply in replies:
+            reply.resize(400 * _KB)
+        waiting = _held(stack, account, 0)
+        assert not waiting.reserve(500 * _KB, lambda: granted.append('waiting'))
+        share = BodyShare(_MAX, account)
+        assert not share.hold(500 * _KB)
+        assert account.given_up == 0
+        replies[0].mark_stalled(stalled=True)
+        assert granted == ['waiting']
+        assert [reply.size for reply in replies] == [0, 400 * _KB]
+
+
 def test_a_share_is_bounded_beside_the_account() -> None:
     """Guards against one kind of bodies that takes the room of all."""
     account = HeldBytes(_MAX)
--- a/tests/edge/test_server_connection.py
+++ b/tests/edge/test_server_connection.py
@@ -256,6 +256,34 @@
         assert listener.state.held.size == 0
 
 
+async def test_only_a_caller_that_stopped_reading_makes_room() -> None:
+    """Guards against replies that end for an answer that could wait."""
+    async with _running_listener() as listener:
+        held = listener.state.held
+        listener.state.limits.idle_timeout_s = 2 * _LONG_S
+        # Larger than the buffers of the kernel.
+        listener.answer = b'a' * 30_000_000
+        held.max_bytes = 60_000_000
+        silent, reading = [await listener.connect() for _ in range(2)]
+        silent[1].transport.pause_reading()
+        granted = asyncio.Event()
+        with held.holding(granted.set) as waiting:
+            for _, writer in (silent, reading):
+                writer.write(_REQUEST)
+            async with asyncio.timeout(_LONG_S):
+                await _status(reading[0])
+                while held.size < len(listener.answer):
+                    await asyncio.sleep(0.01)
+            assert not waiting.reserve(50_000_000, granted.set)
+            assert held.given_up == 0
+            async with asyncio.timeout(_LONG_S):
+                await reading[0].readexactly(len(listener.answer))
+                await granted.wait()
+            assert held.given_up == 1
+        for _, writer in (silent, reading):
+            writer.transport.abort()
+
+
 async def test_a_request_that_arrived_is_answered_before_an_idle_close() -> (
     None
 ):
