--- a/tests/edge/test_client_pool.py
+++ b/tests/edge/test_client_pool.py
@@ -26,6 +26,7 @@
 _REQUEST = b'GET /x HTTP/1.1\r\nhost: s\r\n\r\n'
 _OK = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
 _IDLE = 3
+_MANY = 200
 _TIMEOUT_S = 0.2
 # Longer than any of these tests takes.
 _LONG_S = 10.0
@@ -127,6 +128,25 @@
         pool.close_idle(address)
 
 
+async def test_a_connection_that_refused_many_requests_is_closed() -> None:
+    """Guards against ids of refused requests that fill the memory.
+
+    None of them may be forgotten while the connection is used.
+    """
+    async with run_raw_server(_answers_all) as raw:
+        address = parse_address(raw.address)
+        pool = ClientPool(asyncio.get_running_loop())
+        for number in range(_MANY):
+            async with pool.acquire(
+                address, _TIMEOUT_S, request_id=f'{number}'
+            ) as connection:
+                await connection.exchange(_REQUEST, _accept_any)
+                connection.note_refusal(f'{number}')
+                assert connection.has_refused(f'{number}')
+        assert 1 < raw.connections < _MANY / 10
+        pool.close_idle(address)
+
+
 async def test_connections_that_open_at_once_have_different_numbers() -> None:
     """Guards against a log that joins the answers of two connections."""
     async with run_raw_server(_answers_all) as raw:
