--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -226,6 +226,18 @@
             assert raw.connections == 2
 
 
+async def test_a_connection_that_refused_without_an_id_is_closed() -> None:
+    """Guards against a copy of the refusal that answers a grant.
+
+    Answers to grants have no id either.
+    """
+    async with run_raw_server(_refuses_all) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, '') == 503
+            assert await _status(system, name, 'named') == 200
+            assert raw.connections == 2
+
+
 async def test_an_id_that_connection_names_reaches_the_server() -> None:
     """Guards against a request that waits until its deadline.
 
