--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -16,7 +16,9 @@
     AnswerLostError,
     CallKind,
     ClientPool,
+    GrantRefusedError,
     OwnershipCall,
+    WrongServerError,
 )
 from yuccadale_edge.ownership import Holder
 from yuccadale_platform.adapter import PlatformServerCalls, parse_address
@@ -322,6 +324,44 @@
         pool.close_idle(address)
 
 
+@pytest.mark.parametrize('status', [409, 421, 400])
+async def test_a_copy_of_a_refusal_does_not_answer_the_next_grant(
+    status: int,
+) -> None:
+    """Guards against a server that holds keys although its grant was refused.
+
+    The copy comes when the server has received the next grant, which it
+    accepts.
+    """
+    accepted = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await raw.read_request(reader)
+            if len(raw.heads) == 1:
+                writer.write(_refusal(status))
+                await raw.read_request(reader)
+                writer.write(_refusal(status))
+                await asyncio.sleep(_LATER_S)
+            writer.write(accepted)
+            await reader.read()
+
+        return script
+
+    async with run_raw_server(make_script) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        calls = PlatformServerCalls(pool)
+        address = parse_address(raw.address)
+        grant = OwnershipCall(CallKind.grant, Holder(_SERVER_ID, 1), 0, 9, 2)
+        with pytest.raises((GrantRefusedError, WrongServerError)):
+            await calls.grant(address, grant, 1, lambda: True)
+        await calls.grant(address, grant, 1, lambda: True)
+        assert raw.connections == 2
+        pool.close_idle(address)
+
+
 async def test_a_copy_does_not_answer_a_grant_that_has_not_arrived() -> None:
     """Guards against a lease that lasts for longer than its leader assumes.
 
