Do not send a request again on a connection on which it failed

What callers saw: a caller that sent a request again with the same id, after an answer of the server with 503, 429 or 500 but without the statement that it did not run, got the copy of that answer; the request was run meanwhile.

Cause: the connections on which a request was refused are left out, those on which it failed were not.

Answers below 400 are not noted: a connection would end after 64 of them.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
@@ -19,6 +19,9 @@
     ClientConnection,
 )
 
+# Callers may send a request again after an answer with this status or above.
+_FIRST_ERROR = 400
+
 _log = structlog.get_logger()
 
 
@@ -45,8 +48,8 @@
             'answer to another request passed over',
             status=answer.status,
             named=named,
-            refused_before=named is not None
-            and sending.connection.has_refused(named),
+            failed_before=named is not None
+            and sending.connection.has_failed(named),
             **_described(sending),
         )
         return False
@@ -82,8 +85,10 @@
     if not codec.not_executed(answer):
         # Another server would have refused the request.
         connection.peer = _holder(sending)
+        if answer.status >= _FIRST_ERROR:
+            connection.note_failure(sending.request.request_id)
         return
-    connection.note_refusal(sending.request.request_id)
+    connection.note_failure(sending.request.request_id)
     metrics.count(
         'refusals_by_servers',
         service=sending.request.service,
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -43,9 +43,9 @@
 _MAX_OTHER_ANSWERS = 16
 # Answers with a lower status are interim.
 _FIRST_FINAL_STATUS = 200
-# A connection that has refused as many requests is not used again, so that it
+# A connection on which as many requests failed is not used again, so that it
 # need not forget any.
-_MAX_REFUSED_IDS = 64
+_MAX_FAILED_IDS = 64
 _NO_BODY_STATUSES = frozenset((204, 304))
 # Within a head it is the begin of another answer.
 _STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}(?: |$)')
@@ -112,7 +112,7 @@
         self.number = number
         self.answers = 0
         self.peer: Hashable = None
-        self._refused_ids: set[str] = set()
+        self._failed_ids: set[str] = set()
         self._holding: Holding | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -148,19 +148,19 @@
         assert self._transport is not None
         return is_readable(self._transport.get_extra_info('socket'))
 
-    def note_refusal(self, request_id: str) -> None:
-        """Notes that the server refused a request on this connection.
+    def note_failure(self, request_id: str) -> None:
+        """Notes that a request was refused or failed on this connection.
 
-        The server may send the refusal again. A later attempt of the request
+        The server may send the answer again. A later attempt of the request
         may not be sent here, since the copy would look like its answer.
         """
-        self._refused_ids.add(request_id)
-        if len(self._refused_ids) >= _MAX_REFUSED_IDS:
+        self._failed_ids.add(request_id)
+        if len(self._failed_ids) >= _MAX_FAILED_IDS:
             self._keep_alive = False
 
-    def has_refused(self, request_id: str) -> bool:
-        """Whether the server refused a request on this connection."""
-        return request_id in self._refused_ids
+    def has_failed(self, request_id: str) -> bool:
+        """Whether a request was refused or failed on this connection."""
+        return request_id in self._failed_ids
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and sets the options of the socket."""
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
@@ -26,7 +26,7 @@
 
     A connection carries one request at a time. It is not reused after a
     failure, a cancellation or unexpected bytes, nor for a request that was
-    refused on it.
+    refused or failed on it.
     """
 
     def __init__(
@@ -115,7 +115,7 @@
         idle = self._idle_by_address.get(address, [])
         now = self._loop.time()
         for connection in reversed(tuple(idle)):
-            if connection.has_refused(request_id):
+            if connection.has_failed(request_id):
                 continue
             idle.remove(connection)
             usable = _usable(connection, now)
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -199,7 +199,7 @@
         self._node = node
         self._server = node.world.server
 
-    def note_refusal(self, request_id: str) -> None:
+    def note_failure(self, request_id: str) -> None:
         """Notes nothing: no other request is sent here."""
 
     async def exchange(
--- a/tests/edge/test_client_pool.py
+++ b/tests/edge/test_client_pool.py
@@ -141,8 +141,8 @@
                 address, _TIMEOUT_S, request_id=f'{number}'
             ) as connection:
                 await connection.exchange(_REQUEST, _accept_any)
-                connection.note_refusal(f'{number}')
-                assert connection.has_refused(f'{number}')
+                connection.note_failure(f'{number}')
+                assert connection.has_failed(f'{number}')
         assert 1 < raw.connections < _MANY / 10
         pool.close_idle(address)
 
--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -161,6 +161,48 @@
             assert raw.connections == 1
 
 
+def _fails_again(status: int) -> Callable[[RawServer], Script]:
+    """Returns a maker of scripts that repeat their first answer, a failure.
+
+    The next request on the same connection gets the copy, and its own answer a
+    moment later.
+    """
+
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await raw.read_request(reader)
+            if len(raw.heads) == 1:
+                failure = _answer(raw.heads[-1]).replace(
+                    b'200 OK', b'%d Failed' % status
+                )
+                writer.write(failure)
+                await raw.read_request(reader)
+                writer.write(failure)
+            await _answer_all(raw, reader, writer)
+
+        return script
+
+    return make_script
+
+
+@pytest.mark.parametrize('status', [503, 429, 500])
+async def test_the_copy_of_a_failure_does_not_answer_a_request_sent_again(
+    status: int,
+) -> None:
+    """Guards against a refusal of a request that the server is running.
+
+    The caller sends the request again, with the same id, after an answer that
+    does not state that it did not run.
+    """
+    async with run_raw_server(_fails_again(status)) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, 'again') == status
+            assert await _status(system, name, 'again') == 200
+            assert raw.connections == 2
+
+
 def _sends_late(begun: bytes) -> Callable[[RawServer], Script]:
     """Returns a maker of scripts that put bytes before their second answer."""
 
