--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -161,6 +161,30 @@
             assert raw.connections == 1
 
 
+def _refuses_before_it_reads(raw: RawServer) -> Script:
+    """Returns a script that sends a refusal when its connection opens."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(_refusal(503))
+        await raw.read_request(reader)
+        await _answer_all(raw, reader, writer)
+
+    return script
+
+
+async def test_a_refusal_from_before_the_request_is_no_answer() -> None:
+    """Guards against a refusal of a request that the server is running.
+
+    The refusal names no request, and is the first answer of its connection.
+    """
+    async with run_raw_server(_refuses_before_it_reads) as raw:
+        async with _system_with(raw) as (system, name):
+            status = await _status(system, name, 'first')
+            assert (status, len(raw.heads)) in {(503, 0), (502, 1), (200, 1)}
+
+
 def _fails_again(status: int) -> Callable[[RawServer], Script]:
     """Returns a maker of scripts that repeat their first answer, a failure.
 
