--- a/tests/platform/test_copied_refusals.py
+++ b/tests/platform/test_copied_refusals.py
@@ -15,6 +15,7 @@
 )
 
 _REQUESTS = 120
+_REPEATED = 25
 _GAP_S = 0.01
 _WITHIN_WORK_S = 0.002
 _PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
@@ -97,3 +98,43 @@
     assert sum(copies.came_again.values()) > 5
     assert not outcome.refused
     assert not outcome.repeated
+
+
+@pytest.mark.parametrize('status', [503, 421])
+@pytest.mark.parametrize('after_s', [0, _WITHIN_WORK_S])
+async def test_a_copy_does_not_answer_a_request_that_callers_send_again(
+    status: int, after_s: float
+) -> None:
+    """Guards against a refusal of a request that runs.
+
+    The caller sends the id again that was refused, three times at once and
+    through two instances. Each time counts as a request.
+    """
+    copies = CopiedRefusals(status, each=1, after_s=after_s)
+    async with platform_system(keyed=1) as system:
+        system.store.state.put(
+            'op', 'config', configuration(2, keyed=route(max_attempts=1))
+        )
+        names = [await system.add_instance() for _ in range(2)]
+        for name in names:
+            await system.wait_until_served(name, 0)
+        server = system.server_by_id['k0']
+        server.copied_refusals = copies
+        for number in range(_REPEATED):
+            request_id = f'again-{number}'
+            statuses = [await _send_again(system, names[0], number)]
+            statuses += await asyncio.gather(
+                *(
+                    _send_again(system, entry, number)
+                    for entry in (*names, names[0])
+                )
+            )
+            assert statuses.count(200) == server.executions[request_id]
+    assert sum(copies.came_again.values()) > _REPEATED
+
+
+async def _send_again(system: PlatformSystem, name: str, number: int) -> int:
+    status, _, _ = await system.send_request(
+        name, '/keyed/x', key=number, request_id=f'again-{number}'
+    )
+    return status
