--- a/tests/platform/test_faulty_servers.py
+++ b/tests/platform/test_faulty_servers.py
@@ -16,7 +16,9 @@
     AnswerLostError,
     CallKind,
     ClientPool,
+    GrantRefusedError,
     OwnershipCall,
+    WrongServerError,
 )
 from yuccadale_edge.ownership import Holder
 from yuccadale_platform.adapter import PlatformServerCalls, parse_address
@@ -159,6 +161,72 @@
             assert raw.connections == 1
 
 
+def _refuses_before_it_reads(raw: RawServer) -> Script:
+    """Returns a script that sends a refusal when its connection opens."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(_refusal(503))
+        await raw.read_request(reader)
+        await _answer_all(raw, reader, writer)
+
+    return script
+
+
+async def test_a_refusal_from_before_the_request_is_no_answer() -> None:
+    """Guards against a refusal of a request that the server is running.
+
+    The refusal names no request, and is the first answer of its connection.
+    """
+    async with run_raw_server(_refuses_before_it_reads) as raw:
+        async with _system_with(raw) as (system, name):
+            status = await _status(system, name, 'first')
+            assert (status, len(raw.heads)) in {(503, 0), (502, 1), (200, 1)}
+
+
+def _fails_again(status: int) -> Callable[[RawServer], Script]:
+    """Returns a maker of scripts that repeat their first answer, a failure.
+
+    The next request on the same connection gets the copy, and its own answer a
+    moment later.
+    """
+
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await raw.read_request(reader)
+            if len(raw.heads) == 1:
+                failure = _answer(raw.heads[-1]).replace(
+                    b'200 OK', b'%d Failed' % status
+                )
+                writer.write(failure)
+                await raw.read_request(reader)
+                writer.write(failure)
+            await _answer_all(raw, reader, writer)
+
+        return script
+
+    return make_script
+
+
+@pytest.mark.parametrize('status', [503, 429, 500])
+async def test_the_copy_of_a_failure_does_not_answer_a_request_sent_again(
+    status: int,
+) -> None:
+    """Guards against a refusal of a request that the server is running.
+
+    The caller sends the request again, with the same id, after an answer that
+    does not state that it did not run.
+    """
+    async with run_raw_server(_fails_again(status)) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, 'again') == status
+            assert await _status(system, name, 'again') == 200
+            assert raw.connections == 2
+
+
 def _sends_late(begun: bytes) -> Callable[[RawServer], Script]:
     """Returns a maker of scripts that put bytes before their second answer."""
 
@@ -226,6 +294,18 @@
             assert raw.connections == 2
 
 
+async def test_a_connection_that_refused_without_an_id_is_closed() -> None:
+    """Guards against a copy of the refusal that answers a grant.
+
+    Answers to grants have no id either.
+    """
+    async with run_raw_server(_refuses_all) as raw:
+        async with _system_with(raw) as (system, name):
+            assert await _status(system, name, '') == 503
+            assert await _status(system, name, 'named') == 200
+            assert raw.connections == 2
+
+
 async def test_an_id_that_connection_names_reaches_the_server() -> None:
     """Guards against a request that waits until its deadline.
 
@@ -310,6 +390,44 @@
         pool.close_idle(address)
 
 
+@pytest.mark.parametrize('status', [409, 421, 400])
+async def test_a_copy_of_a_refusal_does_not_answer_the_next_grant(
+    status: int,
+) -> None:
+    """Guards against a server that holds keys although its grant was refused.
+
+    The copy comes when the server has received the next grant, which it
+    accepts.
+    """
+    accepted = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+
+    def make_script(raw: RawServer) -> Script:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await raw.read_request(reader)
+            if len(raw.heads) == 1:
+                writer.write(_refusal(status))
+                await raw.read_request(reader)
+                writer.write(_refusal(status))
+                await asyncio.sleep(_LATER_S)
+            writer.write(accepted)
+            await reader.read()
+
+        return script
+
+    async with run_raw_server(make_script) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        calls = PlatformServerCalls(pool)
+        address = parse_address(raw.address)
+        grant = OwnershipCall(CallKind.grant, Holder(_SERVER_ID, 1), 0, 9, 2)
+        with pytest.raises((GrantRefusedError, WrongServerError)):
+            await calls.grant(address, grant, 1, lambda: True)
+        await calls.grant(address, grant, 1, lambda: True)
+        assert raw.connections == 2
+        pool.close_idle(address)
+
+
 async def test_a_copy_does_not_answer_a_grant_that_has_not_arrived() -> None:
     """Guards against a lease that lasts for longer than its leader assumes.
 
