Wait for grants whose answers may be copies of earlier ones

What servers saw: two servers held the same keys, for 2.0 s in the test. The copy of an earlier 200 counted for a renewal that its server held back. The server answered the release on another connection, the keys were granted to the next server, and then it applied the renewal.

Cause: answers to grants have no id. That the renewal had arrived was proven by the acknowledgement, that it was applied was not.

A server handles the requests of a connection in order. So a grant is proven once an answer that is surely no copy has come behind it on its connection: to a request, by the id, or to a release, by the handover, of which a connection carries one and is closed. The first answer without an id on a connection proves its own grant. Renewals stay on the connection of an unproven one, the release is sent there, and repeated on each such connection once it is idle. What is not proven, as the connection was lost or a leader before sent it, is waited out like a grant without an answer; records and reports for the next leader name it.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/call_runner.py
@@ -22,6 +22,7 @@
 from yuccadale_edge._internal.system_view import SystemView
 from yuccadale_edge._internal.transport.client_connection import (
     AnswerLostError,
+    Delivery,
     NotSentError,
 )
 from yuccadale_edge._internal.transport.client_pool import Address
@@ -60,7 +61,7 @@
         call: OwnershipCall,
         lease_s: float,
         may_send: Callable[[], bool],
-    ) -> None:
+    ) -> Delivery | None:
         """Grants keys or renews their lease.
 
         Args:
@@ -70,6 +71,10 @@
             may_send: asked once more just before the call is written, since
                 it takes time to connect.
 
+        Returns:
+            What tells whether the server has surely handled the grant; None if
+            it has.
+
         Raises:
             GrantRefusedError: the server knows a higher fencing token.
             WrongServerError: another server answers at the address.
@@ -85,7 +90,8 @@
     ) -> str | None:
         """Releases keys; returns the handover token for the next owner.
 
-        See ``grant`` for the arguments.
+        Sent on the connection of an unproven grant, if one is idle, so that
+        the answer proves the grants there. See ``grant`` for the arguments.
 
         Raises:
             WrongServerError: another server answers at the address.
@@ -267,21 +273,27 @@
         started_s = elapsed_s()
         may_send = partial(self._may_send, call)
         if call.kind == CallKind.grant:
-            await self._calls.grant(
+            delivery = await self._calls.grant(
                 address, call, self._table.lease_s, may_send
             )
             self._lapsed.end_grant(call, accepted=True)
             if self._table.grant_answered(
-                call, accepted=True, now_s=elapsed_s()
+                call, accepted=True, now_s=elapsed_s(), delivery=delivery
             ):
                 _log.info('keys granted', **_described(call))
             return
         handover = await self._calls.release(address, call, may_send)
         self._table.release_answered(call, handover, elapsed_s())
+        unproven = sum(not one.proven for one in call.unproven)
+        if unproven:
+            self._metrics.count('releases_without_proof')
         took_ms = (elapsed_s() - started_s) * _MS_PER_S
         self._metrics.observe_ms('release', took_ms)
         _log.info(
-            'keys released', took_ms=round(took_ms, 1), **_described(call)
+            'keys released',
+            took_ms=round(took_ms, 1),
+            unproven=unproven,
+            **_described(call),
         )
         self.start_due()
 
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -7,6 +7,8 @@
   grant sent to it could have started has expired.
 * A grant that got no answer may be applied seconds later, even after the
   release of the same keys. Its lease counts from its latest possible arrival.
+* So may a grant whose answer could be the copy of an earlier one, until the
+  server has surely handled it. Its lease counts from the answer at the latest.
 * Keys are granted to a server only when no other server may hold them, with
   a fencing token above all earlier ones for these keys, and only after the
   store has recorded that the server may hold them.
@@ -22,6 +24,7 @@
 from typing import NamedTuple
 
 from yuccadale_edge._internal.model import KEY_COUNT
+from yuccadale_edge._internal.transport.client_connection import Delivery
 
 LAST_KEY = KEY_COUNT - 1
 # The protocol of the servers allows their clocks to run slower by this factor.
@@ -57,7 +60,12 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnershipCall:
-    """A call to one server about a range of keys, both ends included."""
+    """A call to one server about a range of keys, both ends included.
+
+    Attributes:
+        unproven: earlier grants of the keys that the server may not have
+            handled yet.
+    """
 
     kind: CallKind
     holder: Holder
@@ -65,6 +73,7 @@
     last: int
     fence: int
     handover: str | None = None
+    unproven: tuple[Delivery, ...] = field(default=(), compare=False)
 
 
 class LeaseEndReason(StrEnum):
@@ -86,8 +95,19 @@
     reason: LeaseEndReason
 
 
+class UnprovenGrant(NamedTuple):
+    """A grant whose answer may be the copy of an earlier one.
+
+    Attributes:
+        until_s: when its lease has expired at the latest.
+    """
+
+    delivery: Delivery
+    until_s: float
+
+
 class UnconfirmedGrant(NamedTuple):
-    """A grant without an answer, which a server may still apply.
+    """A grant without an answer of its own, which a server may still apply.
 
     Attributes:
         remaining_s: time until its lease has expired at the latest.
@@ -115,6 +135,7 @@
         unconfirmed_until_s: latest expiry by a grant that got no answer.
         assumed_until_s: latest expiry by a grant that an earlier leader may
             have sent without an answer.
+        unproven: grants whose answers may be copies.
         accepted: whether the server has accepted a grant with this token.
         sent_s: when the latest grant was sent.
         handover: token that the previous holder returned with its release;
@@ -137,6 +158,7 @@
     call_due_s: float = 0
     releasing: bool = False
     renewable: bool = True
+    unproven: tuple[UnprovenGrant, ...] = ()
 
     @property
     def expiry_reason(self) -> LeaseEndReason:
@@ -150,12 +172,33 @@
         """Latest expiry by a grant without an answer, of any leader."""
         return max(self.unconfirmed_until_s, self.assumed_until_s)
 
+    @property
+    def late_until_s(self) -> float:
+        """Latest expiry by a grant that may still be applied."""
+        unproven_until_s = max(
+            (
+                grant.until_s
+                for grant in self.unproven
+                if not grant.delivery.proven
+            ),
+            default=0,
+        )
+        return max(self.unanswered_until_s, unproven_until_s)
+
     @property
     def end_s(self) -> float:
         """When the server has lost the keys at the latest."""
         if self.released:
-            return self.unanswered_until_s
-        return max(self.until_s, self.unanswered_until_s)
+            return self.late_until_s
+        return max(self.until_s, self.late_until_s)
+
+    def unproven_grants(self, now_s: float) -> tuple[UnprovenGrant, ...]:
+        """Returns the grants whose answers may be copies, up to now."""
+        return tuple(
+            grant
+            for grant in self.unproven
+            if grant.until_s > now_s and not grant.delivery.proven
+        )
 
 
 @dataclass(slots=True)
@@ -344,7 +387,7 @@
         return not any(
             segment.in_flight
             or any(
-                lease.unanswered_until_s > now_s
+                lease.late_until_s > now_s
                 for lease in segment.lease_by_holder.values()
             )
             for segment in self.segments
@@ -355,7 +398,7 @@
         self._plan_version += 1
 
     def unconfirmed_grants(self, now_s: float) -> list[UnconfirmedGrant]:
-        """Returns the unanswered grants that servers may still apply."""
+        """Returns the grants that servers may still apply."""
         return [
             UnconfirmedGrant(
                 segment.first,
@@ -428,10 +471,22 @@
         return due
 
     def grant_answered(
-        self, call: OwnershipCall, *, accepted: bool, now_s: float
+        self,
+        call: OwnershipCall,
+        *,
+        accepted: bool,
+        now_s: float,
+        delivery: Delivery | None = None,
     ) -> bool:
         """Applies a server's answer to a grant.
 
+        Args:
+            call: the grant.
+            accepted: whether the server has accepted it.
+            now_s: the present time.
+            delivery: of an accepted grant, None if the answer is surely no
+                copy.
+
         Returns:
             Whether the server became the owner of keys.
         """
@@ -440,6 +495,9 @@
             if accepted:
                 lease.accepted = True
                 lease.until_s = max(lease.until_s, self._lease_end(now_s))
+                if delivery is not None:
+                    latest = UnprovenGrant(delivery, self._lease_end(now_s))
+                    lease.unproven = (*lease.unproven_grants(now_s), latest)
                 self._handle_acceptance(segment, call.holder)
                 self._end_earlier_processes(segment, call.holder)
             else:
@@ -538,9 +596,7 @@
     def _unconfirmed_s(
         self, segment: Segment, holder: Holder, now_s: float
     ) -> float:
-        unconfirmed_s = (
-            segment.lease_by_holder[holder].unanswered_until_s - now_s
-        )
+        unconfirmed_s = segment.lease_by_holder[holder].late_until_s - now_s
         if holder in segment.in_flight:
             # The call may still arrive.
             unconfirmed_s = self.lease_s * CLOCK_MARGIN + LATEST_ARRIVAL_S
@@ -581,7 +637,7 @@
         lease.sent_s = now_s
         segment.in_flight.add(keeper)
         yield _make_call(
-            CallKind.grant, segment, keeper, lease.fence, lease.handover
+            CallKind.grant, segment, keeper, lease, now_s, lease.handover
         )
 
     def _releases(
@@ -589,11 +645,13 @@
     ) -> Iterator[OwnershipCall]:
         for holder in holders:
             lease = segment.lease_by_holder[holder]
-            due = not lease.released and now_s >= lease.call_due_s
+            due = _needs_release(lease, now_s) and now_s >= lease.call_due_s
             if due and holder not in segment.in_flight:
                 lease.releasing = True
                 segment.in_flight.add(holder)
-                yield _make_call(CallKind.release, segment, holder, lease.fence)
+                yield _make_call(
+                    CallKind.release, segment, holder, lease, now_s
+                )
 
     def _lease_to_send(self, segment: Segment, keeper: Holder) -> Lease | None:
         """Returns the lease to grant or renew, None if it is not recorded."""
@@ -645,6 +703,7 @@
             lease.until_s = 0 if earlier.released else earlier.until_s
             lease.unconfirmed_until_s = earlier.unconfirmed_until_s
             lease.assumed_until_s = earlier.assumed_until_s
+            lease.unproven = earlier.unproven
         segment.lease_by_holder[holder] = lease
         segment.last_fence = fence
         return lease
@@ -721,6 +780,13 @@
     return fence >> _FENCE_COUNTER_BITS
 
 
+def _needs_release(lease: Lease, now_s: float) -> bool:
+    """Whether a release is not answered yet, or can prove another grant."""
+    return not lease.released or any(
+        grant.delivery.provable for grant in lease.unproven_grants(now_s)
+    )
+
+
 def _first_key(segment: Segment) -> int:
     return segment.first
 
@@ -746,11 +812,18 @@
     kind: CallKind,
     segment: Segment,
     holder: Holder,
-    fence: int,
+    lease: Lease,
+    now_s: float,
     handover: str | None = None,
 ) -> OwnershipCall:
     return OwnershipCall(
-        kind, holder, segment.first, segment.last, fence, handover
+        kind,
+        holder,
+        segment.first,
+        segment.last,
+        lease.fence,
+        handover,
+        tuple(grant.delivery for grant in lease.unproven_grants(now_s)),
     )
 
 
@@ -782,6 +855,9 @@
     lower_lease.assumed_until_s = max(
         lower_lease.assumed_until_s, upper_lease.assumed_until_s
     )
+    lower_lease.unproven = tuple(
+        dict.fromkeys(lower_lease.unproven + upper_lease.unproven)
+    )
     lower_lease.sent_s = min(lower_lease.sent_s, upper_lease.sent_s)
     lower.last = upper.last
     lower.last_fence = max(lower.last_fence, upper.last_fence)
--- a/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
@@ -76,7 +76,10 @@
     """
     connection = sending.connection
     named = codec.named_request(answer) is not None
-    if not named:
+    if named:
+        # The id was not refused on this connection before.
+        connection.prove_deliveries()
+    else:
         # Its copy would look like the answer to the next request.
         connection.close()
     if not codec.not_executed(answer):
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -88,6 +88,28 @@
 AnswerMatcher = Callable[[Answer], bool]
 
 
+class Delivery:
+    """A call without an id, by the place it has on its connection.
+
+    Its answer may be the copy of an earlier one, while the server still holds
+    the call back.
+    """
+
+    def __init__(self, connection: 'ClientConnection', number: int) -> None:
+        self.connection = connection
+        self._number = number
+
+    @property
+    def proven(self) -> bool:
+        """Whether the server has surely handled the call."""
+        return self._number <= self.connection.proven_deliveries
+
+    @property
+    def provable(self) -> bool:
+        """Whether another call can be sent behind this one now."""
+        return not self.proven and self.connection.reusable
+
+
 class ClientConnection(asyncio.Protocol):
     """Sends requests to one server and reads their answers.
 
@@ -95,6 +117,8 @@
         number: distinguishes the connections of a process in logs.
         answers: number of answers on it so far, additional ones included.
         peer: the server that has surely answered on it; None if unknown.
+        proven_deliveries: number of calls without an id that the server has
+            surely handled.
     """
 
     def __init__(
@@ -112,6 +136,8 @@
         self.number = number
         self.answers = 0
         self.peer: Hashable = None
+        self.proven_deliveries = 0
+        self._deliveries = 0
         self._refused_ids: set[str] = set()
         self._holding: Holding | None = None
         self._transport: asyncio.Transport | None = None
@@ -162,6 +188,24 @@
         """Whether the server refused a request on this connection."""
         return request_id in self._refused_ids
 
+    def note_delivery(self) -> Delivery:
+        """Notes an answer that bears no id.
+
+        The first such answer is no copy: there was none to copy.
+        """
+        self._deliveries += 1
+        if self._deliveries == 1:
+            self.prove_deliveries()
+        return Delivery(self, self._deliveries)
+
+    def prove_deliveries(self) -> None:
+        """Notes an answer that is surely no copy.
+
+        A server handles the requests of a connection in order, one at a time:
+        it has handled all that were sent before.
+        """
+        self.proven_deliveries = self._deliveries
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and sets the options of the socket."""
         self._transport = transport  # type: ignore[assignment]
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
@@ -52,6 +52,7 @@
         *,
         force_new: bool = False,
         request_id: str = '',
+        preferred: ClientConnection | None = None,
     ) -> AsyncIterator[ClientConnection]:
         """Provides a connection for the block; keeps it if it is reusable.
 
@@ -63,11 +64,15 @@
             connect_timeout_s: the longest time for opening a connection.
             force_new: do not reuse an idle connection.
             request_id: of the request that is to be sent, if it has one.
+            preferred: reuse this connection if it is idle, also with
+                ``force_new``.
 
         Raises:
             NotSentError: no connection could be opened.
         """
-        connection = None if force_new else self._take_idle(address, request_id)
+        connection = self._take(address, preferred)
+        if connection is None and not force_new:
+            connection = self._take_idle(address, request_id)
         if connection is None:
             connection = await self._open(address, connect_timeout_s)
         began = self._loop.time()
@@ -113,15 +118,26 @@
         self, address: Address, request_id: str
     ) -> ClientConnection | None:
         idle = self._idle_by_address.get(address, [])
-        now = self._loop.time()
         for connection in reversed(tuple(idle)):
             if connection.has_refused(request_id):
                 continue
-            idle.remove(connection)
-            usable = _usable(connection, now)
-            if usable and not connection.has_unread_bytes():
-                return connection
-            connection.close()
+            taken = self._take(address, connection)
+            if taken is not None:
+                return taken
+        return None
+
+    def _take(
+        self, address: Address, connection: ClientConnection | None
+    ) -> ClientConnection | None:
+        """Takes a connection from the idle ones; None if it cannot be used."""
+        idle = self._idle_by_address.get(address, [])
+        if connection is None or connection not in idle:
+            return None
+        idle.remove(connection)
+        usable = _usable(connection, self._loop.time())
+        if usable and not connection.has_unread_bytes():
+            return connection
+        connection.close()
         return None
 
     async def _open(
