Learn the limit in each refusal of a server that has lost its keys

Cause: such a refusal may come from another server at a reused address, so its limit counted only on a connection that had answered a request that ran. A server without leases runs nothing, so that no new connection ever gave that proof.

The proof is not needed. A limit counts for an incarnation. Either that incarnation answered, or it has ended, and then the limit restricts nobody: the process that starts again under its id does not inherit it, and the other server at the address is known by an entry of its own. Leaving by answer rests on the same argument. A refusal without a limit still ends none. A provisional limit for the address, or a proof by an accepted grant, would need a state of their own, and only the leader sends grants.

Tests: test_a_limit_holds_that_only_refusals_name failed before (459 requests in 4 s, 5 and 44 allowed), test_a_limit_in_a_refusal_without_the_key failed before on a new connection. That case asserted that the limit is not learned there; it is now learned on both, and test_a_limit_of_the_next_server_at_an_address checks what the old case was to protect: a server that starts again elsewhere serves 40 of 40 requests while the next server at its address names a limit of 0.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
@@ -10,7 +10,6 @@
 
 from yuccadale_edge._internal.model import Server
 from yuccadale_edge._internal.observability.metrics import Metrics
-from yuccadale_edge._internal.ownership.segments import Holder
 from yuccadale_edge._internal.routing.codec import RequestCodec
 from yuccadale_edge._internal.routing.requests import RoutedRequest
 from yuccadale_edge._internal.transport.client_connection import (
@@ -70,18 +69,13 @@
 def record_answer(
     sending: Sending, answer: Answer, codec: RequestCodec, metrics: Metrics
 ) -> None:
-    """Records what an answer shows of its connection, and whether it refuses.
-
-    A connection that has answered a request that ran leads to its server.
-    """
+    """Records on its connection whether an answer refuses the request."""
     connection = sending.connection
     named = codec.named_request(answer) is not None
     if not named:
         # Its copy would look like the answer to the next request.
         connection.close()
     if not codec.not_executed(answer):
-        # Another server would have refused the request.
-        connection.peer = _holder(sending)
         return
     connection.note_refusal(sending.request.request_id)
     metrics.count(
@@ -97,15 +91,6 @@
     )
 
 
-def leads_to_server(sending: Sending) -> bool:
-    """Whether the connection surely leads to the server of the request."""
-    return sending.connection.peer == _holder(sending)
-
-
-def _holder(sending: Sending) -> Holder:
-    return Holder(sending.server.server_id, sending.server.incarnation)
-
-
 def _described(sending: Sending) -> dict[str, str | int]:
     return {
         'request': sending.request.request_id,
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -20,7 +20,6 @@
 from yuccadale_edge._internal.routing.answer_evidence import (
     Sending,
     answer_matcher,
-    leads_to_server,
     record_answer,
 )
 from yuccadale_edge._internal.routing.attempts import Attempts
@@ -440,9 +439,7 @@
                 attempts=1,
             )
         service_s = elapsed_s() - sent_s
-        self.statements.observe(
-            server, answer, sent_s, is_from_server=leads_to_server(sending)
-        )
+        self.statements.observe(server, answer, sent_s)
         if self._codec.not_executed(answer):
             return self._not_executed(server, queue, request, answer)
         self._record_service_time(server, queue, request, service_s)
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_statements.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_statements.py
@@ -70,31 +70,21 @@
         self._returns: dict[tuple[Holder, int], ReturnTimes] = {}
         self._invalid_logged: set[Holder] = set()
 
-    def observe(
-        self,
-        server: Server,
-        answer: Answer,
-        sent_s: float,
-        *,
-        is_from_server: bool,
-    ) -> None:
+    def observe(self, server: Server, answer: Answer, sent_s: float) -> None:
         """Applies an answer to a request that was sent to a server.
 
+        A refusal of another server at the address counts, too: the incarnation
+        that was meant has ended, and no other one inherits what was said.
+
         Args:
             server: to which the request was sent.
             answer: to the request.
             sent_s: when it was sent.
-            is_from_server: whether its connection surely leads to the server.
         """
         if self._codec.says_it_leaves(answer):
-            # A refusal of another server at the address counts, too: the one
-            # that was meant has ended.
             self._mark_leaving(Holder(server.server_id, server.incarnation))
         self._observe_pause(server, answer)
-        # Another server at the address would refuse the request like a server
-        # that does not own the key.
-        if is_from_server or not self._codec.is_misdirected(answer):
-            self._observe_limit(server, answer, sent_s)
+        self._observe_limit(server, answer, sent_s)
 
     def observe_forwarded(self, result: Result) -> None:
         """Applies an answer that another instance received."""
@@ -212,5 +202,6 @@
             self._rate_limits.count_invalid(server, str(error))
             return
         if per_s is None and self._codec.is_misdirected(answer):
+            # Only a request that ran shows that a limit ended.
             return
         self._rate_limits.observe(server, per_s, sent_s)
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -10,7 +10,7 @@
 import re
 import socket
 import struct
-from collections.abc import Callable, Hashable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from io import BytesIO
 
@@ -94,7 +94,6 @@
     Attributes:
         number: distinguishes the connections of a process in logs.
         answers: number of answers on it so far, additional ones included.
-        peer: the server that has surely answered on it; None if unknown.
     """
 
     def __init__(
@@ -111,7 +110,6 @@
         self._held = held
         self.number = number
         self.answers = 0
-        self.peer: Hashable = None
         self._refused_ids: set[str] = set()
         self._holding: Holding | None = None
         self._transport: asyncio.Transport | None = None
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -80,6 +80,7 @@
 _MAINTENANCE_S = 0.2
 _SLOTS = 4
 _REFUSED = 503
+_MISDIRECTED = 421
 _PAUSES_S = (0.1, 0.5, 2.0, 5.0)
 _LIMITS_PER_S = (0, 2, 6.5, 17.5, 40)
 
@@ -92,6 +93,7 @@
         limit_text: what it names, None for nothing.
         leaving: whether its answers say that it leaves.
         pause_s: the pause that it asks for while it refuses all requests.
+        lost_keys: whether it refuses all requests since it owns no keys.
         record: limits and arrivals.
     """
 
@@ -99,6 +101,7 @@
     limit_text: str | None = None
     leaving: bool = False
     pause_s: float | None = None
+    lost_keys: bool = False
     service_s: float = 0.05
     record: LimitRecord = field(default_factory=lambda: LimitRecord(SETTLING_S))
 
@@ -119,13 +122,18 @@
                     (b'retry-after', str(self.pause_s).encode()),
                 ],
             )
+        if self.lost_keys:
+            return Answer(_MISDIRECTED, self._headers(request_id))
         await asyncio.sleep(self.service_s)
+        return Answer(200, self._headers(request_id))
+
+    def _headers(self, request_id: bytes) -> list[tuple[bytes, bytes]]:
         headers = [(b'x-attempt-id', request_id)]
         if self.limit_text is not None:
             headers.append((b'server-limit', self.limit_text.encode()))
         if self.leaving:
             headers.append((b'server-leaving', b'1'))
-        return Answer(200, headers)
+        return headers
 
 
 @dataclass
@@ -188,12 +196,10 @@
     Attributes:
         number: see ``ClientConnection``.
         answers: how many were read.
-        peer: see ``ClientConnection``.
     """
 
     number = 0
     answers = 1
-    peer: object = None
 
     def __init__(self, node: 'SimulatedInstance') -> None:
         self._node = node
--- a/tests/platform/test_limits_of_all_instances.py
+++ b/tests/platform/test_limits_of_all_instances.py
@@ -17,7 +17,7 @@
 
 from tests.builders.leadership_world import use_virtual_clock
 from tests.builders.limit_record import most_in_window
-from tests.builders.limit_world import LimitWorld, limit_world
+from tests.builders.limit_world import DEADLINE_S, LimitWorld, limit_world
 from tests.builders.virtual_time import first_problems, in_virtual_time
 from yuccadale_core.codes import ResultCode
 from yuccadale_edge._internal.clock import elapsed_s
@@ -215,6 +215,27 @@
         assert len(served) > 60
 
 
+@pytest.mark.parametrize('per_s', [0, 6.5])
+@in_virtual_time
+async def test_a_limit_holds_that_only_refusals_name(per_s: float) -> None:
+    """Guards against a server that lost its leases and gets all requests.
+
+    Each request goes on a new connection, on which none has run.
+    """
+    async with limit_world(10) as world:
+        await world.load(DEMAND_PER_S, 1, keyed=True)
+        # Nothing runs any more.
+        await asyncio.sleep(DEADLINE_S)
+        world.server.lost_keys = True
+        world.server.name_limit(per_s)
+        await world.load(DEMAND_PER_S, 12, keyed=True)
+        assert not world.server.record.excess(elapsed_s())
+        world.server.lost_keys = False
+        world.server.name_limit(inf)
+        await world.load(DEMAND_PER_S, 8, keyed=True)
+        assert set(_known_limits(world)) == {None}
+
+
 @in_virtual_time
 async def test_returns_are_as_late_for_services_without_keys() -> None:
     """Guards against callers that return too early and are refused again."""
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -138,8 +138,7 @@
 ) -> None:
     """Guards against a server that lost its leases and gets all requests.
 
-    Another server at a reused address refuses in the same way. Only after an
-    answer to a request that ran does a connection surely lead to the server.
+    It did on connections on which no request had run.
     """
     async with platform_system(keyed=1, unkeyed=0) as system:
         name = await system.add_instance()
@@ -153,8 +152,30 @@
         server.limit_text = '3'
         arrived = len(server.arrivals_s)
         await system.send_request(name, '/keyed/x', key=7)
-        is_known = 'server_limit_per_s{server="k0"} 3.0' in await _metrics(
+        assert len(server.arrivals_s) > arrived
+        assert 'server_limit_per_s{server="k0"} 3.0' in await _metrics(
             system, name
         )
-        assert is_known == answered_before
-        assert len(server.arrivals_s) > arrived
+
+
+async def test_a_limit_of_the_next_server_at_an_address() -> None:
+    """Guards against a sound server that is limited by another one's answers.
+
+    The other one has the address that the server had before it started again.
+    """
+    async with platform_system(keyed=1, unkeyed=0) as system:
+        name = await system.add_instance()
+        await system.wait_until_served(name, 7)
+        former = system.server_by_id['k0']
+        former.server_id = 'other'
+        former.limit_text = '0'
+        await system.send_request(name, '/keyed/x', key=7)
+        restarted = PlatformServer('k0', 'ledger', 'a', keyed=True)
+        restarted.born = former.born + 1000
+        await system.add_server(restarted)
+        await system.wait_until_served(name, 7)
+        statuses = [
+            await _status(system, name, '/keyed/x', 7) for _ in range(40)
+        ]
+        assert set(statuses) == {200}
+        assert 'server_limit_per_s' not in await _metrics(system, name)
