Ask for the sender of a limited server once when a request is sent

Dispatcher._serve_at asked whether another instance sends, and _serve_through_sender asked again which one. The second answers both; behaviour is unchanged.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -285,7 +285,7 @@
         self, server: Server, request: RoutedRequest, deadline_s: float
     ) -> Result:
         """Sends a request to a server, through the sender of a limited one."""
-        if self._is_sent_by_another(server, request):
+        if self.rate_limits.per_s(_holder(server)) is not None:
             result = await self._serve_through_sender(
                 server, request, deadline_s
             )
