Compare the count of unparsed bytes once

Both connections kept the count in a second variable to see whether a part of a message had been read. Reading one sets the count to 0, so that the comparison with the bound alone says the same; behaviour is unchanged.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -235,15 +235,13 @@
             self.close()
             return
         self._unparsed_bytes += len(chunk)
-        unparsed = self._unparsed_bytes
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
             self._fail(AnswerMalformedError('the server switched protocols'))
         except httptools.HttpParserError as error:
             self._fail(AnswerMalformedError(str(error)))
-        parsed = self._unparsed_bytes != unparsed
-        if not parsed and unparsed > _MAX_UNPARSED_BYTES:
+        if self._unparsed_bytes > _MAX_UNPARSED_BYTES:
             self._fail(AnswerMalformedError('a head or trailer is too large'))
 
     def eof_received(self) -> bool:
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -221,16 +221,14 @@
         if self._closing or self._rejected:
             return
         self._unparsed_bytes += len(chunk)
-        unparsed = self._unparsed_bytes
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
             self._reject(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
             self._reject(HTTPStatus.BAD_REQUEST)
-        parsed = self._unparsed_bytes != unparsed
         max_unparsed = self._listener.limits.header_bytes + _UNCOUNTED_BYTES
-        if not parsed and unparsed > max_unparsed:
+        if self._unparsed_bytes > max_unparsed:
             self._reject_status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
         if self._reject_status is not None and not self._rejected:
             self._reject(self._reject_status)
