Forget the returns to a service with its last server

Dispatcher._returns_by_service kept an entry for each service that ever refused a request for its limits, also after the service was gone.

test_returns_to_a_service_end_with_its_last_server failed before.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -121,13 +121,15 @@
         return await self._serve_at(server, request, deadline_s)
 
     def maintain_queues(self) -> None:
-        """Closes the idle queues of servers that are no longer registered.
+        """Forgets servers and services that are no longer registered.
 
-        The others may send again after their limit changed.
+        The queues of the others may send again after their limit changed.
         """
-        known = set(
-            map(_holder, self._system_view.servers.server_by_id.values())
-        )
+        servers = self._system_view.servers.server_by_id.values()
+        known = set(map(_holder, servers))
+        services = {server.service for server in servers}
+        for service in self._returns_by_service.keys() - services:
+            self._returns_by_service.pop(service)
         self.rate_limits.keep_only(known)
         self.statements.keep_only(known)
         self._refuse_queued()
@@ -267,10 +269,13 @@
     ) -> bool:
         """Whether another instance sends, whose queue is not known here."""
         return (
-            self.rate_limits.per_s(_holder(server)) is not None
+            self._is_limited(server)
             and self._forwarder.limit_sender(server, request) is not None
         )
 
+    def _is_limited(self, server: Server) -> bool:
+        return self.rate_limits.per_s(_holder(server)) is not None
+
     def _may_choose(self, server: Server, tried: set[Holder]) -> bool:
         holder = _holder(server)
         until_s = self._limit_used_until_s.get(holder, 0)
@@ -285,7 +290,7 @@
         self, server: Server, request: RoutedRequest, deadline_s: float
     ) -> Result:
         """Sends a request to a server, through the sender of a limited one."""
-        if self.rate_limits.per_s(_holder(server)) is not None:
+        if self._is_limited(server):
             result = await self._serve_through_sender(
                 server, request, deadline_s
             )
--- a/tests/edge/test_dispatch.py
+++ b/tests/edge/test_dispatch.py
@@ -6,7 +6,7 @@
 import pytest
 
 from yuccadale_edge._internal.clock import elapsed_s
-from yuccadale_edge._internal.model import ServerState
+from yuccadale_edge._internal.model import Server, ServerState
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
 from yuccadale_edge._internal.server_availability import ServerAvailability
 from yuccadale_edge._internal.transport.client_connection import (
@@ -46,3 +46,23 @@
     )
     (_, _, limit_s) = connection.exchange.await_args.args
     assert 0 < limit_s <= min(left_s, UNACKNOWLEDGED_S)
+
+
+def test_returns_to_a_service_end_with_its_last_server() -> None:
+    """Guards against state of services that are gone, kept for ever."""
+    server = Server('s', 'gone', ('h', 1), 'a', 1, ServerState.ready, 1, 0)
+    server_by_id = {'s': server}
+    system_view = Mock(
+        servers=Mock(server_by_id=server_by_id),
+        availability=ServerAvailability(elapsed_s, server_by_id),
+        instance_by_name={},
+    )
+    dispatcher = Dispatcher(
+        system_view, Mock(), Mock(), Mock(), Mock(), Mock(), Mock()
+    )
+    dispatcher._book_return_s('gone', [server])
+    dispatcher.maintain_queues()
+    assert dispatcher._returns_by_service
+    server_by_id.clear()
+    dispatcher.maintain_queues()
+    assert not dispatcher._returns_by_service
