Let the limits hand over the rates for which keys move

OwnershipManager._limits asked for the rate of each usable server, and dropped those without a limit. RateLimits knows the few that have one. The planner reads rates of its own servers only; behaviour is unchanged.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -87,7 +87,7 @@
             reporter,
             calls,
             metrics,
-            dispatcher.rate_limits.planning_rate,
+            dispatcher.rate_limits.planning_rate_by_holder,
         )
         self.read_wait_s = self._member.read_wait_s
         self._limit_exchange = exchange_limits(
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -38,7 +38,7 @@
 from yuccadale_edge._internal.ownership.call_runner import ServerCalls
 from yuccadale_edge._internal.ownership.manager import (
     OwnershipManager,
-    PlanningRate,
+    PlanningRates,
 )
 from yuccadale_edge._internal.ownership.records import (
     KEYS_PREFIX,
@@ -106,7 +106,7 @@
         reporter: Reporter,
         calls: ServerCalls,
         metrics: Metrics,
-        planning_rate: PlanningRate,
+        planning_rate_by_holder: PlanningRates,
     ) -> None:
         self.draining = False
         self._settings = settings
@@ -118,7 +118,7 @@
         self._reporter = reporter
         self._calls = calls
         self._metrics = metrics
-        self._planning_rate = planning_rate
+        self._planning_rate_by_holder = planning_rate_by_holder
         self._manager_by_service: dict[str, OwnershipManager] = {}
         # Reports to this leader, and those that are assumed after a takeover.
         self._last_report_s_by_member: dict[str, float] = {}
@@ -377,7 +377,7 @@
             self._publish_owners,
             self._metrics,
             self._settings.bounds.lease_s,
-            self._planning_rate,
+            self._planning_rate_by_holder,
             lambda: leadership.era,
         )
         row = leadership.row_by_key.get(KEYS_PREFIX + service)
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -4,9 +4,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from functools import partial
-from math import inf
 
 import structlog
 
@@ -67,7 +66,7 @@
 # Delay before a failed write of the plan is retried.
 _RECORD_RETRY_S = 0.4
 
-PlanningRate = Callable[[Holder], float]
+PlanningRates = Callable[[], Mapping[Holder, float]]
 Write = Callable[[dict[str, bytes]], Awaitable[bool]]
 
 
@@ -91,7 +90,7 @@
         publish: Callable[[str, list[OwnedRange]], None],
         metrics: Metrics,
         lease_s: float,
-        planning_rate: PlanningRate,
+        planning_rate_by_holder: PlanningRates,
         era: Callable[[], int] = _no_era,
     ) -> None:
         self.service = service
@@ -106,7 +105,7 @@
         self._write = write
         self._publish = publish
         self._metrics = metrics
-        self._planning_rate = planning_rate
+        self._planning_rate_by_holder = planning_rate_by_holder
         self._era = era
         self._recorded_era = era()
         self._runner = CallRunner(
@@ -382,7 +381,7 @@
             capacity,
             now_s,
             rebalance=moving < max_moving,
-            limit_by_holder=self._limits(usable),
+            limit_by_holder=self._planning_rate_by_holder(),
         )
         for move in moves:
             self._apply_move(move, now_s)
@@ -400,17 +399,6 @@
             speed *= _COLD_SPEED
         return server.slots * speed
 
-    def _limits(self, holders: Iterable[Holder]) -> dict[Holder, float]:
-        """Returns the limits of servers for which moves are planned."""
-        limit_by_holder = {
-            holder: self._planning_rate(holder) for holder in holders
-        }
-        return {
-            holder: per_s
-            for holder, per_s in limit_by_holder.items()
-            if per_s < inf
-        }
-
     def _span(
         self, segment: Segment, usable: dict[Holder, Server], now_s: float
     ) -> Span:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/rate_limits.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/rate_limits.py
@@ -108,12 +108,14 @@
             return inf if per_s > _UNLIMITED_PER_S else per_s
         return per_s * share
 
-    def planning_rate(self, holder: Holder) -> float:
-        """Returns the requests a second for which keys are assigned."""
-        limit = self._limit_by_holder.get(holder)
-        if limit is None or self._now() - limit.since_s < _PLANNING_DELAY_S:
-            return inf
-        return limit.per_s
+    def planning_rate_by_holder(self) -> dict[Holder, float]:
+        """Returns the limits, in requests a second, for which keys move."""
+        known_before_s = self._now() - _PLANNING_DELAY_S
+        return {
+            holder: limit.per_s
+            for holder, limit in self._limit_by_holder.items()
+            if limit.since_s <= known_before_s
+        }
 
     def observe(
         self, server: Server, per_s: float | None, sent_s: float
--- a/tests/edge/test_rate_limits.py
+++ b/tests/edge/test_rate_limits.py
@@ -38,16 +38,16 @@
     """Guards against moves for a moment's limit, and moves to and fro."""
     instance = _Instance()
     instance.answer(6)
-    assert instance.limits.planning_rate(HOLDER) == inf
+    assert not instance.limits.planning_rate_by_holder()
     instance.now_s += 1.5
-    assert instance.limits.planning_rate(HOLDER) == 6
+    assert instance.limits.planning_rate_by_holder() == {HOLDER: 6}
     instance.answer(None)
     instance.now_s += 9
     instance.limits.keep_only({HOLDER})
-    assert instance.limits.planning_rate(HOLDER) == 6
+    assert instance.limits.planning_rate_by_holder() == {HOLDER: 6}
     instance.now_s += 2
     instance.limits.keep_only({HOLDER})
-    assert instance.limits.planning_rate(HOLDER) == inf
+    assert not instance.limits.planning_rate_by_holder()
 
 
 def test_an_answer_to_an_earlier_request_does_not_end_a_limit() -> None:
