--- a/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
@@ -81,7 +81,7 @@
         self._instance = instance
         self._hears_leader = hears_leader
         self._suspect_until_by_name: dict[str, float] = {}
-        self._senders_by_server: dict[str, list[Instance]] = {}
+        self._senders_by_place: dict[tuple[str, str], list[Instance]] = {}
         self._roster_of_senders: object = None
 
     def reachable_sender(
@@ -180,9 +180,9 @@
         roster = (self._system_view.membership_version, len(instances))
         if roster != self._roster_of_senders:
             self._roster_of_senders = roster
-            self._senders_by_server.clear()
-        key = f'{server.server_id}@{server.data_centre}'
-        senders = self._senders_by_server.get(key)
+            self._senders_by_place.clear()
+        place = (server.server_id, server.data_centre)
+        senders = self._senders_by_place.get(place)
         if senders is None:
             senders = first_senders(
                 server.server_id,
@@ -191,7 +191,7 @@
                 self._place,
                 len(LIMIT_SHARES),
             )
-            self._senders_by_server[key] = senders
+            self._senders_by_place[place] = senders
         return senders
 
     def _is_suspected(self, instance: Instance) -> bool:
