--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -10,7 +10,7 @@
 import re
 import socket
 import struct
-from collections.abc import Callable, Hashable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from io import BytesIO
 
@@ -116,7 +116,6 @@
     Attributes:
         number: distinguishes the connections of a process in logs.
         answers: number of answers on it so far, additional ones included.
-        peer: the server that has surely answered on it; None if unknown.
         proven_deliveries: number of calls without an id that the server has
             surely handled.
     """
@@ -135,7 +134,6 @@
         self._held = held
         self.number = number
         self.answers = 0
-        self.peer: Hashable = None
         self.proven_deliveries = 0
         self._deliveries = 0
         self._failed_ids: set[str] = set()
@@ -281,15 +279,13 @@
             self.close()
             return
         self._unparsed_bytes += len(chunk)
-        unparsed = self._unparsed_bytes
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
             self._fail(AnswerMalformedError('the server switched protocols'))
         except httptools.HttpParserError as error:
             self._fail(AnswerMalformedError(str(error)))
-        parsed = self._unparsed_bytes != unparsed
-        if not parsed and unparsed > _MAX_UNPARSED_BYTES:
+        if self._unparsed_bytes > _MAX_UNPARSED_BYTES:
             self._fail(AnswerMalformedError('a head or trailer is too large'))
 
     def eof_received(self) -> bool:
