Refuse answers of the store that are not those of the read

A copy of the answer to a write, on the same connection, was read as a table without rows, so that all servers, routes or owners of that table would have been taken as removed.

Cause: all fields of an answer had defaults, so any JSON object with status 200 was an answer to any read.

An answer to a read now needs the fields that the pages give for this read (rows, ver and now; has_more for a table), rows of the table and page that were asked for, versions that the read can have, and neither a version nor a time before those that were known when the read was sent. These may start again in a later era. Otherwise the connection is closed, since more copies may follow, and the read has failed; the log says "answer of the store refused".

The valid input of the decoders' fuzz test gets the fields that the pages give.

--- a/tests/platform/test_decoders_fuzz.py
+++ b/tests/platform/test_decoders_fuzz.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies as st
 
 from tests.builders.platform_system import configuration
+from tests.builders.store_answers import table_page, table_row
 from yuccadale_edge._internal.membership import (
     electorate,
     leader,
@@ -35,12 +36,17 @@
     CallerMessage,
     InvalidRowError,
     StoreOutcomeUnknownError,
-    StoreUnavailableError,
 )
 from yuccadale_edge._internal.transport.client_connection import Answer
 from yuccadale_platform._internal.requests import PlatformCodec
 from yuccadale_platform._internal.settings import SettingsError, read_settings
-from yuccadale_platform._internal.store import _decode, _decode_written
+from yuccadale_platform._internal.store import (
+    _AnswerRefusedError,
+    _decode_changes,
+    _decode_page,
+    _decode_time,
+    _decode_written,
+)
 from yuccadale_platform.adapter import decode_configuration, decode_server
 
 _EXAMPLES = 150
@@ -119,9 +125,21 @@
     ),
     Decoder(
         'page of the store',
-        lambda body: _decode(Answer(200, [], body)),
-        (StoreUnavailableError,),
-        b'{"rows":[{"key":"k","value":"e30=","ver":3}],"ver":4}',
+        lambda body: _decode_page(Answer(200, [], body), 'own', ''),
+        (_AnswerRefusedError,),
+        json.dumps(table_page(table_row('k', 3))).encode(),
+    ),
+    Decoder(
+        'changes of the store',
+        lambda body: _decode_changes(Answer(200, [], body), 'own', 2),
+        (_AnswerRefusedError,),
+        json.dumps(table_page(table_row('k', 3))).encode(),
+    ),
+    Decoder(
+        'clock of the store',
+        lambda body: _decode_time(body.decode('utf-8', 'replace')),
+        (_AnswerRefusedError,),
+        b'51230ms',
     ),
     Decoder(
         'answer to a write',
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 import gc
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
+from types import MappingProxyType
 from weakref import ref
 
 import pytest
@@ -14,6 +15,13 @@
     running_store,
 )
 from tests.builders.raw_server import RawServer, Script, run_raw_server
+from tests.builders.store_answers import (
+    Document,
+    answers_in_turn,
+    table_page,
+    table_row,
+    without,
+)
 from yuccadale_edge.instance import (
     CONFIGURATION_TABLE,
     ClientPool,
@@ -119,6 +127,108 @@
         pool.close_idle(parse_address(raw.address))
 
 
+_WRITTEN = MappingProxyType({'ver': 9, 'now': '9000ms'})
+_ROW = table_row('a', 3)
+_NO_PAGES = MappingProxyType(
+    {
+        'answer to a write': dict(_WRITTEN),
+        'answer to a feed': without(table_page(_ROW, ver=9), 'has_more'),
+        'no clock': without(table_page(_ROW, ver=9), 'now'),
+        'clock that is no time': table_page(_ROW, now='soon'),
+        'no version': without(table_page(_ROW), 'ver'),
+        'row that names no table': table_page(without(_ROW, 'table')),
+        'another table': table_page(table_row('a', 3, table='other')),
+        'another part': table_page(table_row('a', 3, part='p')),
+        'keys out of order': table_page(table_row('b', 3), _ROW),
+        'row of a later version': table_page(table_row('a', 8)),
+        'version that was known': table_page(_ROW, ver=6),
+        'time that was known': table_page(_ROW, now='6999ms'),
+    }
+)
+_NO_CHANGES = MappingProxyType(
+    {
+        'answer to a write': dict(_WRITTEN),
+        'no rows': without(table_page(ver=9), 'rows'),
+        'no clock': without(table_page(ver=9), 'now'),
+        'another table': table_page(table_row('a', 8, table='other'), ver=9),
+        'row that was known': table_page(table_row('a', 7), ver=9),
+        'row of a later version': table_page(table_row('a', 10), ver=9),
+        'version that was known': table_page(ver=6),
+        'time that was known': table_page(table_row('a', 8), ver=9, now='1ms'),
+    }
+)
+
+
+@pytest.mark.parametrize('answer', _NO_PAGES.values(), ids=_NO_PAGES)
+async def test_an_answer_to_another_call_is_no_table(answer: Document) -> None:
+    """Guards against a table that is taken from the answer to another call."""
+    answers = answers_in_turn(table_page(_ROW), answer, table_page(_ROW))
+    async with run_raw_server(answers) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        store = PlatformStore(parse_address(raw.address), pool)
+        known = await store.read(TABLE)
+        with pytest.raises(StoreUnavailableError):
+            await store.read(TABLE)
+        # The next read is on another connection.
+        assert await store.read(TABLE) == known
+        assert raw.connections == 2
+        pool.close_idle(parse_address(raw.address))
+
+
+@pytest.mark.parametrize('answer', _NO_CHANGES.values(), ids=_NO_CHANGES)
+async def test_an_answer_to_another_call_is_no_change(answer: Document) -> None:
+    """Guards against changes that are missed, or taken from another call."""
+    later = table_page(table_row('a', 9), ver=9)
+    answers = answers_in_turn(table_page(_ROW), answer, later)
+    async with run_raw_server(answers) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        store = PlatformStore(parse_address(raw.address), pool)
+        known = await store.read(TABLE)
+        with pytest.raises(StoreUnavailableError):
+            await store.changes(TABLE, known.version, 0.1)
+        rows = await store.changes(TABLE, known.version, 0.1)
+        assert [row.version for row in rows.rows] == [9]
+        assert raw.connections == 2
+        pool.close_idle(parse_address(raw.address))
+
+
+async def test_a_copy_of_the_first_page_is_not_the_second() -> None:
+    """Guards against rows that are missing behind the first page."""
+    page = table_page(_ROW, has_more=True)
+    async with run_raw_server(answers_in_turn(page, page)) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        store = PlatformStore(parse_address(raw.address), pool)
+        with pytest.raises(StoreUnavailableError):
+            await store.read(TABLE)
+        assert len(raw.heads) == 2
+        pool.close_idle(parse_address(raw.address))
+
+
+async def test_reads_within_one_tick_of_the_clock_are_used() -> None:
+    """Guards against an answer that is refused since nothing has changed."""
+    answers = answers_in_turn(table_page(), table_page(), table_page())
+    async with run_raw_server(answers) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        store = PlatformStore(parse_address(raw.address), pool)
+        known = await store.read(TABLE)
+        assert await store.read(TABLE) == known
+        assert await store.changes(TABLE, known.version, 0) == known
+        assert raw.connections == 1
+        pool.close_idle(parse_address(raw.address))
+
+
+async def test_version_and_clock_may_go_back_in_a_later_era() -> None:
+    """Guards against a restored store whose answers are all refused."""
+    restored = table_page(_ROW, ver=3, now='1ms')
+    answers = answers_in_turn(table_page(_ROW), restored, eras=(1, 2))
+    async with run_raw_server(answers) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        store = PlatformStore(parse_address(raw.address), pool)
+        await store.read(TABLE)
+        assert era_of((await store.read(TABLE)).version) == 2
+        pool.close_idle(parse_address(raw.address))
+
+
 async def test_a_conflict_on_a_missing_row_has_no_row() -> None:
     """Guards against a row of version 0 that counts as present."""
     async with _store() as (store, _):
