Keep repeats off connections that refused them in the older daemon

Cause: the daemon of the older packages sends a request again that a draining server refused, on any idle connection. The copy of the refusal bears the id of the request, so it counted for the repeat. A refusal that named no request counted for any later one. aiohttp returns a connection before its caller sees the answer, and has no choice among idle ones.

The response notes a refusal on its connection as soon as it has read the head, before another task can run; the request checks this right before it is written. A connection that refused it is closed, and another one is taken; nothing was sent by then. Connections are given up for repeats only, and stay within the declared number, as they come from the same connector. A refusal that names no request, or the 64th on a connection, ends that connection.

Evidence: test_the_copy_of_a_refusal_is_not_the_answer_to_a_repeat failed before; so did the six new cases. tests/core, tests/standins and tests/router/requests pass.

--- a/packages/core/src/yuccadale_core/_internal/http_attempts.py
+++ b/packages/core/src/yuccadale_core/_internal/http_attempts.py
@@ -28,7 +28,7 @@
     """The permission to send ended before the request was written."""
 
 
-class _PermissionCheckedRequest(aiohttp.ClientRequest):
+class PermissionCheckedRequest(aiohttp.ClientRequest):
     """Checks the permission to send after the connection is established.
 
     Waiting for a connection can take longer than the permission is valid.
@@ -79,12 +79,19 @@
 
 
 def single_attempt_session(
-    connector: aiohttp.BaseConnector, *, timeout_s: float | None = None
+    connector: aiohttp.BaseConnector,
+    *,
+    timeout_s: float | None = None,
+    request_class: type[aiohttp.ClientRequest] = PermissionCheckedRequest,
+    response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
 ) -> aiohttp.ClientSession:
     """Returns a session that never sends a request twice.
 
     Args:
+        connector: opens and keeps its connections.
         timeout_s: default time limit of a whole call.
+        request_class: of its requests.
+        response_class: of its answers.
 
     Pass an ``Attempt`` as ``trace_request_ctx`` to find out whether a failed
     request may have been sent.
@@ -99,5 +106,6 @@
         timeout=aiohttp.ClientTimeout(total=timeout_s),
         middlewares=(_send_once,),
         trace_configs=[trace],
-        request_class=_PermissionCheckedRequest,
+        request_class=request_class,
+        response_class=response_class,
     )
--- a/packages/core/src/yuccadale_core/_internal/targets_http.py
+++ b/packages/core/src/yuccadale_core/_internal/targets_http.py
@@ -8,7 +8,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterator, Mapping
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from types import MappingProxyType
 from typing import TypeVar
 from urllib.parse import quote
@@ -26,6 +26,13 @@
     single_attempt_session,
 )
 from yuccadale_core._internal.instances import ServerRef
+from yuccadale_core._internal.refusing_connections import (
+    REFUSED_HEADER,
+    REQUEST_ID_HEADER,
+    RefusalCheckedRequest,
+    RefusalNotingResponse,
+    RefusedHereError,
+)
 from yuccadale_core._internal.targets import (
     Grant,
     GrantAnswer,
@@ -43,12 +50,10 @@
     seconds,
 )
 
-REFUSED_HEADER = 'Yuccadale-Refused'
 HIGHEST_TOKEN_HEADER = 'Yuccadale-Highest-Token'
 TOKEN_HEADER = 'Yuccadale-Token'
 SLOT_HEADER = 'Yuccadale-Slot'
 KEY_HEADER = 'Yuccadale-Key'
-REQUEST_ID_HEADER = 'Yuccadale-Request-Id'
 DEADLINE_HEADER = 'Yuccadale-Deadline-Ms'
 
 _OK = 200
@@ -143,7 +148,9 @@
 
     def __init__(self, limit: int) -> None:
         self.session = single_attempt_session(
-            aiohttp.TCPConnector(limit=limit, keepalive_timeout=_KEEP_ALIVE_S)
+            aiohttp.TCPConnector(limit=limit, keepalive_timeout=_KEEP_ALIVE_S),
+            request_class=RefusalCheckedRequest,
+            response_class=RefusalNotingResponse,
         )
         self.peak_calls = 0
         self.active_calls = 0
@@ -249,6 +256,24 @@
             async with asyncio.timeout(None) as timeout:
                 pending = _PendingRequest(request.request_id, timeout)
                 self._pending_requests.add(pending)
+                return await self._send_request(request)
+        except TimeoutError:
+            # Raised here by ``pending.finish`` only: there is no time limit.
+            if pending is None or pending.result is None:
+                raise
+            return pending.result
+        finally:
+            if pending is not None:
+                self._pending_requests.discard(pending)
+
+    async def _send_request(
+        self, request: TargetRequest
+    ) -> Result[TargetAnswer, TargetFailure]:
+        """Sends a request on a connection that has not refused it."""
+        deadline_ms = _now_ms() + request.remaining_ms
+        while True:
+            # Closed in this case, so that the next connection is another.
+            with suppress(RefusedHereError):
                 return await self._call(
                     self._current_pool(),
                     Attempt(),
@@ -256,17 +281,9 @@
                     f'/run/{request.path.lstrip("/")}',
                     headers=_request_headers(request),
                     body=request.body,
-                    timeout_ms=request.remaining_ms,
+                    timeout_ms=deadline_ms - _now_ms(),
                     body_limit_bytes=self._body_limit_bytes,
                 )
-        except TimeoutError:
-            # Raised here by ``pending.finish`` only: there is no time limit.
-            if pending is None or pending.result is None:
-                raise
-            return pending.result
-        finally:
-            if pending is not None:
-                self._pending_requests.discard(pending)
 
     async def _control_call(
         self, method: str, path: str, body: bytes = b''
@@ -374,6 +391,8 @@
                     trace_request_ctx=attempt,
                 ) as response:
                     answer = await _read_answer(response, body_limit_bytes)
+        except RefusedHereError:
+            raise
         except _CALL_ERRORS as error:
             return Result.Error(_call_failure(attempt, error))
         return Result.Ok(answer)
--- a/tests/builders/raw_server.py
+++ b/tests/builders/raw_server.py
@@ -19,12 +19,14 @@
         heads: request heads of all connections, in the order of arrival.
         connections: number of connections opened so far.
         open_connections: number of connections that are open now.
+        stop_accepting: refuses connections from now on; keeps the open ones.
     """
 
     address: str = ''
     heads: list[bytes] = field(default_factory=list)
     connections: int = 0
     open_connections: int = 0
+    stop_accepting: Callable[[], None] = lambda: None
 
     async def read_request(self, reader: asyncio.StreamReader) -> None:
         """Reads a request with its body and appends its head to ``heads``."""
@@ -59,6 +61,7 @@
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     host, port = server.sockets[0].getsockname()
     raw.address = f'{host}:{port}'
+    raw.stop_accepting = server.close
     try:
         yield raw
     finally:
--- a/tests/core/test_single_attempt.py
+++ b/tests/core/test_single_attempt.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.builders.raw_server import RawServer, Script, run_raw_server
+from tests.builders.refusing_server import refuses_all
 from tests.builders.requests_to_servers import build_request
 from yuccadale_core.instances import ServerRef
 from yuccadale_core.targets import TargetFailureKind
@@ -85,6 +86,63 @@
     assert repeated.is_ok()
 
 
+@pytest.mark.parametrize('body', [b'', b'busy'])
+async def test_a_repeat_opens_a_connection_only_if_none_is_free_of_its_refusal(
+    body: bytes,
+) -> None:
+    """Guards against a connection that is given up with each refusal."""
+    make_script = refuses_all(body=body)
+    async with run_raw_server(make_script) as raw:
+        target = build_target(raw.address)
+        kinds = [
+            (await target.run(build_request(f'id-{number}'))).error.kind
+            for number in (1, 2, 3, 3, 4)
+        ]
+        await target.close()
+    assert set(kinds) == {TargetFailureKind.shedding}
+    assert len(raw.heads) == 5
+    assert raw.connections == 2
+
+
+@pytest.mark.parametrize('body', [b'', b'busy'])
+async def test_a_refusal_that_names_no_request_ends_its_connection(
+    body: bytes,
+) -> None:
+    """Guards against its copy, which would count for any later request."""
+    make_script = refuses_all(names_request=False, body=body)
+    async with run_raw_server(make_script) as raw:
+        target = build_target(raw.address)
+        for number in (1, 2):
+            refused = await target.run(build_request(f'id-{number}'))
+            assert refused.error.kind == TargetFailureKind.shedding
+        await target.close()
+    assert raw.connections == 2
+
+
+async def test_a_connection_with_many_refusals_is_not_used_again() -> None:
+    """Guards against refusals that a connection forgets, or keeps for ever."""
+    make_script = refuses_all()
+    async with run_raw_server(make_script) as raw:
+        target = build_target(raw.address)
+        for number in range(65):
+            await target.run(build_request(f'id-{number}'))
+        await target.close()
+    assert raw.connections == 2
+
+
+async def test_a_repeat_without_a_new_connection_is_not_sent() -> None:
+    """Guards against a repeat that counts as lost though no byte was sent."""
+    make_script = refuses_all()
+    async with run_raw_server(make_script) as raw:
+        target = build_target(raw.address)
+        await target.run(build_request('id-1'))
+        raw.stop_accepting()
+        repeated = await target.run(build_request('id-1'))
+        await target.close()
+    assert repeated.error.kind == TargetFailureKind.not_sent
+    assert len(raw.heads) == 1
+
+
 def _never_answer(raw: RawServer) -> Script:
     async def script(
         reader: asyncio.StreamReader, _writer: asyncio.StreamWriter
