--- a/tests/edge/test_links.py
+++ b/tests/edge/test_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -9,6 +10,7 @@
 import pytest
 
 from tests.builders.ports import free_port
+from tests.builders.raw_server import accepting_socket
 from tests.soak.proxy import LoopbackProxy, running_proxy
 from yuccadale_edge._internal.membership import links
 from yuccadale_edge._internal.observability.metrics import Metrics
@@ -16,6 +18,7 @@
 
 _SLOW_S = 0.5
 _LARGE_BYTES = 8_000_000
+_READ_BYTES = 65536
 # A late response, then the time for an echo, and time to run.
 _LOST_WITHIN_S = 5.0
 
@@ -183,6 +186,35 @@
         assert proxy.accepted > received
 
 
+async def test_a_pause_of_the_own_process_does_not_end_a_link(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that is broken off though its peer answers.
+
+    The echo came while the process got no processor, and its time had passed
+    before the event loop read it.
+    """
+    monkeypatch.setattr(links, '_LATE_RESPONSE_S', 0.05, raising=True)
+    monkeypatch.setattr(links, '_ECHO_TIMEOUT_S', 0.5, raising=True)
+    loop = asyncio.get_running_loop()
+    dialled = links.PeerLinks()
+    async with accepting_socket() as (address, accept):
+        request = asyncio.create_task(
+            _request(dialled, address, 'any', b'', _LOST_WITHIN_S)
+        )
+        peer = await accept()
+        echo = links._frame(links._ECHO, 0, '', b'')
+        # The probe of the new link, the request, and the probe behind it.
+        for answer in (echo, b'', echo):
+            assert await loop.sock_recv(peer, _READ_BYTES)
+            peer.sendall(answer)
+        time.sleep(links._ECHO_TIMEOUT_S + 0.1)
+        await asyncio.sleep(links._ECHO_TIMEOUT_S)
+        peer.sendall(links._frame(links._RESPONSE, 1, 'any', b'late'))
+        assert await request == b'late'
+        dialled.close()
+
+
 async def test_a_slow_answer_does_not_end_the_link(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
