--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -217,6 +217,27 @@
         pool.close_idle(parse_address(raw.address))
 
 
+async def test_a_store_whose_clock_has_gone_back_is_used_again() -> None:
+    """Guards against a store that is refused for good.
+
+    The first answer of a connection is no copy, whatever it says.
+    """
+    answers = answers_in_turn(
+        table_page(_ROW, now='7000ms'),
+        *(table_page(_ROW, now=f'{second}s') for second in (1, 2, 3)),
+    )
+    async with run_raw_server(answers) as raw:
+        pool = ClientPool(asyncio.get_running_loop())
+        store = PlatformStore(parse_address(raw.address), pool)
+        known = await store.read(TABLE)
+        with pytest.raises(StoreUnavailableError):
+            await store.read(TABLE)
+        assert await store.read(TABLE) == known
+        assert await store.read(TABLE) == known
+        assert raw.connections == 2
+        pool.close_idle(parse_address(raw.address))
+
+
 async def test_version_and_clock_may_go_back_in_a_later_era() -> None:
     """Guards against a restored store whose answers are all refused."""
     restored = table_page(_ROW, ver=3, now='1ms')
