--- a/packages/edge/src/yuccadale_edge/_internal/transport/held_bytes.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/held_bytes.py
@@ -300,9 +300,7 @@
         """Whether the bytes accepted with room are too many."""
         if self.size <= self.max_bytes:
             return False
-        without_room = sum(
-            one.without_room for one in (*self._holdings, *self._rooms)
-        )
+        without_room = sum(one.without_room for one in self._parts())
         return self.size - without_room > self.max_bytes
 
     def _give_up_largest(self, may_end: Callable[[Holding], bool]) -> bool:
@@ -346,10 +344,13 @@
         """Returns the large answers on their way to callers."""
         return [
             one
-            for one in (*self._holdings, *self._rooms)
+            for one in self._parts()
             if one.for_caller and one.size > SMALL_BYTES
         ]
 
+    def _parts(self) -> list[Holding | AnswerRoom]:
+        return [*self._holdings, *self._rooms]
+
     def _grant_room(self) -> None:
         if not self._grants_room:
             return
