--- a/tests/platform/test_pauses_of_servers.py
+++ b/tests/platform/test_pauses_of_servers.py
@@ -168,7 +168,6 @@
                 world.server.server,
                 _refusal(b'4'),
                 elapsed_s(),
-                is_from_server=True,
             )
         returns_s = []
         for priority in range(3):
@@ -186,7 +185,7 @@
         server = world.server.server
         statements = world.nodes[0].dispatcher.statements
         for answer in (_refusal(b'4'), _refusal(b'1'), Answer(200, [])):
-            statements.observe(server, answer, elapsed_s(), is_from_server=True)
+            statements.observe(server, answer, elapsed_s())
         holder = Holder(server.server_id, server.incarnation)
         availability = world.nodes[0].view.availability
         assert availability.pause_left_s(holder) == PAUSE_S
@@ -258,7 +257,7 @@
         node = world.nodes[0]
         for _ in range(2):
             node.dispatcher.statements.observe(
-                server, _refusal(b'999999999'), elapsed_s(), is_from_server=True
+                server, _refusal(b'999999999'), elapsed_s()
             )
         holder = Holder(server.server_id, server.incarnation)
         assert 0 < node.view.availability.pause_left_s(holder) <= 60
