Let the servers of the soak test leave by answer and ask for pauses

Servers now say in their answers, not in their entry, that they leave, and start again 4 s later; full ones refuse with Retry-After of 0.7, 2 or 4 s. Both come in series, in plain and planned runs, and overlap with all other faults.

Checked as the users' rules have it, for each instance: no request that a caller sent later than 2 s after its answer (DRAIN), at most two from half a second after a refusal to the end of its pause (BUDGET). The sender of a connection is read from /proc, only while a server speaks. A restart or freeze since excuses an instance, in a pause also a fault of its path; an answer counts for DRAIN if its path had no fault until 0.5 s after it. The checks count from the server's answer, which is earlier than the moment at which the instance passes it on.

--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -13,7 +13,7 @@
 import msgspec
 from aiohttp import web
 
-from tests.builders.copied_answers import GRANT_PATH, CopiedAnswers
+from tests.builders.copied_answers import GRANT_PATH, CopiedAnswers, Handler
 from tests.builders.copied_refusals import CopiedRefusals
 from tests.builders.platform_store import RunningStore
 from yuccadale_standins.serving import drop_connection, listening
@@ -50,6 +50,7 @@
         granted_connections: those that have had an answer to a grant.
         copied_answers: answers of any kind that it sends once more, set before
             it runs.
+        around_requests: wraps the handler of requests, set before it runs.
         limit_text: the limit that its answers name, None to name none.
         leaving: whether all its answers say that it leaves.
         left_answer_s: when an answer first said so, on a monotonic clock.
@@ -79,6 +80,7 @@
         default_factory=WeakSet
     )
     copied_answers: CopiedAnswers | None = None
+    around_requests: Callable[[Handler], Handler] | None = None
     limit_text: str | None = None
     leaving: bool = False
     left_answer_s: float = inf
@@ -183,6 +185,8 @@
     if server.copied_answers is not None:
         grant = server.copied_answers.around(grant)
         request = server.copied_answers.around(request)
+    if server.around_requests is not None:
+        request = server.around_requests(request)
     application.router.add_post(GRANT_PATH, grant)
     application.router.add_post('/v1/release', _release(server))
     application.router.add_get(server.health_path, _health(server))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -23,6 +23,9 @@
 _LIMIT_S = 6.0
 # As the users allow.
 _LIMIT_SETTLING_S = 3.0
+_SAID_PAUSES_S = (0.7, 2.0, 4.0)
+_FULL_S = (0.1, 0.5, 2.0)
+_LEAVING_S = 4.0
 _PORT_TAKEN_S = 1.0
 _WORK_S = (0.005, 0.05, 0.3, 0.8)
 # As the users' servers wait after they have said that they leave.
@@ -100,6 +103,10 @@
             server.sends_without_end = False
             server.work_s = _WORK_S[0]
             self._name_limit(server, inf)
+            server.full = False
+            server.pause_text = None
+            if server.leaving:
+                await self._start_again(server)
             self._store.state.put('servers', server.server_id, server.entry())
         await self._store.state.notify_feeds()
         for instance in self._instances:
@@ -122,6 +129,7 @@
                 # These excuse no unanswered request.
                 'store': [self._store_down, self._drop_store_answers],
                 'answers': [self._copy_answers],
+                'statements': [self._leave_by_answer, self._ask_for_pause],
             }
         return {
             'processes': self._process_faults(),
@@ -129,6 +137,7 @@
             'input': self._input_faults(),
             'limits': [self._limit_server],
             'answers': [self._copy_answers],
+            'statements': [self._leave_by_answer, self._ask_for_pause],
         }
 
     def _process_faults(self) -> list[Fault]:
@@ -328,11 +337,35 @@
         state.remove('servers', server.server_id)
         await state.notify_feeds()
         await asyncio.sleep(_DRAINING_S)
+        await self._start_again(server)
+
+    async def _start_again(self, server: PlatformServer) -> None:
+        """Starts another life of a server once its work has ended."""
         while server.running_requests:
             await asyncio.sleep(_END_OF_WORK_CHECK_S)
+        server.leaving = False
         server.restart()
-        state.put('servers', server.server_id, server.entry())
-        await state.notify_feeds()
+        self._store.state.put('servers', server.server_id, server.entry())
+        await self._store.state.notify_feeds()
+
+    async def _leave_by_answer(self, random_source: random.Random) -> None:
+        """Lets a server say in its answers that it leaves, and start again.
+
+        Its entry says that it is ready.
+        """
+        server = random_source.choice(self._servers)
+        server.leaving = True
+        await asyncio.sleep(_LEAVING_S)
+        await self._start_again(server)
+
+    async def _ask_for_pause(self, random_source: random.Random) -> None:
+        """Lets a full server ask for a pause with its refusals."""
+        server = random_source.choice(self._servers)
+        server.pause_text = str(random_source.choice(_SAID_PAUSES_S))
+        server.full = True
+        await asyncio.sleep(random_source.choice(_FULL_S))
+        server.full = False
+        server.pause_text = None
 
     async def _change_configuration(self, random_source: random.Random) -> None:
         """Adds a route, or changes a time limit, in a new version."""
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -37,6 +37,9 @@
 GRACE_S = 3
 _END_TIMEOUT_S = 5.0
 _MB = 1_000_000
+_SOCKETS = Path('/proc/net/tcp')
+_LOCAL_ADDRESS_COLUMN = 1
+_INODE_COLUMN = 9
 
 
 @dataclass
@@ -45,6 +48,7 @@
 
     Attributes:
         stopped_s: when SIGTERM was sent, on a monotonic clock.
+        disturbed_s: when it last started, was suspended or resumed.
     """
 
     name: str
@@ -58,6 +62,7 @@
     terminating: bool = False
     ending: bool = False
     stopped_s: list[float] = field(default_factory=list)
+    disturbed_s: float = 0
 
     @property
     def ended_by_itself(self) -> bool:
@@ -99,6 +104,18 @@
         self.paused = False
         self.terminating = False
         self.ending = False
+        self.disturbed_s = time.monotonic()
+
+    def open_files(self) -> set[str]:
+        """Returns what the process has open, as /proc names it."""
+        if self.process is None or self.process.returncode is not None:
+            return set()
+        found: set[str] = set()
+        with suppress(OSError):
+            for link in Path(f'/proc/{self.process.pid}/fd').iterdir():
+                with suppress(OSError):
+                    found.add(os.readlink(link))
+        return found
 
     async def restart_if_ended(self) -> None:
         """Restarts the process if it ended or was asked to terminate."""
@@ -136,6 +153,8 @@
             # event loop.
             with suppress(ProcessLookupError):
                 os.kill(self.process.pid, number)
+            if number in {signal.SIGSTOP, signal.SIGCONT}:
+                self.disturbed_s = time.monotonic()
             self.paused = number == signal.SIGSTOP
             self.ending |= number in {signal.SIGKILL, signal.SIGTERM}
             if number == signal.SIGTERM:
@@ -155,6 +174,20 @@
         return await self.process.wait()
 
 
+def owner_of_connection(
+    port: int, instances: list[SoakInstance]
+) -> SoakInstance | None:
+    """Returns the instance that has a connection from a local port."""
+    rows = map(str.split, _SOCKETS.read_text().splitlines()[1:])
+    sockets = {
+        f'socket:[{row[_INODE_COLUMN]}]'
+        for row in rows
+        if row[_LOCAL_ADDRESS_COLUMN].endswith(f':{port:04X}')
+    }
+    owners = (one for one in instances if sockets & one.open_files())
+    return next(owners, None)
+
+
 @asynccontextmanager
 async def soak_instances(
     count: int, directory: Path, store: tuple[str, int]
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,7 @@
 """A loopback proxy that injects faults into its connections."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
@@ -18,6 +19,8 @@
         refuse_connections: whether new connections are closed at once.
         accepted: number of connections forwarded so far.
         held: chunks that had to wait until a fault ends.
+        client_port_by_port: port of the client of each open connection that
+            is not stalled, by the port from which it goes on.
     """
 
     def __init__(self, target: tuple[str, int]) -> None:
@@ -27,11 +30,20 @@
         self.refuse_connections = False
         self.accepted = 0
         self.held: list[bytes] = []
+        self.client_port_by_port: dict[int, int] = {}
+        self._disturbed_s: float = 0
         self._target = target
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._stalled: set[asyncio.StreamWriter] = set()
 
+    @property
+    def disturbed_s(self) -> float:
+        """When a fault was last active, on a monotonic clock."""
+        if self.delay_s or self.blocked_directions or self.refuse_connections:
+            self._note_fault()
+        return self._disturbed_s
+
     async def listen(self, port: int = 0) -> None:
         """Listens on a port of the loopback address, 0 for any free one."""
         self._listener = await asyncio.start_server(
@@ -47,11 +59,14 @@
 
     def reset(self) -> None:
         """Resets all open connections."""
+        self._note_fault()
         for writer in list(self._writers):
             writer.transport.abort()
 
     def stall_connections(self) -> None:
         """Stops forwarding on open connections; new ones work."""
+        self._note_fault()
+        self.client_port_by_port.clear()
         self._stalled.update(self._writers)
 
     def resume_connections(self) -> None:
@@ -60,6 +75,7 @@
 
     def clear_faults(self) -> None:
         """Ends all faults; stalled connections stay stalled."""
+        self._note_fault()
         self.delay_s = 0
         self.blocked_directions = frozenset()
         self.refuse_connections = False
@@ -80,6 +96,8 @@
             return
         self.accepted += 1
         self._writers.update((writer, target_writer))
+        port = target_writer.get_extra_info('sockname')[1]
+        self.client_port_by_port[port] = writer.get_extra_info('peername')[1]
         forwarding = [
             asyncio.create_task(
                 self._forward(reader, target_writer, 'to_target')
@@ -93,10 +111,17 @@
         finally:
             for task in forwarding:
                 task.cancel()
-            for open_writer in (writer, target_writer):
-                self._writers.discard(open_writer)
-                self._stalled.discard(open_writer)
-                open_writer.close()
+            self._close(port, writer, target_writer)
+
+    def _close(self, port: int, *writers: asyncio.StreamWriter) -> None:
+        self.client_port_by_port.pop(port, None)
+        for writer in writers:
+            self._writers.discard(writer)
+            self._stalled.discard(writer)
+            writer.close()
+
+    def _note_fault(self) -> None:
+        self._disturbed_s = time.monotonic()
 
     def _is_blocked(self, writer: asyncio.StreamWriter, direction: str) -> bool:
         return direction in self.blocked_directions or writer in self._stalled
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,6 +34,7 @@
 from tests.soak.processes import GRACE_S, SoakInstance, soak_instances
 from tests.soak.proxy import LoopbackProxy, running_proxy
 from tests.soak.report import SoakReport
+from tests.soak.statements import StatementRecord
 
 INSTANCES = 4
 KEYED_SERVERS = 4
@@ -66,6 +67,7 @@
         instances: list[SoakInstance],
         proxies: list[LoopbackProxy],
         session: aiohttp.ClientSession,
+        statements: list[StatementRecord],
         *,
         planned: bool = False,
     ) -> None:
@@ -76,6 +78,7 @@
         self._servers = servers
         self._instances = instances
         self._session = session
+        self._statements = statements
         self._request_count = 0
         self._refused_ids: list[str] = []
         self._faults = SoakFaults(
@@ -108,6 +111,9 @@
         self._check_executions()
         self._check_unanswered()
         self._check_limits()
+        for record in self._statements:
+            self.report.problems.extend(record.problems)
+            self.report.statements.update(record.counts)
         for server in self._servers:
             if server.copied_answers is not None:
                 self.report.copies.update(server.copied_answers.counts)
@@ -302,6 +308,7 @@
     Logs and settings stay in the directory.
     """
     servers = _servers(seed)
+    statements = list(map(StatementRecord, servers))
     client_timeout = aiohttp.ClientTimeout(total=LIMIT_MS / 1000 + 1)
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_store())
@@ -316,8 +323,18 @@
         session = await stack.enter_async_context(
             aiohttp.ClientSession(timeout=client_timeout)
         )
+        for record, proxy in zip(statements, proxies, strict=True):
+            record.proxy = proxy
+            record.instances = instances
         soak_run = SoakRun(
-            seed, store, servers, instances, proxies, session, planned=planned
+            seed,
+            store,
+            servers,
+            instances,
+            proxies,
+            session,
+            statements,
+            planned=planned,
         )
         return await soak_run.run(duration_s)
 
@@ -347,6 +364,7 @@
             seed,
             dict(report.status_counts),
             dict(report.copies),
+            dict(report.statements),
             report.faults,
             flush=True,
         )
