Let electors keep copies of the records of keys for a restored store

What callers saw: when the leader dies while the store is restored from an older copy, another leads 2.2 s after the restore, but keys have no owner for 5.8 s more.

Cause: the restored store has lost the last records of keys. Keys may have moved since the record that is left, so the new leader waits until all leases have expired.

Why this is sound: a record is written before any grant by it, so the latest record that was used names every server that may hold keys. The leader now uses a record only when a majority of each trusted set of electors keeps a copy. A set is trusted for 6.6 s after the leader's statement that its majority has the latest record; a new leader assumes such statements about all sets of the row before it. A candidate uses copies only within 6 s of the statement, from a majority that voted for it and has copies; voters keep nothing for the old leader after their vote. An elector that started again has no copy, or a later one. Two majorities share an elector, so the candidate has the latest record used, or a later one, which names the same servers or more. In any other case it waits, as before: with less than three electors, without that majority, or too late.

Price: while a majority of a trusted set is away, keys do not move for up to 6.6 s.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -191,6 +191,7 @@
             self._store_answers,
             self._known_epoch,
             self._metrics,
+            settings.place.distance,
         )
         self._leadership = Leadership(
             store,
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -24,6 +24,7 @@
     LIMITS_TOPIC,
     NOMINATION_TOPIC,
     PROMISE_TOPIC,
+    RECORD_COPY_TOPIC,
     RELAY_TOPIC,
     REPORT_TOPIC,
     ROWS_TOPIC,
@@ -183,6 +184,8 @@
             return await self._electorate.handle_promise_request(body)
         if topic == VOTE_TOPIC:
             return self._electorate.handle_vote_request(body)
+        if topic == RECORD_COPY_TOPIC:
+            return self._electorate.handle_copy_request(body)
         _log.warning('request of a peer has an unknown topic', topic=topic)
         return b''
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/elector_sets.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/elector_sets.py
@@ -17,6 +17,7 @@
     Electors,
 )
 from yuccadale_edge._internal.membership.promises import MAX_PROMISED_LEASE_S
+from yuccadale_edge._internal.membership.record_copies import COPIES_VALID_S
 from yuccadale_edge._internal.store_versions import FIRST_ERA, era_of
 
 # A candidate uses electors that were confirmed at most this long before it
@@ -112,6 +113,13 @@
         self._electors: Electors = ()
         self._version = 0
         self._confirmed_s: float = 0
+        # When the leader was asked which services' records are kept.
+        self._kept_s_by_service: dict[str, float] = {}
+
+    @property
+    def electors(self) -> Electors:
+        """The electors, also if they were confirmed long ago."""
+        return self._electors
 
     def record_renewal(
         self, version: int, electors: Electors, began_s: float
@@ -120,14 +128,18 @@
         if not self.since or electors != self._electors:
             self.since = version
         self._electors = electors
+        self._kept_s_by_service = {}
         self._version = version
         self._confirmed_s = began_s
 
-    def confirmation(self, since: int) -> ConfirmedElectors | None:
+    def confirmation(
+        self, since: int, kept_services: tuple[str, ...] = ()
+    ) -> ConfirmedElectors | None:
         """Returns what this instance knows, None if that is nothing.
 
         Args:
             since: the same attribute of the receiver.
+            kept_services: see ``ConfirmedElectors``.
         """
         if not self.since:
             return None
@@ -136,6 +148,7 @@
             self.since,
             self._now() - self._confirmed_s,
             None if since == self.since else self._electors,
+            kept_services,
         )
 
     def confirm(self, confirmed: ConfirmedElectors, requested_s: float) -> None:
@@ -151,10 +164,29 @@
         if confirmed.electors is not None:
             self._electors = confirmed.electors
             self.since = confirmed.since
+            self._kept_s_by_service = {}
         elif confirmed.since != self.since:
             return
         self._version = confirmed.version
         self._confirmed_s = requested_s - confirmed.age_s
+        self._kept_s_by_service |= dict.fromkeys(
+            confirmed.kept_services, requested_s
+        )
+
+    def kept_services(self, electors: Electors) -> list[str]:
+        """Returns the services whose records a majority of electors keeps.
+
+        The leader has stated that shortly before, and can't have used a
+        record without such a majority since.
+        """
+        if electors != self._electors:
+            return []
+        now_s = self._now()
+        return [
+            service
+            for service, kept_s in self._kept_s_by_service.items()
+            if now_s - kept_s <= COPIES_VALID_S
+        ]
 
     def before_restore(self, version: int, noticed_s: float) -> Electors:
         """Returns electors of whom a majority can replace a lost row.
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -373,18 +373,19 @@
             leadership.may_act,
             leadership.may_plan,
             leadership.lease_left_s,
-            leadership.renew,
+            leadership.record,
             self._publish_owners,
             self._metrics,
             self._settings.bounds.lease_s,
             self._planning_rate,
             lambda: leadership.era,
+            lambda: leadership.known_electors.electors,
         )
         row = leadership.row_by_key.get(KEYS_PREFIX + service)
         if row is None and leadership.era <= FIRST_ERA:
             return manager
         try:
-            manager.take_over(_record_of_era(row, leadership.era))
+            manager.take_over(self._latest_record(service, row))
         except InvalidRecordError as error:
             _log.error(
                 'stored keys unusable, waiting until all leases have expired',
@@ -397,6 +398,28 @@
             )
         return manager
 
+    def _latest_record(self, service: str, row: StoredRow | None) -> KeysRecord:
+        """Returns the record by which keys were granted last.
+
+        Raises:
+            InvalidRecordError: it is unreadable, or lost.
+        """
+        try:
+            return _record_of_era(row, self._leadership.era)
+        except InvalidRecordError as error:
+            copy = self._leadership.record_copies.get(service)
+            if copy is None:
+                raise
+            record = decode_record(copy.content)
+            _log.warning(
+                'stored keys unusable, taken over from copies of electors',
+                service=service,
+                epoch=copy.epoch,
+                reason=str(error),
+            )
+            self._metrics.count('records_recovered', service=service)
+            return record
+
     def _publish_owners(self, service: str, ranges: list[OwnedRange]) -> None:
         epoch = self._leadership.epoch
         sequence = self._owner_sequence_by_service.get(service, 0)
@@ -504,7 +527,7 @@
     def _update_for(self, report: Report) -> LeaderUpdate:
         update = self._new_update()
         update.source_ages = self._system_view.source_ages()
-        update.electors = self._leadership.known_electors.confirmation(
+        update.electors = self._leadership.confirmed_electors(
             report.electors_since
         )
         for table in SOURCE_TABLES:
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leadership.py
@@ -28,14 +28,25 @@
     RequiredElectors,
 )
 from yuccadale_edge._internal.membership.electorate import Electorate
-from yuccadale_edge._internal.membership.messages import Electors, LeaderInfo
+from yuccadale_edge._internal.membership.messages import (
+    ConfirmedElectors,
+    Electors,
+    LeaderInfo,
+    RecordCopy,
+)
 from yuccadale_edge._internal.membership.promises import (
     MAX_PROMISED_LEASE_S,
     promised_lease_end_s,
 )
+from yuccadale_edge._internal.membership.record_copies import (
+    TrustedElectors,
+    latest_copies,
+)
 from yuccadale_edge._internal.membership.source_reader import StoreContact
+from yuccadale_edge._internal.ownership.manager import RecordNotKeptError
 from yuccadale_edge._internal.ownership.records import (
     KEYS_PREFIX,
+    compress_record,
     recorded_epoch,
 )
 from yuccadale_edge._internal.store import (
@@ -141,6 +152,8 @@
         deposed: whether another instance replaced this one as leader.
         row_electors: electors of the row that was read last.
         known_electors: electors of the leader's row before a restore.
+        record_copies: the records by which keys were granted last, if this
+            instance was elected after a restore and electors had them.
     """
 
     def __init__(
@@ -157,6 +170,7 @@
         self.deposed = False
         self.row_electors: Electors = ()
         self.known_electors = KnownElectors(elapsed_s)
+        self.record_copies: Mapping[str, RecordCopy] = {}
         self._former_electors: tuple[Electors, ...] = ()
         # Version of the row that was read last.
         self._read_version = 0
@@ -171,10 +185,15 @@
         self._version_changed_s: float = 0
         self._store_failed_s: float = 0
         self._resigned = False
+        self._resigning = False
         # Whether the stored row cannot be read.
         self._row_lost = False
         self._write_lock = asyncio.Lock()
         self._required_electors = RequiredElectors(elapsed_s)
+        self._trusted_electors = TrustedElectors(elapsed_s)
+        self._records_sent = 0
+        # What the last voters kept, and the version that they voted for.
+        self._voted_copies: tuple[int, Mapping[str, RecordCopy]] = (-1, {})
 
     @property
     def epoch(self) -> int:
@@ -249,6 +268,7 @@
             self._required_electors.inherit(
                 content.former_electors, elapsed_s()
             )
+            self.record_copies = {}
 
     def observe_version(self, version: int) -> None:
         """Records a version of the leader's row, and when it was first seen.
@@ -315,6 +335,11 @@
         if not electors:
             return version
         if await self._electorate.request_votes(electors, version):
+            services = self.known_electors.kept_services(electors)
+            copies = latest_copies(
+                self._electorate.copies_of_voters, services, electors
+            )
+            self._voted_copies = (version, copies)
             return version
         _log.warning(
             'no majority votes to replace the leader',
@@ -339,12 +364,16 @@
         key = leader_key(era_of(version))
         epoch = self._next_epoch(era_of(version))
         mine = msgspec.structs.replace(self._me, epoch=epoch)
+        voted_version, copies = self._voted_copies
+        self._voted_copies = (-1, {})
+        self.record_copies = {}
         required = self._required_electors
         required.clear()
+        earlier: tuple[Electors, ...] = ()
         if number_of(version):
-            required.inherit(
-                (self.row_electors, *self._former_electors), began_s
-            )
+            earlier = (self.row_electors, *self._former_electors)
+            required.inherit(earlier, began_s)
+        self._trusted_electors.begin_term(None if self._row_lost else earlier)
         electors = required.limit(self._choose_electors())
         required.add(electors)
         row = LeaderRow(
@@ -360,6 +389,8 @@
             # The row is that of an era that is over.
             return False
         self.version = written
+        if voted_version == version:
+            self.record_copies = copies
         self._resigned = False
         self._row_lost = False
         self.leader = mine
@@ -406,6 +437,8 @@
                 self.leader, resign, electors, required.others(electors)
             )
             rows = {key: _encode(row), **(puts or {})}
+            # The next leader may lead before the answer arrives.
+            self._resigning = resign
             written = await self._store.write(
                 OWN_TABLE, rows, {key: self.version}
             )
@@ -422,6 +455,45 @@
                 self._lease_until_s = 0
             return True
 
+    async def record(self, service: str, content: bytes) -> bool:
+        """Renews the lease with the record of a service's keys.
+
+        Electors keep a copy, see ``record_copies``.
+
+        Returns:
+            As ``renew``.
+
+        Raises:
+            StoreUnavailableError, StoreOutcomeUnknownError: see ``renew``.
+            RecordNotKeptError: the record must not be used yet.
+        """
+        self._records_sent += 1
+        copy = RecordCopy(
+            service, self.epoch, self._records_sent, compress_record(content)
+        )
+        self._trusted_electors.begin_record(copy)
+        # Electors keep the copy also if the store does not answer.
+        written, kept = await asyncio.gather(
+            self.renew({KEYS_PREFIX + service: content}),
+            self._request_copies(copy),
+        )
+        if written and not kept:
+            raise RecordNotKeptError('too few electors keep a copy')
+        return written
+
+    def confirmed_electors(self, since: int) -> ConfirmedElectors | None:
+        """Returns the electors, and which records they keep, for a member.
+
+        Args:
+            since: see ``KnownElectors.confirmation``.
+        """
+        services: tuple[str, ...] = ()
+        if self.may_act() and not self._resigning:
+            services = self._trusted_electors.state(
+                self.known_electors.electors
+            )
+        return self.known_electors.confirmation(since, services)
+
     async def keep_renewing(self) -> None:
         """Renews the lease until this instance no longer leads."""
         while self.leading():
@@ -450,6 +522,17 @@
                 await self._request_promises()
             await asyncio.sleep(_PROMISE_REQUEST_INTERVAL_S)
 
+    async def _request_copies(self, copy: RecordCopy) -> bool:
+        """Requests copies of a record; returns whether it may be used."""
+        trusted = self._trusted_electors
+        sets = trusted.sets_to_ask(self.known_electors.electors)
+        if not sets:
+            return trusted.end_record(copy, ())
+        keeping = await self._electorate.request_copies(
+            sets, copy.epoch, self.version, copy
+        )
+        return trusted.end_record(copy, keeping)
+
     async def _request_promises(self) -> None:
         requested_s = elapsed_s()
         until_s = promised_lease_end_s(requested_s, self._renewed_s)
--- a/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
@@ -18,6 +18,7 @@
 UNCONFIRMED_GRANTS_TOPIC = 'doubts'
 PROMISE_TOPIC = 'promise'
 VOTE_TOPIC = 'agree'
+RECORD_COPY_TOPIC = 'record copy'
 NOMINATION_TOPIC = 'nominate'
 LIMITS_TOPIC = 'limits'
 LIMITS_RELAY_TOPIC = 'limits relay'
@@ -78,12 +79,36 @@
         since: version since which the leader has named these electors.
         age_s: time since the renewal began.
         electors: None if the receiver has them.
+        kept_services: services of whose latest record of keys a majority of
+            the electors keeps a copy now.
     """
 
     version: int
     since: int
     age_s: float
     electors: Electors | None
+    kept_services: tuple[str, ...] = ()
+
+
+class RecordCopy(msgspec.Struct, array_like=True, frozen=True):
+    """A copy of the record of a service's keys.
+
+    Attributes:
+        service: name of the service.
+        epoch: epoch of the leader that wrote the record.
+        sequence: number of the record in that epoch.
+        content: as it is stored.
+    """
+
+    service: str
+    epoch: int
+    sequence: int
+    content: bytes
+
+    @property
+    def order(self) -> Version:
+        """A later record has a higher one."""
+        return self.epoch, self.sequence
 
 
 class SourceRow(msgspec.Struct, array_like=True):
--- a/packages/edge/src/yuccadale_edge/_internal/membership/promises.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/promises.py
@@ -50,6 +50,13 @@
         self._promised_until_s = now_s + PROMISE_S
         return True
 
+    def may_keep(self, version: int) -> bool:
+        """Whether a copy may be kept for the leader that wrote a row version.
+
+        A candidate that has the vote of this instance has its copies, too.
+        """
+        return version > self._voted_version
+
     def vote(self, version: int) -> bool:
         """Votes to replace the leader that wrote a version of the row.
 
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Hashable, Iterable
 from functools import partial
 from math import inf
 
@@ -68,13 +68,22 @@
 _RECORD_RETRY_S = 0.4
 
 PlanningRate = Callable[[Holder], float]
-Write = Callable[[dict[str, bytes]], Awaitable[bool]]
+# Stores the record of a service.
+Write = Callable[[str, bytes], Awaitable[bool]]
+
+
+class RecordNotKeptError(Exception):
+    """Too few instances keep a copy of a record to use it."""
 
 
 def _no_era() -> int:
     return 0
 
 
+def _no_keepers() -> Hashable:
+    return None
+
+
 class OwnershipManager:
     """Assigns the keys of one service to servers and balances their load."""
 
@@ -93,6 +102,7 @@
         lease_s: float,
         planning_rate: PlanningRate,
         era: Callable[[], int] = _no_era,
+        keepers: Callable[[], Hashable] = _no_keepers,
     ) -> None:
         self.service = service
         self.planner = MovePlanner()
@@ -108,7 +118,8 @@
         self._metrics = metrics
         self._planning_rate = planning_rate
         self._era = era
-        self._recorded_era = era()
+        self._keepers = keepers
+        self._recorded_for = (era(), keepers())
         self._runner = CallRunner(
             self.table,
             calls,
@@ -146,9 +157,10 @@
                 )
         self.speeds.assume(record.speed_by_server)
         self.table.load(segments_of(record, latest_end_s))
+        # The record may be a copy, and few instances may have one.
+        self.table.require_record()
         if record.all_calls_answered:
             # The stored record must no longer say so once a call is sent.
-            self.table.require_record()
             self._recorded = False
         self.table.changed = [(0, KEY_COUNT - 1)]
 
@@ -248,9 +260,11 @@
             # Released keys are granted to the next server only after the
             # store has recorded the plan.
             self._plan_if_due(elapsed_s())
-        if self._era() != self._recorded_era:
-            # A restored store lacks the latest record.
-            self._recorded_era = self._era()
+        required_for = (self._era(), self._keepers())
+        if required_for != self._recorded_for:
+            # A restored store lacks the latest record, and so do instances
+            # that are to keep copies from now on.
+            self._recorded_for = required_for
             self.table.require_record()
         if self._may_record():
             await self._record()
@@ -466,8 +480,12 @@
             'keys_record_bytes', len(content), service=self.service
         )
         try:
-            written = await self._write({KEYS_PREFIX + self.service: content})
-        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+            written = await self._write(self.service, content)
+        except (
+            StoreUnavailableError,
+            StoreOutcomeUnknownError,
+            RecordNotKeptError,
+        ) as error:
             self._record_retry_s = elapsed_s() + _RECORD_RETRY_S
             _log.warning(
                 'plan not recorded; will retry',
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/records.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/records.py
@@ -97,6 +97,13 @@
     content = _encode(record)
     if len(content) <= _COMPRESS_ABOVE_BYTES:
         return content
+    return compress_record(content)
+
+
+def compress_record(content: bytes) -> bytes:
+    """Compresses an encoded record unless it is compressed already."""
+    if content.startswith(_COMPRESSED_MARK):
+        return content
     return zlib.compress(content)
 
 
--- a/tests/builders/leadership_world.py
+++ b/tests/builders/leadership_world.py
@@ -6,7 +6,9 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import Callable, Coroutine, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 from typing import Any
@@ -29,11 +31,13 @@
 )
 from yuccadale_edge._internal.membership.messages import (
     PROMISE_TOPIC,
+    RECORD_COPY_TOPIC,
     Elector,
     LeaderInfo,
 )
 from yuccadale_edge._internal.membership.source_reader import StoreContact
 from yuccadale_edge._internal.observability.metrics import Metrics
+from yuccadale_edge._internal.ownership.manager import RecordNotKeptError
 from yuccadale_edge._internal.store import (
     Rows,
     StoredRow,
@@ -61,6 +65,8 @@
 _MAX_MESSAGE_DELAY_S = 6.0
 _FREEZE_CHECK_S = 0.01
 _LOOKS_PER_REPORT = 2
+RECORDED_SERVICE = 'ledger'
+_RECORD_PAUSES_S = (0.05, 0.4, 1.0)
 
 
 def use_virtual_clock(patch: pytest.MonkeyPatch) -> None:
@@ -207,10 +213,7 @@
             )
         await asyncio.sleep(world.random.choice(_DELAYS_S))
         async with asyncio.timeout(timeout_s):
-            if topic == PROMISE_TOPIC:
-                answer = await peer.electorate.handle_promise_request(body)
-            else:
-                answer = peer.electorate.handle_vote_request(body)
+            answer = await peer.handle_request(topic, body)
         await asyncio.sleep(world.random.choice(_DELAYS_S))
         if world.is_partitioned(self._name, peer.name):
             raise LinkLostError('network partition before the response')
@@ -244,10 +247,7 @@
         await world.thawed(peer.name)
         if world.peer_by_name.get(peer.name) is not peer:
             raise LinkLostError('the peer was restarted')
-        if topic == PROMISE_TOPIC:
-            response = await peer.electorate.handle_promise_request(body)
-        else:
-            response = peer.electorate.handle_vote_request(body)
+        response = await peer.handle_request(topic, body)
         await asyncio.sleep(world.random.choice(_DELAYS_S))
         return response
 
@@ -277,20 +277,50 @@
             self.electorate,
             self._electors,
         )
+        # Epoch and number of the last record that may be used.
+        self.used_record = (0, 0)
         self.task = asyncio.create_task(self._run())
 
+    async def handle_request(self, topic: str, body: bytes) -> bytes:
+        """Handles a request of a peer."""
+        if topic == PROMISE_TOPIC:
+            return await self.electorate.handle_promise_request(body)
+        if topic == RECORD_COPY_TOPIC:
+            return self.electorate.handle_copy_request(body)
+        return self.electorate.handle_vote_request(body)
+
     async def _run(self) -> None:
         while True:
             if self.leadership.leading():
-                async with asyncio.TaskGroup() as group:
-                    group.create_task(self.leadership.keep_renewing())
-                    group.create_task(self.leadership.extend_by_promises())
+                await self._lead()
             try:
                 await self._follow()
             except (StoreUnavailableError, StoreOutcomeUnknownError):
                 """The next round tries again."""
             await asyncio.sleep(_READ_INTERVAL_S)
 
+    async def _lead(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.leadership.keep_renewing())
+            group.create_task(self.leadership.extend_by_promises())
+            if self._world.writes_records:
+                group.create_task(self._keep_recording())
+
+    async def _keep_recording(self) -> None:
+        """Writes records, each of which may be used once it is written."""
+        while self.leadership.leading():
+            number = self._world.next_record()
+            epoch = self.leadership.epoch
+            with suppress(
+                StoreUnavailableError,
+                StoreOutcomeUnknownError,
+                RecordNotKeptError,
+            ):
+                content = str(number).encode()
+                if await self.leadership.record(RECORDED_SERVICE, content):
+                    self.used_record = (epoch, number)
+            await asyncio.sleep(self._world.random.choice(_RECORD_PAUSES_S))
+
     async def _follow(self) -> None:
         leader = self._world.leader_reachable_from(self)
         if leader is not None:
@@ -301,15 +331,15 @@
         if self.leadership.leading():
             return
         version = await self.leadership.replaceable_version()
-        if version is not None:
-            await self.leadership.claim(version)
+        if version is not None and await self.leadership.claim(version):
+            self._world.check_copy(self)
 
     async def _report_to(self, leader: 'SimulatedInstance') -> None:
         """Gets the electors from the leader, as with each report."""
         known = self.leadership.known_electors
         requested_s = asyncio.get_running_loop().time()
         await asyncio.sleep(self._world.random.choice(_DELAYS_S))
-        confirmed = leader.leadership.known_electors.confirmation(known.since)
+        confirmed = leader.leadership.confirmed_electors(known.since)
         await asyncio.sleep(self._world.random.choice(_DELAYS_S))
         if confirmed is not None and not self._world.is_partitioned(
             self.name, leader.name
@@ -344,6 +374,8 @@
         delays_messages: whether some messages arrive after their senders gave
             them up.
         frozen: names of the instances that stand still.
+        writes_records: whether leaders write records of keys.
+        recoveries: how many leaders went on from copies of records.
     """
 
     def __init__(self, seed: int, instances: int = 5) -> None:
@@ -360,6 +392,11 @@
         self.equal_incarnations = False
         self.delays_messages = False
         self.frozen: set[str] = set()
+        self.writes_records = False
+        self.recoveries = 0
+        self._records = 0
+        # Epoch and number of the last record by which a leader acted.
+        self._used_record = (0, 0)
         self._tasks: set[asyncio.Task[bytes]] = set()
         self._incarnations = 0
         self._copies: list[StoredRows] = []
@@ -442,6 +479,9 @@
             if len(acting) > 1:
                 self.problems.append(f'{now_s:.2f} s: {acting} may act')
             for name in acting:
+                self._used_record = max(
+                    self._used_record, self.peer_by_name[name].used_record
+                )
                 leader = self.peer_by_name[name].leadership.leader
                 assert leader is not None
                 first = self._leader_by_epoch.setdefault(
@@ -454,6 +494,24 @@
                     )
             await asyncio.sleep(_WATCH_INTERVAL_S)
 
+    def next_record(self) -> int:
+        """Returns the number of the next record."""
+        self._records += 1
+        return self._records
+
+    def check_copy(self, leader: SimulatedInstance) -> None:
+        """Checks the copy of a record that a new leader goes on from."""
+        copy = leader.leadership.record_copies.get(RECORDED_SERVICE)
+        if copy is None:
+            return
+        self.recoveries += 1
+        found = (copy.epoch, int(zlib.decompress(copy.content)))
+        if found < self._used_record:
+            self.problems.append(
+                f'{leader.name} goes on from {found}, '
+                f'{self._used_record} was used'
+            )
+
     async def thawed(self, name: str) -> None:
         """Waits while an instance stands still."""
         while name in self.frozen:
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -24,6 +24,9 @@
 KEYS = (0, 20000, 40000, 65535)
 _OUTAGE_S = 0.6
 _OK = 200
+_ELECTION_S = 4.0
+# The users' target after a loss.
+_SERVED_AGAIN_S = 2.0
 _NUMBERS = itertools.count()
 
 
@@ -278,6 +281,41 @@
         assert successor._leadership.epoch > epoch
 
 
+async def test_keys_are_served_soon_after_a_leader_is_lost_in_an_outage() -> (
+    None
+):
+    """Guards against keys without an owner until all leases have expired.
+
+    The restored store has no record of the keys, as the copy is older.
+    """
+    async with platform_system(keyed=3) as system:
+        names = [await system.add_instance(zone) for zone in ('a', 'b') * 2]
+        copy = system.store.state.copy()
+        await system.wait_until_served(names[0], *KEYS)
+        await asyncio.sleep(2.0)
+        leader = _acting(system)[0]
+        problems: list[str] = []
+        watch = asyncio.create_task(
+            _watch(problems, lambda: _check_keys(system))
+        )
+        system.store.faults.down = True
+        await asyncio.sleep(0.5)
+        await system.kill(leader)
+        await _restore(system, copy, outage_s=1.5)
+        for server in system.server_by_id.values():
+            await _write(system, 'servers', server.server_id, server.entry())
+        async with asyncio.timeout(_ELECTION_S):
+            while not _acting(system):
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(_SERVED_AGAIN_S)
+        # The leases of the lost leader end in this time.
+        for _ in range(20):
+            assert all(_holders(system, key) for key in KEYS)
+            await asyncio.sleep(0.1)
+        watch.cancel()
+        assert not problems
+
+
 async def test_lost_history_is_read_with_pauses() -> None:
     """Guards against a store that is asked without a pause after a loss."""
     async with platform_system() as system:
