--- a/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/answer_evidence.py
@@ -72,7 +72,10 @@
 def record_answer(
     sending: Sending, answer: Answer, codec: RequestCodec, metrics: Metrics
 ) -> None:
-    """Records on its connection whether an answer refuses the request."""
+    """Records on its connection what an answer shows.
+
+    Earlier calls were handled, or the request was refused or failed.
+    """
     connection = sending.connection
     named = codec.named_request(answer) is not None
     if named:
