Read kinds of large bodies, home regions and evacuations of data centres

Cause: a route of kind upload or download made the whole configuration unusable, so that neither new deployment served a request. allowed_regions and requests to evacuate a data centre were not read.

Change: upload runs at most once, download may be repeated, an unknown kind runs at most once. A request stays in the regions of its route, also when it is forwarded. Servers of an evacuated data centre count as leaving until the row is removed; rows are spread with the configuration.

--- a/packages/core/src/yuccadale_core/_internal/codes.py
+++ b/packages/core/src/yuccadale_core/_internal/codes.py
@@ -49,6 +49,7 @@
     server_limited = 3011
     server_paused = 3012
     bodies_full = 3013
+    region_not_allowed = 3014
 
     server_refused_token = 4001
     server_unreachable = 4002
@@ -242,6 +243,12 @@
             'An instance has no room for the body of the request.',
             _SEND_AGAIN,
         ),
+        ResultCode.region_not_allowed: CodeEntry(
+            503,
+            _NOT_RUN,
+            'The server is in a region that the route does not allow.',
+            _SEND_AGAIN,
+        ),
         ResultCode.server_refused_token: CodeEntry(
             503,
             _NOT_RUN,
--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -10,6 +10,10 @@
 import structlog
 
 from yuccadale_edge._internal.clock import elapsed_s
+from yuccadale_edge._internal.evacuations import (
+    EvacuatedDataCentre,
+    no_evacuations,
+)
 from yuccadale_edge._internal.membership.broadcaster import Broadcaster
 from yuccadale_edge._internal.membership.cluster import Cluster
 from yuccadale_edge._internal.membership.electorate import (
@@ -112,6 +116,7 @@
         codec: RequestCodec,
         decode_configuration: DecodeConfiguration,
         decode_server: DecodeServer,
+        evacuated_data_centre: EvacuatedDataCentre = no_evacuations,
         readiness_path: str,
         metrics_path: str,
     ) -> None:
@@ -120,6 +125,7 @@
         self.codec = codec
         self.decode_configuration = decode_configuration
         self.decode_server = decode_server
+        self.evacuated_data_centre = evacuated_data_centre
         self.readiness_path = readiness_path
         self.metrics_path = metrics_path
 
@@ -146,6 +152,7 @@
             adapter.decode_configuration,
             adapter.decode_server,
             settings.bounds.max_source_age_s,
+            adapter.evacuated_data_centre,
         )
         self._retry_budget_by_service: dict[str, RetryBudget] = {}
         forwarder = Forwarder(
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -605,8 +605,7 @@
         if table == SERVER_TABLE:
             rows = list(self._system_view.servers.row_by_id.values())
         else:
-            row = self._system_view.configuration_row
-            rows = [] if row is None else [row]
+            rows = self._system_view.operator_rows()
         newer = [encode_source_row(row) for row in rows if row.version > after]
         return SourceRows(table, after, version, False, newer)
 
--- a/packages/edge/src/yuccadale_edge/_internal/model.py
+++ b/packages/edge/src/yuccadale_edge/_internal/model.py
@@ -31,6 +31,7 @@
         max_attempts: how many times a request of a caller may be sent to
             servers.
         priority: 0 is the highest.
+        regions: the regions that may serve it and get its body; all if empty.
     """
 
     name: str
@@ -42,17 +43,26 @@
     target_latency_s: float
     max_attempts: int
     priority: int
+    regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A set of servers; those of a ``keyed`` one divide the keys."""
+    """A set of servers; those of a ``keyed`` one divide the keys.
+
+    Attributes:
+        cold_per_s: requests a second that a cold server takes from all
+            instances; None if cold servers are not limited.
+        slow_start_s: for how long a server is cold after its start.
+    """
 
     name: str
     keyed: bool
     connections: int
     health_path: str
     warm_up_s: float
+    cold_per_s: float | None = None
+    slow_start_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +145,32 @@
         known = self.region_by_data_centre.get(data_centre)
         return 1 if known == self.region else 2
 
+    def allows(self, data_centre: str, regions: tuple[str, ...]) -> bool:
+        """Whether a data centre is in one of the regions; all if empty."""
+        return not regions or (
+            self.region_by_data_centre.get(data_centre) in regions
+        )
+
+    def entry_data_centre(self, regions: tuple[str, ...]) -> str:
+        """Returns where requests for some regions are forwarded first.
+
+        It is this data centre if it is allowed. Otherwise each data centre of
+        this region uses another one of those regions, as far as possible.
+        """
+        if self.allows(self.data_centre, regions):
+            return self.data_centre
+        allowed = sorted(
+            one
+            for one in self.region_by_data_centre
+            if self.allows(one, regions)
+        )
+        if not allowed:
+            return self.data_centre
+        return allowed[
+            sorted(self.region_by_data_centre).index(self.data_centre)
+            % len(allowed)
+        ]
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -150,6 +186,8 @@
             in force everywhere.
         draining_s: time from a server's notice that it leaves until it gets
             no more requests.
+        evacuation_s: time from the evacuation of a data centre until its
+            servers get no more requests.
     """
 
     max_lease_s: float = 10.0
@@ -159,6 +197,7 @@
     min_retries: float = 60.0
     configuration_s: float = 2.0
     draining_s: float = 2.0
+    evacuation_s: float = 5.0
 
     @property
     def lease_s(self) -> float:
@@ -168,7 +207,7 @@
     @property
     def max_source_age_s(self) -> float:
         """The age from which configuration or servers may be outdated."""
-        return min(self.configuration_s, self.draining_s)
+        return min(self.configuration_s, self.draining_s, self.evacuation_s)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/edge/src/yuccadale_edge/_internal/observability/knowledge.py
+++ b/packages/edge/src/yuccadale_edge/_internal/observability/knowledge.py
@@ -25,6 +25,10 @@
         configuration = self._system_view.configuration
         if configuration is not None:
             self._metrics.gauge('configuration_version', configuration.version)
+        self._metrics.gauge(
+            'evacuated_data_centres',
+            len(self._system_view.evacuations.data_centres),
+        )
         for service in self._system_view.keyed_services():
             self._metrics.gauge(
                 'keys_without_owner',
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -118,6 +118,12 @@
                 'the server is not registered',
                 server_id=request.server_id,
             )
+        if not self._place.allows(server.data_centre, request.regions):
+            return Refused(
+                ResultCode.region_not_allowed,
+                'the owner of the key is in another region',
+                server_id=request.server_id,
+            )
         return await self._serve_at(server, request, deadline_s)
 
     def maintain_queues(self) -> None:
@@ -191,7 +197,7 @@
         usable = [
             server
             for server in self._system_view.servers.of(service)
-            if self._system_view.usable(server)
+            if self._is_usable(server, request)
         ]
         paused = self.statements.first_return(usable, request)
         if paused is not None:
@@ -242,7 +248,7 @@
         best: Server | None = None
         best_cost = float('inf')
         for server in self._system_view.servers.of(request.service):
-            if not self._may_choose(server, tried):
+            if not self._may_choose(server, request, tried):
                 continue
             queue = self._queue(server)
             mean_s = self.service_times.mean_s(request.route)
@@ -276,12 +282,19 @@
     def _is_limited(self, server: Server) -> bool:
         return self.rate_limits.per_s(_holder(server)) is not None
 
-    def _may_choose(self, server: Server, tried: set[Holder]) -> bool:
+    def _is_usable(self, server: Server, request: RoutedRequest) -> bool:
+        return self._system_view.usable(server) and self._place.allows(
+            server.data_centre, request.regions
+        )
+
+    def _may_choose(
+        self, server: Server, request: RoutedRequest, tried: set[Holder]
+    ) -> bool:
         holder = _holder(server)
         until_s = self._limit_used_until_s.get(holder, 0)
         return (
             holder not in tried
-            and self._system_view.usable(server)
+            and self._is_usable(server, request)
             and until_s <= elapsed_s()
             and self.statements.refusal_code(holder) is None
         )
--- a/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
@@ -85,13 +85,23 @@
         self._roster_of_senders: object = None
 
     def reachable_sender(
-        self, hash_key: str, data_centre: str
+        self, hash_key: str, data_centre: str, regions: tuple[str, ...] = ()
     ) -> Instance | None:
-        """Returns the sender to forward to; None if it is this instance."""
+        """Returns the sender to forward to; None if it is this instance.
+
+        Args:
+            hash_key: see ``choose_sender``.
+            data_centre: see ``choose_sender``.
+            regions: of the senders; all if empty.
+        """
         sender = choose_sender(
             hash_key,
             data_centre,
-            self._system_view.instance_by_name.values(),
+            [
+                one
+                for one in self._system_view.instance_by_name.values()
+                if self._place.allows(one.data_centre, regions)
+            ],
             self._place,
             self._is_suspected,
         )
@@ -130,7 +140,8 @@
         for sender in self._senders_of(server):
             if sender.name == self._instance:
                 return None
-            if not self._is_suspected(sender):
+            allowed = self._place.allows(sender.data_centre, request.regions)
+            if allowed and not self._is_suspected(sender):
                 return sender
         return None
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -454,16 +454,20 @@
         if routed.server_id is None:
             # One instance per region sends the requests to a service without
             # keys.
+            data_centre = self._place.entry_data_centre(routed.regions)
+            region = self._place.region_by_data_centre.get(data_centre)
             return self._forwarder.reachable_sender(
-                f'{routed.service}@{self._place.region}',
-                self._place.data_centre,
+                f'{routed.service}@{region}', data_centre, routed.regions
             )
         server = self._system_view.servers.server_by_id.get(routed.server_id)
         if server is None:
             # It was removed while a forward to its sender was tried.
             return None
+        if not self._place.allows(server.data_centre, routed.regions):
+            # Refused here: its sender may not get the body either.
+            return None
         return self._forwarder.reachable_sender(
-            server.server_id, server.data_centre
+            server.server_id, server.data_centre, routed.regions
         )
 
     def _is_retryable(
@@ -506,6 +510,7 @@
             allowed_attempts=1,
             key=request.key,
             caller_retry=self._is_caller_retry(request, route, arrived_s),
+            regions=route.regions,
         )
 
     def _is_caller_retry(
--- a/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
@@ -26,6 +26,7 @@
         entry: the instance that took it from the caller; empty if that runs an
             earlier version.
         sending_id: under which the entry instance counts its attempts.
+        regions: that may serve it and get its body; all if empty.
     """
 
     request_id: str
@@ -47,6 +48,7 @@
     forwards: int = 0
     entry: str = ''
     sending_id: int = 0
+    regions: tuple[str, ...] = ()
 
 
 class Refused(msgspec.Struct, array_like=True, tag=True):
--- a/packages/edge/src/yuccadale_edge/_internal/server_availability.py
+++ b/packages/edge/src/yuccadale_edge/_internal/server_availability.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 
 import msgspec
@@ -48,16 +49,21 @@
     """What entries and answers of servers and attempts to connect say."""
 
     def __init__(
-        self, now: Callable[[], float], server_by_id: Mapping[str, Server]
+        self,
+        now: Callable[[], float],
+        server_by_id: Mapping[str, Server],
+        evacuated: AbstractSet[str] = frozenset(),
     ) -> None:
         """Creates the state of one instance.
 
         Args:
             now: returns the time in seconds.
             server_by_id: the servers that are registered at present.
+            evacuated: the data centres that are evacuated at present.
         """
         self._now = now
         self._server_by_id = server_by_id
+        self._evacuated = evacuated
         # A failed connection says nothing about the incarnation.
         self._unreachable_until_s_by_id: dict[str, float] = {}
         self._leaving_by_holder: dict[Holder, _Leaving] = {}
@@ -85,9 +91,13 @@
         return None
 
     def is_leaving(self, server: Server) -> bool:
-        """Whether a server has said that it leaves, anywhere."""
+        """Whether a server leaves, or its data centre is evacuated."""
         holder = Holder(server.server_id, server.incarnation)
-        return server.state != ServerState.ready or self.said_it_leaves(holder)
+        return (
+            server.state != ServerState.ready
+            or server.data_centre in self._evacuated
+            or self.said_it_leaves(holder)
+        )
 
     def said_it_leaves(self, holder: Holder) -> bool:
         """Whether an answer of a server has said that it leaves."""
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -19,6 +19,11 @@
 import structlog
 
 from yuccadale_edge._internal.clock import elapsed_s
+from yuccadale_edge._internal.evacuations import (
+    EvacuatedDataCentre,
+    Evacuations,
+    no_evacuations,
+)
 from yuccadale_edge._internal.model import (
     KEY_COUNT,
     Configuration,
@@ -394,11 +399,13 @@
         decode_configuration: DecodeConfiguration,
         decode_server: DecodeServer,
         max_source_age_s: float,
+        evacuated_data_centre: EvacuatedDataCentre = no_evacuations,
     ) -> None:
         self.max_source_age_s = max_source_age_s
         self.configuration: Configuration | None = None
         self.configuration_row: StoredRow | None = None
         self.servers = ServerList(decode_server)
+        self.evacuations = Evacuations(evacuated_data_centre)
         self.status_by_table = {
             table: SourceStatus() for table in SOURCE_TABLES
         }
@@ -406,7 +413,7 @@
         self.instance_by_name: dict[str, Instance] = {}
         self.membership_version = (0, 0)
         self.availability = ServerAvailability(
-            elapsed_s, self.servers.server_by_id
+            elapsed_s, self.servers.server_by_id, self.evacuations.data_centres
         )
         self._decode_configuration = decode_configuration
         self._changed = asyncio.Event()
@@ -462,13 +469,18 @@
         updates = rows.rows
         if full_snapshot and table == SERVER_TABLE:
             updates = (*updates, *self._removals_of_missing(rows))
+        elif full_snapshot:
+            missing = self.evacuations.removals_of_missing(
+                rows.rows, rows.version
+            )
+            updates = (*updates, *missing)
         for update in updates:
             if table == SERVER_TABLE:
                 changed |= self.servers.apply(
                     update, removal_grace=removal_grace
                 )
             else:
-                changed |= self._apply_configuration(update)
+                changed |= self._apply_operator_row(update)
         versions = [applied.version for applied in updates]
         if table == CONFIGURATION_TABLE and self._store_is_behind:
             confirmed_s = -inf
@@ -514,6 +526,13 @@
             return self.servers.latest_row(row)
         return row
 
+    def operator_rows(self) -> list[StoredRow]:
+        """Returns the rows of the operators to send to other instances."""
+        rows = list(self.evacuations.row_by_key.values())
+        if self.configuration_row is not None:
+            rows.append(self.configuration_row)
+        return rows
+
     def configuration_version(self) -> int:
         """Returns the operators' version in force, 0 without one."""
         if self.configuration is None:
@@ -582,6 +601,11 @@
             if server_id not in present
         ]
 
+    def _apply_operator_row(self, row: StoredRow) -> bool:
+        if self.evacuations.contains_row(row):
+            return self.evacuations.apply(row)
+        return self._apply_configuration(row)
+
     def _apply_configuration(self, row: StoredRow) -> bool:
         known = self.configuration_row
         if row.removed or known is not None and _follows(known, row):
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -52,6 +52,26 @@
     assert decoded.limits.idle_timeout_s == 15
 
 
+@pytest.mark.parametrize(
+    ('kind', 'repeatable'),
+    [('download', True), ('upload', False), ('a later kind', False)],
+)
+def test_a_kind_does_not_exclude_the_other_routes(
+    kind: str, repeatable: bool
+) -> None:
+    """Guards against one kind that makes a configuration unusable."""
+    bulk = route(prefix='/bulk/', service='stage') | {
+        'kind': kind,
+        'allowed_regions': ['north'],
+    }
+    decoded = _decoded(configuration(1, bulk=bulk))
+    matched = decoded.route_for(HOST, '/bulk/x')
+    assert matched is not None
+    assert matched.repeatable == repeatable
+    assert matched.regions == ('north',)
+    assert decoded.route_for(HOST, '/keyed/x') is not None
+
+
 def test_the_longest_prefix_matches() -> None:
     """Guards against a route that hides one with a longer prefix."""
     decoded = _decoded(
