Keep the report of a former leader that arrives before the keys are loaded

Cause: the former leader reports its unconfirmed grants when it hears of the new one, which has no manager of the keys yet and dropped the report.

Change: the report is kept until the manager has loaded the record of keys.

Result: the new test fails before the change.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -126,6 +126,8 @@
         self._broadcasts_by_table: dict[str, deque[_Broadcast]] = {}
         # By member and table: when rows were last sent to it alone.
         self._rows_sent_s_by_member: dict[tuple[str, str], float] = {}
+        # Reports of unconfirmed grants for services without a manager yet.
+        self._early_report_by_service: dict[str, UnconfirmedGrants] = {}
         self._roster_sequence = 0
         self._roster_changed = False
         self._owner_changes_by_service: dict[str, deque[_OwnerChange]] = {}
@@ -204,10 +206,13 @@
         """Handles the previous leader's list of unconfirmed grants."""
         message = _decode_unconfirmed_grants(body)
         manager = self._manager_by_service.get(message.service)
-        if manager is not None:
-            manager.replace_assumed_grants(
-                message.epoch, message.unconfirmed_grants
-            )
+        if manager is None:
+            # It arrives within some ms of the takeover, and is sent once.
+            self._early_report_by_service[message.service] = message
+            return
+        manager.replace_assumed_grants(
+            message.epoch, message.unconfirmed_grants
+        )
 
     def broadcast_rows(self, source: SourceRows) -> None:
         """Broadcasts rows that this instance read from the store."""
@@ -361,6 +366,11 @@
         if manager is None:
             manager = self._create_manager(service)
             self._manager_by_service[service] = manager
+            report = self._early_report_by_service.pop(service, None)
+            if report is not None:
+                manager.replace_assumed_grants(
+                    report.epoch, report.unconfirmed_grants
+                )
         await manager.run()
 
     def _create_manager(self, service: str) -> OwnershipManager:
--- a/tests/edge/test_leader_end.py
+++ b/tests/edge/test_leader_end.py
@@ -9,11 +9,13 @@
 from types import SimpleNamespace
 from unittest.mock import Mock
 
+import msgspec
 import pytest
 
 from tests.builders.leadership_world import use_virtual_clock
 from tests.builders.virtual_time import in_virtual_time
 from yuccadale_edge._internal.membership.leader import Leader
+from yuccadale_edge._internal.membership.messages import UnconfirmedGrants
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.manager import OwnershipManager
 from yuccadale_edge._internal.system_view import SystemView
@@ -140,6 +142,25 @@
     assert leader._leadership.deposed
 
 
+@in_virtual_time
+async def test_a_report_that_arrives_before_the_keys_are_loaded_counts() -> (
+    None
+):
+    """Guards against keys that move for a lease after each new leader.
+
+    The previous leader reports its unconfirmed grants when it hears of the new
+    one, which has read no record of keys then.
+    """
+    manager = _manager(_SlowServer())
+    replaced = Mock()
+    manager.replace_assumed_grants = replaced  # type: ignore[method-assign]
+    leader = _leader(manager)
+    report = UnconfirmedGrants(0, 'ledger', [])
+    leader.handle_unconfirmed_grants(msgspec.msgpack.encode(report))
+    await leader.lead()
+    replaced.assert_called_once_with(0, [])
+
+
 def _leader(manager: OwnershipManager) -> Leader:
     """Returns a leader for a short term, which seems to lead again after it."""
 
