Let capable machines alone send for services without keys

Cause: weighted hashing still chose a machine with a link of 5 Mbit/s for one data centre of the roster deployment: 420 ms between its callers and servers, where the others had some ms.

Change: machines with at least a quarter of the highest capacity in the region come first, in any of its data centres.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/senders.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/senders.py
@@ -11,6 +11,10 @@
 _DIGEST_BYTES = 6
 _DIGESTS = 1 << (_DIGEST_BYTES * 8)
 _MIN_CAPACITY = 1e-3
+# Part of the highest capacity in the region with which a machine is capable of
+# sending for many instances. One sender carries all requests of a data centre
+# to a service without keys, which fills the link of a small machine.
+_CAPABLE_SHARE = 0.25
 
 IsSuspected = Callable[[Instance], bool]
 
@@ -25,12 +29,12 @@
     """Returns the instance that sends to a server; None if none is usable.
 
     Uses weighted rendezvous hashing, so that the loss of an instance changes
-    the sender of its own servers only, and instances send in proportion to
-    their capacity. Instances in the given data centre come first, to avoid
-    another hop between data centres, then those in its region.
+    the sender of its own servers only. Capable machines of the region of the
+    given data centre come first, then others of that region; among them those
+    in the data centre, to avoid another hop.
     """
     usable = [one for one in instances if not suspected(one)]
-    preference = _preference(hash_key, data_centre, place)
+    preference = _preference(hash_key, data_centre, usable, place)
     return max(usable, key=preference, default=None)
 
 
@@ -50,20 +54,30 @@
         place: names the regions.
         count: the number of instances to return, if there are as many.
     """
-    preference = _preference(hash_key, data_centre, place)
-    return nlargest(count, instances, key=preference)
+    candidates = list(instances)
+    preference = _preference(hash_key, data_centre, candidates, place)
+    return nlargest(count, candidates, key=preference)
 
 
 def _preference(
-    hash_key: str, data_centre: str, place: Place
-) -> Callable[[Instance], tuple[bool, bool, float]]:
-    region = place.region_by_data_centre.get(data_centre)
-
-    def preference(instance: Instance) -> tuple[bool, bool, float]:
-        instance_region = place.region_by_data_centre.get(instance.data_centre)
+    hash_key: str, data_centre: str, instances: list[Instance], place: Place
+) -> Callable[[Instance], tuple[bool, bool, bool, float]]:
+    region_of = place.region_by_data_centre
+    region = region_of.get(data_centre)
+    most = max(
+        (
+            one.capacity
+            for one in instances
+            if region_of.get(one.data_centre) == region
+        ),
+        default=0,
+    )
+
+    def preference(instance: Instance) -> tuple[bool, bool, bool, float]:
         return (
+            region_of.get(instance.data_centre) == region,
+            instance.capacity >= most * _CAPABLE_SHARE,
             instance.data_centre == data_centre,
-            instance_region == region,
             _weight(hash_key, instance),
         )
 
