Let requests wait for the configuration while an instance starts

Cause: after a loss of all instances, 528 requests of the journey deployment got 503 (2007) with Retry-After 1 s in the 2 s before the configuration was read. Callers return once.

Change: requests wait for configuration and servers until 1.5 s after the start of the process, for at most a quarter of the time that they are given.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -378,9 +378,8 @@
     def _ready(self) -> bool:
         return (
             self._accepts_callers()
-            and self._system_view.configuration is not None
+            and self._system_view.is_loaded
             and self._system_view.is_confirmed(CONFIGURATION_TABLE)
-            and bool(self._system_view.servers.server_by_id)
         )
 
     def _accepts_callers(self) -> bool:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -61,6 +61,10 @@
 # Share of the remaining time that a request waits for its key to get an owner.
 _MOVE_WAIT_SHARE = 0.5
 _MAX_TRIES = 6
+# An instance usually has the configuration this long after its start.
+_START_S = 1.5
+# Share of the time that a caller gives for which its request waits for it.
+_START_WAIT_SHARE = 0.25
 # Return of a caller when all servers of a service leave.
 _NEXT_SERVER_S = 1.0
 # Delay before a request is sent again after load shedding: a full server has
@@ -156,6 +160,7 @@
         self._answer_times = ServiceTimes()
         self._round_robin = WeightedRoundRobin()
         self._longest_s_by_route: dict[str, float] = {}
+        self._created_s = elapsed_s()
 
     async def handle(self, message: CallerMessage) -> Reply:
         """Answers one caller request."""
@@ -198,6 +203,7 @@
 
     async def _answer(self, request: CallerRequest) -> Reply:
         message = request.message
+        await self._wait_for_configuration(request)
         found = find_route(self._system_view, request.host, request.path)
         if isinstance(found, Refused):
             return self._refuse(request, None, found)
@@ -240,6 +246,23 @@
             )
         return self._codec.reply(result.answer)
 
+    async def _wait_for_configuration(self, request: CallerRequest) -> None:
+        """Waits for the configuration and servers while the instance starts.
+
+        Callers return after a refusal once or twice only. After a loss of all
+        instances they would use that up before the configuration is read.
+        """
+        start_end_s = self._created_s + _START_S
+        if request.deadline_s is not None:
+            left_s = request.deadline_s - request.message.arrived_s
+            latest_s = request.message.arrived_s + left_s * _START_WAIT_SHARE
+            start_end_s = min(start_end_s, latest_s)
+        while not self._system_view.is_loaded:
+            left_s = start_end_s - elapsed_s()
+            if left_s <= 0:
+                return
+            await self._system_view.wait_for_change(left_s)
+
     async def _route_until_end(
         self,
         request: CallerRequest,
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -421,6 +421,13 @@
         # the one in force here.
         self._store_is_behind = False
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether a configuration and servers are known."""
+        return self.configuration is not None and bool(
+            self.servers.server_by_id
+        )
+
     def wake(self) -> None:
         """Wakes all tasks that wait for a change."""
         self._changed.set()
