Refuse waiting requests as soon as their start is known to be too late

Cause: a request was queued if it would start before its target.

Change: while requests wait, each arrival and a check every 0.1 s forecast their starts from the requests before them, the slots, the measured service times and the work in time that keeps arriving, and refuse those that start after their latest start. The estimates are the lower plausible ones. While a server refuses requests, each priority gets the minimum share that it has under a limit; with one priority nothing changes.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
@@ -4,7 +4,9 @@
 wait. Queued requests are sent by the latest start that meets their target
 latency; urgent priorities and retries by callers shift it earlier. Requests
 that can no longer meet their target are sent last: otherwise, after all callers
-reconnect at once, every request would be answered after its target.
+reconnect at once, every request would be answered after its target. A request
+is refused as soon as it is known that it will not be started before its latest
+start; see ``queue_forecast``.
 
 A server may also limit the requests a second; see ``pacing``.
 """
@@ -14,6 +16,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from math import inf
+from typing import NamedTuple
 
 from yuccadale_core.codes import ResultCode
 from yuccadale_edge._internal.routing.pacing import (
@@ -22,6 +25,13 @@
     RequestPacer,
     unlimited,
 )
+from yuccadale_edge._internal.routing.queue_forecast import (
+    Capacity,
+    ServerPace,
+    WaitingRequest,
+    busy_s,
+    not_served,
+)
 
 # Weight of a new service time in the moving average.
 _EWMA_WEIGHT = 0.1
@@ -38,6 +48,11 @@
 _MAX_TIMER_S = 60.0
 # Average share of its service time that a running request still needs.
 _REMAINING_SHARE = 0.5
+# Interval of the checks whether waiting requests will be served, apart from
+# those when a request arrives: a server that answers nothing causes no event.
+_CHECK_INTERVAL_S = 0.1
+# Priorities get their minimum shares for this time after a refusal.
+_OVERLOAD_S = 1.0
 
 
 class AdmissionError(Exception):
@@ -84,6 +99,23 @@
             )
 
 
+class _RunningRequest(NamedTuple):
+    """A request that was sent to the server.
+
+    Attributes:
+        expected_s: its expected service time.
+        started_s: when it was sent.
+    """
+
+    expected_s: float
+    started_s: float
+
+
+# Whether a request goes after those with minimum shares, and after those in
+# time, then its rank; the lowest is first.
+_StartOrder = tuple[bool, bool, tuple[float, int]]
+
+
 @dataclass(eq=False, slots=True)
 class _QueuedRequest:
     """A request that waits for admission.
@@ -131,11 +163,14 @@
         self.closed = False
         self._now = now
         self._waiting: list[_QueuedRequest] = []
-        self._running_s: dict[int, float] = {}
+        self._running_by_number: dict[int, _RunningRequest] = {}
         self._sequence = 0
         self._pacer = RequestPacer(per_s, now)
         self._shares = PriorityShares(now)
+        self._pace = ServerPace(now)
+        self._overloaded_until_s = -inf
         self._timer: asyncio.TimerHandle | None = None
+        self._check_timer: asyncio.TimerHandle | None = None
 
     @property
     def waiting(self) -> int:
@@ -217,17 +252,13 @@
             until_target_s=until_target_s,
         )
         expected_service_s *= self.slowdown
-        expected_wait_s = self._slot_wait_s(rank)
-        pacing_wait_s = self._pacing_wait_s(rank, priority)
-        latest_wait_s = min(until_target_s, remaining_s - expected_service_s)
-        if pacing_wait_s > max(latest_wait_s, expected_wait_s):
-            raise AdmissionError(
-                ResultCode.server_limited, self._pacer.book_return_s()
-            )
-        if expected_wait_s + expected_service_s > remaining_s:
-            raise AdmissionError(ResultCode.deadline_too_short, expected_wait_s)
-        if expected_wait_s > until_target_s:
-            raise AdmissionError(ResultCode.queue_full, expected_wait_s)
+        if until_target_s > expected_service_s:
+            self._pace.add_arrival(expected_service_s)
+        refused = self._refusal(
+            rank, priority, expected_service_s, remaining_s, until_target_s
+        )
+        if refused is not None:
+            raise refused
         self._sequence += 1
         number = self._sequence
         if (
@@ -251,9 +282,13 @@
             )
         else:
             self._start(priority)
-        self._running_s[number] = expected_service_s
+        running = _RunningRequest(expected_service_s, self._now())
+        self._running_by_number[number] = running
         try:
             yield
+            self._pace.add_completion(
+                expected_service_s, self._now() - running.started_s
+            )
         finally:
             self._finish(number)
 
@@ -261,8 +296,9 @@
         """Refuses all queued requests; the server is no longer registered."""
         self.closed = True
         self.refuse_waiting(ResultCode.slot_moving)
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._check_timer):
+            if timer is not None:
+                timer.cancel()
 
     def refuse_waiting(self, code: ResultCode) -> int:
         """Refuses all queued requests; returns their number."""
@@ -272,6 +308,30 @@
         self._waiting.clear()
         return len(waiting)
 
+    def _refusal(
+        self,
+        rank: float,
+        priority: int,
+        expected_service_s: float,
+        remaining_s: float,
+        until_target_s: float,
+    ) -> AdmissionError | None:
+        """Returns why a request that arrives now is not queued."""
+        expected_wait_s = self._slot_wait_s(rank)
+        pacing_wait_s = self._pacing_wait_s(rank, priority)
+        latest_wait_s = min(until_target_s, remaining_s - expected_service_s)
+        if pacing_wait_s > max(latest_wait_s, expected_wait_s):
+            return AdmissionError(
+                ResultCode.server_limited, self._pacer.book_return_s()
+            )
+        if expected_wait_s + expected_service_s > remaining_s:
+            return self._overload(
+                ResultCode.deadline_too_short, expected_wait_s
+            )
+        if expected_wait_s > until_target_s:
+            return self._overload(ResultCode.queue_full, expected_wait_s)
+        return None
+
     def _slot_wait_s(self, rank: float) -> float:
         if self.running < self.limit and not self._waiting:
             return 0
@@ -281,7 +341,9 @@
             for one in self._waiting
             if one.rank[0] <= rank and one.target_start_s >= now_s
         )
-        ahead += sum(self._running_s.values()) * _REMAINING_SHARE
+        ahead += _REMAINING_SHARE * sum(
+            one.expected_s for one in self._running_by_number.values()
+        )
         return ahead / self.limit
 
     def _pacing_wait_s(self, rank: float, priority: int | None) -> float:
@@ -311,7 +373,7 @@
 
     def _finish(self, number: int) -> None:
         self.running -= 1
-        self._running_s.pop(number)
+        self._running_by_number.pop(number)
         self.admit_next()
 
     async def _wait(
@@ -333,6 +395,7 @@
         )
         self._waiting.append(queued)
         self.admit_next()
+        self._refuse_not_served()
         try:
             async with asyncio.timeout(max(0, latest_start_s - self._now())):
                 await admission
@@ -364,12 +427,76 @@
             self._waiting.remove(queued)
 
     def _next_request(self) -> _QueuedRequest:
-        now_s = self._now()
+        return min(self._waiting, key=self._start_order())
 
-        limited = self._pacer.limited
+    def _start_order(self) -> Callable[[_QueuedRequest], _StartOrder]:
+        now_s = self._now()
 
-        def order(one: _QueuedRequest) -> tuple[bool, bool, tuple[float, int]]:
-            owed = limited and self._shares.is_owed(one.priority)
+        def order(one: _QueuedRequest) -> _StartOrder:
+            owed = self._is_owed(one.priority)
             return not owed, one.target_start_s < now_s, one.rank
 
-        return min(self._waiting, key=order)
+        return order
+
+    def _is_owed(self, priority: int) -> bool:
+        """Whether a priority gets its minimum share now."""
+        if not self._pacer.limited and self._now() > self._overloaded_until_s:
+            return False
+        return self._shares.is_owed(priority)
+
+    def _overload(self, code: ResultCode, wait_s: float) -> AdmissionError:
+        """Returns the refusal of a request that there is no time for."""
+        self._overloaded_until_s = self._now() + _OVERLOAD_S
+        return AdmissionError(code, wait_s)
+
+    def _refuse_not_served(self) -> None:
+        """Refuses waiting requests that will not be started in time."""
+        if self._check_timer is not None:
+            self._check_timer.cancel()
+            self._check_timer = None
+        if self._pacer.limited or not self._waiting:
+            return
+        for queued in self._requests_not_served():
+            self._waiting.remove(queued)
+            if not queued.admission.done():
+                error = self._overload(
+                    ResultCode.deadline_too_short, self.expected_wait_s()
+                )
+                queued.admission.set_exception(error)
+        if self._waiting:
+            self._check_timer = asyncio.get_running_loop().call_later(
+                _CHECK_INTERVAL_S, self._refuse_not_served
+            )
+
+    def _requests_not_served(self) -> list[_QueuedRequest]:
+        """Returns the waiting requests that will not be started in time."""
+        waiting = sorted(self._waiting, key=self._start_order())
+        numbers = self._numbers_not_served(waiting)
+        return [one for one in waiting if one.rank[1] in numbers]
+
+    def _numbers_not_served(self, waiting: list[_QueuedRequest]) -> set[int]:
+        now_s = self._now()
+        running = [
+            (one.expected_s, now_s - one.started_s)
+            for one in self._running_by_number.values()
+        ]
+        stretch = self._pace.stretch(running)
+        capacity = Capacity(
+            self.limit,
+            busy_s(running, stretch, self.limit),
+            stretch,
+            self._pace.share_in_time(self.limit, stretch),
+        )
+        return not_served(
+            [
+                WaitingRequest(
+                    one.rank[1],
+                    one.target_start_s,
+                    one.latest_start_s,
+                    one.expected_service_s,
+                )
+                for one in waiting
+            ],
+            capacity,
+            now_s,
+        )
