Read the load that servers report

Cause: the senders of the data centres of a region share servers and do not know of each other's requests. The servers report their load in X-Server-Load, which was not read.

Change: RequestCodec.reported_load decodes it; a value that cannot be read raises an error. encode_health_check encodes a request to the health path.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
@@ -3,7 +3,7 @@
 The adapter implements it and alone knows the names of headers.
 """
 
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from yuccadale_core.codes import ResultCode
 from yuccadale_edge._internal.model import Server
@@ -29,6 +29,26 @@
     """A server asked for a pause with a value that is no duration."""
 
 
+class InvalidLoadError(ValueError):
+    """A server reported its load with a value that cannot be read."""
+
+
+class ServerLoad(NamedTuple):
+    """What a server reports of its load.
+
+    Attributes:
+        running: requests that use a slot.
+        waiting: requests in its own queue.
+        slots: requests that it handles at the same time.
+        pace: how many times longer than usual work takes now.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float = 1.0
+
+
 class RequestCodec(Protocol):
     """Decodes and encodes requests and answers."""
 
@@ -78,6 +98,19 @@
             InvalidPauseError: the duration cannot be read.
         """
 
+    def reported_load(self, answer: Answer) -> ServerLoad | None:
+        """Returns the load that the server reports.
+
+        Returns:
+            None if the answer reports none.
+
+        Raises:
+            InvalidLoadError: the report cannot be read.
+        """
+
+    def encode_health_check(self, server: Server, path: str) -> bytes:
+        """Encodes a request to the health path of a server."""
+
     def says_it_leaves(self, answer: Answer) -> bool:
         """Whether the server says that it leaves."""
 
--- a/packages/edge/src/yuccadale_edge/instance.py
+++ b/packages/edge/src/yuccadale_edge/instance.py
@@ -27,7 +27,9 @@
 )
 from yuccadale_edge._internal.routing.codec import (
     InvalidLimitError,
+    InvalidLoadError,
     InvalidPauseError,
+    ServerLoad,
 )
 from yuccadale_edge._internal.routing.requests import (
     CallerRequest,
@@ -96,6 +98,7 @@
     'HistoryLostError',
     'Instance',
     'InvalidLimitError',
+    'InvalidLoadError',
     'InvalidPauseError',
     'InvalidRowError',
     'Machine',
@@ -107,6 +110,7 @@
     'RoutedRequest',
     'Rows',
     'Server',
+    'ServerLoad',
     'ServerState',
     'Service',
     'Settings',
