Choose servers without keys by the load that they report

Cause: each sender counted its own requests only, so that a server with 4 slots got up to 8. A slow server was found out by a moving average of answers, which arrive late from just these servers.

Change: ServerLoads keeps the latest report of each server and the requests in flight. It derives how many slots are left by other senders, how slow a server is (its reported pace, times the age of its oldest overdue request), and the expected time of one more request. LoadChoice takes the server with the least expected time, refuses a request that none completes in time, and spreads the returns of refused callers. Health paths of slow or silent servers are asked at most once in 0.5 s. Services whose servers report no load keep the former choice.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -25,6 +25,11 @@
 from yuccadale_edge._internal.routing.attempts import Attempts
 from yuccadale_edge._internal.routing.codec import RequestCodec
 from yuccadale_edge._internal.routing.forwarding import Forwarder
+from yuccadale_edge._internal.routing.load_choice import (
+    Candidate,
+    LoadChoice,
+)
+from yuccadale_edge._internal.routing.load_reports import LoadReports
 from yuccadale_edge._internal.routing.pacing import ReturnTimes
 from yuccadale_edge._internal.routing.rate_limits import RateLimits
 from yuccadale_edge._internal.routing.requests import (
@@ -33,6 +38,7 @@
     RoutedRequest,
     Served,
 )
+from yuccadale_edge._internal.routing.server_load import ServerLoads
 from yuccadale_edge._internal.routing.server_queue import (
     AdmissionError,
     ServerQueue,
@@ -100,6 +106,11 @@
             self.service_times,
             self._refuse_queued,
         )
+        self.loads = ServerLoads(elapsed_s)
+        self._load_choice = LoadChoice(self.loads, place, metrics, elapsed_s)
+        self._load_reports = LoadReports(
+            self.loads, self._load_choice, pool, codec, metrics
+        )
         self._queue_by_holder: dict[Holder, ServerQueue] = {}
         self._limit_used_until_s: dict[Holder, float] = {}
         self._returns_by_service: dict[str, ReturnTimes] = {}
@@ -138,7 +149,13 @@
             self._returns_by_service.pop(service)
         self.rate_limits.keep_only(known)
         self.statements.keep_only(known)
+        self.loads.keep_only(known)
+        self._load_choice.keep_only(known, services)
+        self._load_reports.keep_only(known)
         self._refuse_queued()
+        self._load_reports.probe_due(
+            self._system_view.configuration, self._forwarder.sends_for
+        )
         for holder in self._limit_used_until_s.keys() - known:
             self._limit_used_until_s.pop(holder)
         for holder in list(self._queue_by_holder):
@@ -153,7 +170,7 @@
         self, request: RoutedRequest, deadline_s: float
     ) -> Result:
         tried: set[Holder] = set()
-        server = self._choose_server(request, tried)
+        server = self._choose_server(request, tried, deadline_s)
         if server is None:
             return self._no_server(request)
         best: Result | None = None
@@ -166,7 +183,7 @@
             best = result if best is None else _more_informative(best, result)
             if not await self._may_try_elsewhere(result, request, deadline_s):
                 return best
-            server = self._choose_server(request, tried)
+            server = self._choose_server(request, tried, deadline_s)
         assert best is not None
         best.attempts = attempts
         return best
@@ -202,6 +219,12 @@
         paused = self.statements.first_return(usable, request)
         if paused is not None:
             return paused
+        if self._load_choice.best(request) is not None:
+            return Refused(
+                ResultCode.deadline_too_short,
+                'no server is expected to complete the request in time',
+                self._load_choice.book_return_s(request),
+            )
         if usable:
             return Refused(
                 ResultCode.server_limited,
@@ -243,6 +266,60 @@
         )
 
     def _choose_server(
+        self, request: RoutedRequest, tried: set[Holder], deadline_s: float
+    ) -> Server | None:
+        """Returns the server to send to; None if there is none in time."""
+        if not self._load_choice.governs(request):
+            return self._choose_by_own_load(request, tried)
+        chosen = self._choose_by_reports(request, tried)
+        if chosen is None or elapsed_s() + chosen.expected_s > deadline_s:
+            return None
+        return chosen.server
+
+    def _choose_by_reports(
+        self, request: RoutedRequest, tried: set[Holder]
+    ) -> Candidate | None:
+        excluded = set(tried)
+        while True:
+            chosen = self._load_choice.choose(
+                request,
+                self._mean_s(request),
+                excluded,
+                partial(self._candidates, request),
+                self._pacing_wait_s,
+            )
+            # What is kept of the servers may be older than an answer.
+            if chosen is None or self._may_choose(
+                chosen.server, request, excluded
+            ):
+                return chosen
+            excluded.add(chosen.holder)
+
+    def _candidates(
+        self, request: RoutedRequest
+    ) -> list[tuple[Server, ServerQueue]]:
+        return [
+            (server, self._queue(server))
+            for server in self._system_view.servers.of(request.service)
+            if self._may_choose(server, request, set())
+        ]
+
+    def _pacing_wait_s(self, server: Server, request: RoutedRequest) -> float:
+        """Returns the wait for the limit of a server that is paced here."""
+        if not self._is_limited(server):
+            return 0
+        if self._is_sent_by_another(server, request):
+            return 0
+        return self._queue(server).expected_wait_s()
+
+    def _mean_s(self, request: RoutedRequest) -> float:
+        """Returns the expected service time on an average server."""
+        mean_s = self.service_times.mean_s(request.route)
+        if self._load_choice.governs(request):
+            return self.loads.mean_s(request.route, mean_s)
+        return mean_s
+
+    def _choose_by_own_load(
         self, request: RoutedRequest, tried: set[Holder]
     ) -> Server | None:
         best: Server | None = None
@@ -347,27 +424,36 @@
         if refused is not None:
             return refused
         queue = self._queue(server)
+        governed = self._load_choice.governs(request)
+        if governed:
+            self._load_choice.apply(server, queue)
+        mean_s = self._mean_s(request)
         queued_s = elapsed_s()
         try:
             async with queue.admit(
                 priority=request.priority,
                 caller_retry=request.caller_retry,
-                expected_service_s=self.service_times.mean_s(request.route),
+                expected_service_s=mean_s,
                 remaining_s=deadline_s - queued_s,
                 until_target_s=self._until_target_s(request),
             ):
                 waited_ms = (elapsed_s() - queued_s) * _MS_PER_S
-                return await self._send(
-                    server, queue, request, deadline_s, waited_ms
-                )
+                with self._load_reports.in_flight(
+                    server, request, queue
+                ) as in_flight:
+                    result = await self._send(
+                        server, queue, request, deadline_s, waited_ms
+                    )
+                    in_flight.answered = isinstance(result, Served)
+                    return result
         except AdmissionError as refusal:
+            return_s = max(refusal.expected_wait_s, mean_s / 2)
+            if governed:
+                return_s = self._load_choice.book_return_s(request)
             return self.statements.refusal(server, request) or Refused(
                 refusal.code,
                 f'{queue.running} running, {queue.waiting} queued',
-                max(
-                    refusal.expected_wait_s,
-                    self.service_times.mean_s(request.route) / 2,
-                ),
+                return_s,
                 server.server_id,
             )
 
@@ -458,6 +544,9 @@
             )
         service_s = elapsed_s() - sent_s
         self.statements.observe(server, answer, sent_s)
+        self._load_reports.observe(
+            server, answer, ended=int(request.key is None)
+        )
         if self._codec.not_executed(answer):
             return self._not_executed(server, queue, request, answer)
         self._record_service_time(server, queue, request, service_s)
--- a/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
@@ -109,6 +109,17 @@
             return None
         return sender
 
+    def sends_for(self, service: str) -> bool:
+        """Whether this instance sends for a service without keys.
+
+        The loss of the sender of its data centre counts here once it is known.
+        """
+        place = self._place
+        sender = self.reachable_sender(
+            f'{service}@{place.region}', place.data_centre
+        )
+        return sender is None
+
     def limit_share(self, server: Server) -> float:
         """Returns the part of a server's limit that this instance may use.
 
