Accept only responses whose status is from 100 to 599

The parser accepts any three digits. Statuses 000, 042 and 099 counted as interim responses and were passed over until the deadline: 2 s for a request, 0.9 s for a call to the store, 3 s for a release. Statuses 600, 700 and 999 reached the caller; with X-Not-Executed they became a 503, the promise that the request did not run. In ownership calls they counted as a refused grant or an unsent release. A store response with such a status set the era of the store, and all later responses were refused as older. Instances passed on any number as the status of a result.

A connection now fails its request and closes as soon as the parser reports a part of the head behind such a status. The outcome is unknown, as for any malformed response. The result of another instance is unreadable unless its status is from 200 to 599; its outcome is unknown as well. 20, 2000 and abc were malformed before. Interim responses are still passed over.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
@@ -1,6 +1,7 @@
 """Requests of callers, answers of servers and refusals."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -8,6 +9,9 @@
 from yuccadale_edge._internal.transport.client_connection import Answer
 from yuccadale_edge._internal.transport.server_connection import CallerMessage
 
+# Checked by the receiving instance: another one cannot be a complete answer.
+_FinalStatus = Annotated[int, msgspec.Meta(ge=200, le=599)]
+
 
 class RoutedRequest(msgspec.Struct, array_like=True):
     """A request for a server; also sent between instances.
@@ -83,7 +87,7 @@
         incarnation: of the server.
     """
 
-    status: int
+    status: _FinalStatus
     headers: list[tuple[bytes, bytes]]
     body: bytes
     server_id: str
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -41,6 +41,8 @@
 _MAX_UNPARSED_BYTES = 64 * 1024
 # Interim answers, and answers to other requests, before the answer.
 _MAX_OTHER_ANSWERS = 16
+# An answer with another status is none. The parser accepts all of three digits.
+_VALID_STATUSES = range(100, 600)
 # Answers with a lower status are interim.
 _FIRST_FINAL_STATUS = 200
 # A connection on which as many requests failed is not used again, so that it
@@ -319,11 +321,13 @@
 
     def on_status(self, piece: bytes) -> None:
         """Collects the reason phrase."""
+        self._check_status()
         self._reason += piece
         self._check_line(self._reason)
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Collects a header."""
+        self._check_status()
         self._check_line(text)
         lowered = name.lower()
         self._headers.append((lowered, text))
@@ -335,6 +339,8 @@
     def on_headers_complete(self) -> None:
         """Determines how the body is delimited."""
         self._unparsed_bytes = 0
+        if not self._check_status():
+            return
         status = self._parser.get_status_code()
         self._body_until_close = (
             not self._framed
@@ -369,6 +375,18 @@
         else:
             self._pass_over()
 
+    def _check_status(self) -> bool:
+        """Fails the request if the status of the answer is not valid.
+
+        Called from the first part of a head that follows the status, so that
+        the connection does not stay open until the end of the answer.
+        """
+        status = self._parser.get_status_code()
+        if status in _VALID_STATUSES:
+            return True
+        self._fail(AnswerMalformedError(f'the answer has status {status:03}'))
+        return False
+
     def _check_line(self, text: bytes) -> None:
         """Fails the request if an answer begins within a line of the head.
 
