Evacuate data centres and use regional routes in the soak test

Cause: the soak test knew neither evacuations nor allowed_regions nor the kinds upload and download.

Change: a run writes and removes rows evacuate/NAME and checks that no request reaches the data centre later than the bound after the row could be read. An instance that was restarted, suspended or cut off has the bound again from then on. A route with allowed_regions checks the region of each server that gets its requests.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,10 +11,12 @@
 from tests.builders.limit_record import LimitRecord
 from tests.builders.platform_servers import PlatformServer
 from tests.builders.platform_store import RunningStore
-from tests.builders.platform_system import configuration, route
+from tests.builders.platform_system import route
+from tests.soak.evacuations import SoakEvacuations
 from tests.soak.processes import SoakInstance
 from tests.soak.proxy import LoopbackProxy
 from tests.soak.report import SoakReport
+from tests.soak.routes import soak_configuration
 
 _PAUSES_S = (0.1, 0.4, 1.0)
 _CONNECTION_FAULT_S = (0.3, 1.0, 3.0)
@@ -53,6 +55,7 @@
         servers: list[PlatformServer],
         instances: list[SoakInstance],
         proxies: list[LoopbackProxy],
+        evacuations: SoakEvacuations,
         *,
         planned: bool,
     ) -> None:
@@ -64,6 +67,7 @@
             servers: all servers.
             instances: all instances.
             proxies: the proxy of each server.
+            evacuations: those of data centres.
             planned: whether to inject planned work only.
         """
         self._report = report
@@ -75,6 +79,7 @@
             *proxies,
             *(proxy for instance in instances for proxy in instance.proxies),
         ]
+        self._evacuations = evacuations
         self._planned = planned
         self._configuration_version = 1
         self.limits_by_server = {
@@ -94,6 +99,7 @@
 
     async def clear(self) -> None:
         """Ends all faults; restarts instances that ended."""
+        await self._evacuations.clear()
         self._store.faults.down = False
         self._store.faults.drop_answers = False
         for proxy in self._proxies:
@@ -130,6 +136,7 @@
                 'store': [self._store_down, self._drop_store_answers],
                 'answers': [self._copy_answers],
                 'statements': [self._leave_by_answer, self._ask_for_pause],
+                'evacuations': [self._evacuations.evacuate],
             }
         return {
             'processes': self._process_faults(),
@@ -138,6 +145,7 @@
             'limits': [self._limit_server],
             'answers': [self._copy_answers],
             'statements': [self._leave_by_answer, self._ask_for_pause],
+            'evacuations': [self._evacuations.evacuate],
         }
 
     def _process_faults(self) -> list[Fault]:
@@ -377,7 +385,7 @@
         self._store.state.put(
             'op',
             'config',
-            configuration(self._configuration_version, **changes),
+            soak_configuration(self._configuration_version, **changes),
         )
         await self._store.state.notify_feeds()
 
--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -8,6 +8,7 @@
 
 from tests.builders.platform_system import HOST
 from tests.soak.processes import SoakInstance
+from tests.soak.routes import PATHS, request_body
 
 _KEY_COUNT = 65536
 LIMIT_MS = 2000
@@ -129,11 +130,12 @@
     path_by_id: dict[str, str] = {}
     for _ in range(random_source.choice((1, 1, 1, 2, 3))):
         request_id = next(request_ids)
-        path_by_id[request_id] = random_source.choice(('/keyed/x', '/once/x'))
+        path = random_source.choice(PATHS)
+        path_by_id[request_id] = path
         key = random_source.randrange(_KEY_COUNT)
         # The servers of the soak repeat the body.
-        body = request_id.encode().ljust(random_source.choice(_BODY_BYTES))
-        writer.write(_encode(request_id, path_by_id[request_id], key, body))
+        body = request_body(path, request_id, random_source.choice(_BODY_BYTES))
+        writer.write(_encode(request_id, path, key, body))
     goes_on = True
     reason = 'closed behind an answer'
     waiting = list(path_by_id)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,7 +23,8 @@
 from tests.builders.copied_answers import CopiedAnswers
 from tests.builders.platform_servers import PlatformServer, running_server
 from tests.builders.platform_store import RunningStore, running_store
-from tests.builders.platform_system import HOST, configuration
+from tests.builders.platform_system import HOST
+from tests.soak.evacuations import SoakEvacuations
 from tests.soak.faults import SoakFaults
 from tests.soak.kept_callers import (
     LIMIT_MS,
@@ -34,10 +35,20 @@
 from tests.soak.processes import GRACE_S, SoakInstance, soak_instances
 from tests.soak.proxy import LoopbackProxy, running_proxy
 from tests.soak.report import SoakReport
+from tests.soak.routes import (
+    PATHS,
+    RouteRecord,
+    check_requests,
+    request_body,
+    soak_configuration,
+)
 from tests.soak.statements import StatementRecord
 
 INSTANCES = 4
 KEYED_SERVERS = 4
+# The others have no faults, so that seeds repeat the faults that they injected
+# when there were no others.
+_FAULTY_SERVERS = KEYED_SERVERS + 1
 CALLERS = 6
 _KEY_COUNT = 65536
 # Answers that promise that the request did not run.
@@ -68,6 +79,8 @@
         proxies: list[LoopbackProxy],
         session: aiohttp.ClientSession,
         statements: list[StatementRecord],
+        evacuations: SoakEvacuations,
+        routes: RouteRecord,
         *,
         planned: bool = False,
     ) -> None:
@@ -79,10 +92,18 @@
         self._instances = instances
         self._session = session
         self._statements = statements
+        self._evacuations = evacuations
+        self._routes = routes
         self._request_count = 0
         self._refused_ids: list[str] = []
         self._faults = SoakFaults(
-            self.report, store, servers, instances, proxies, planned=planned
+            self.report,
+            store,
+            servers[:_FAULTY_SERVERS],
+            instances,
+            proxies[:_FAULTY_SERVERS],
+            evacuations,
+            planned=planned,
         )
 
     async def run(self, duration_s: float) -> SoakReport:
@@ -114,6 +135,10 @@
         for record in self._statements:
             self.report.problems.extend(record.problems)
             self.report.statements.update(record.counts)
+        self.report.problems.extend(self._evacuations.problems)
+        self.report.evacuations.update(self._evacuations.counts)
+        self.report.problems.extend(self._routes.problems)
+        self.report.routes.update(self._routes.counts)
         for server in self._servers:
             if server.copied_answers is not None:
                 self.report.copies.update(server.copied_answers.counts)
@@ -137,7 +162,7 @@
     async def _send_request(self, instance: SoakInstance) -> int:
         self._request_count += 1
         request_id = f's{self.report.seed}-{self._request_count}'
-        path = self._random.choice(('/keyed/x', '/once/x'))
+        path = self._random.choice(PATHS)
         headers = {
             'Host': HOST,
             'X-Attempt-Id': request_id,
@@ -150,13 +175,14 @@
             async with self._session.post(
                 f'http://127.0.0.1:{port}{path}',
                 headers=headers,
-                data=request_id.encode(),
+                data=request_body(path, request_id),
             ) as answer:
                 self._view.note_status(
                     request_id, answer.status, instance, sent_s
                 )
+                text = await answer.text()
                 return self._record_answer(
-                    request_id, path, answer.status, await answer.text()
+                    request_id, path, answer.status, text.rstrip(' ')
                 )
         except TimeoutError:
             # The caller gave up, long after the time limit that it had set.
@@ -227,7 +253,7 @@
         for server in self._servers:
             executions.update(server.executions)
         for request_id, count in executions.items():
-            if count > 1:
+            if count > self._routes.max_runs(request_id):
                 self.report.problems.append(f'{request_id} ran {count} times')
         for request_id in self._refused_ids:
             if executions[request_id]:
@@ -282,12 +308,13 @@
 
 
 def _servers(seed: int) -> list[PlatformServer]:
-    """Returns servers with keys and one without."""
+    """Returns servers with keys and, in each data centre, one without."""
     servers = [
         PlatformServer(f'k{number}', 'ledger', 'ab'[number % 2], keyed=True)
         for number in range(KEYED_SERVERS)
     ]
     servers.append(PlatformServer('p0', 'stage', 'a', keyed=False))
+    servers.append(PlatformServer('p1', 'stage', 'b', keyed=False))
     for server in servers:
         server.copied_answers = CopiedAnswers(
             random.Random(f'{seed} {server.server_id}')
@@ -309,10 +336,15 @@
     """
     servers = _servers(seed)
     statements = list(map(StatementRecord, servers))
+    routes = RouteRecord()
     client_timeout = aiohttp.ClientTimeout(total=LIMIT_MS / 1000 + 1)
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_store())
-        store.state.put('op', 'config', configuration())
+        store.state.put('op', 'config', soak_configuration())
+        evacuations = SoakEvacuations(store, statements)
+        for record in statements:
+            check_requests(record.server, routes.check)
+            check_requests(record.server, evacuations.check)
         proxies = [
             await stack.enter_async_context(_server_behind_proxy(server, store))
             for server in servers
@@ -334,6 +366,8 @@
             proxies,
             session,
             statements,
+            evacuations,
+            routes,
             planned=planned,
         )
         return await soak_run.run(duration_s)
@@ -365,6 +399,8 @@
             dict(report.status_counts),
             dict(report.copies),
             dict(report.statements),
+            dict(report.routes),
+            dict(report.evacuations),
             report.faults,
             flush=True,
         )
--- a/tests/soak/statements.py
+++ b/tests/soak/statements.py
@@ -38,6 +38,7 @@
     in a pause also one whose connection to the server was disturbed.
 
     Attributes:
+        server: whose statements these are.
         proxy: whose address the server registers, set before requests arrive.
         instances: all that send requests, likewise.
         problems: broken rules.
@@ -50,7 +51,7 @@
         self.instances: list[SoakInstance] = []
         self.problems: list[str] = []
         self.counts: Counter[str] = Counter()
-        self._server = server
+        self.server = server
         server.around_requests = self.around
         self._sender_by_connection: WeakKeyDictionary[
             asyncio.Transport, SoakInstance
@@ -62,10 +63,10 @@
         """Returns a handler that records its requests and answers."""
 
         async def handle(request: web.Request) -> web.StreamResponse:
-            life = self._server.born
+            life = self.server.born
             if not self._speaks(life):
                 return await handler(request)
-            sender = self._sender(request)
+            sender = self.sender(request)
             if sender is None:
                 return await handler(request)
             self._check(life, sender, request)
@@ -75,20 +76,7 @@
 
         return handle
 
-    def _speaks(self, life: int) -> bool:
-        """Whether a statement is made, or one of this life still counts."""
-        server = self._server
-        if server.leaving or server.pause_text is not None:
-            return True
-        now_s = time.monotonic()
-        return any(
-            pause.end_s > now_s
-            for (known, _), pauses in self._pauses_by_sender.items()
-            for pause in pauses
-            if known == life
-        )
-
-    def _sender(self, request: web.Request) -> SoakInstance | None:
+    def sender(self, request: web.Request) -> SoakInstance | None:
         """Returns the instance that sent a request, if it still runs."""
         connection = request.transport
         if connection is None or self.proxy is None:
@@ -104,6 +92,19 @@
             self._sender_by_connection[connection] = sender
         return sender
 
+    def _speaks(self, life: int) -> bool:
+        """Whether a statement is made, or one of this life still counts."""
+        server = self.server
+        if server.leaving or server.pause_text is not None:
+            return True
+        now_s = time.monotonic()
+        return any(
+            pause.end_s > now_s
+            for (known, _), pauses in self._pauses_by_sender.items()
+            for pause in pauses
+            if known == life
+        )
+
     def _check(
         self, life: int, sender: SoakInstance, request: web.Request
     ) -> None:
@@ -161,6 +162,6 @@
         return self.proxy.disturbed_s
 
     def _add_problem(self, problem: str) -> None:
-        described = f'{self._server.server_id} {problem}'
+        described = f'{self.server.server_id} {problem}'
         if described not in self.problems:
             self.problems.append(described)
--- a/tests/soak/test_statements.py
+++ b/tests/soak/test_statements.py
@@ -23,7 +23,7 @@
     for name in ('_DRAIN_S', '_CROSSING_S', '_ARRIVAL_S'):
         monkeypatch.setattr(f'tests.soak.statements.{name}', _BOUND_S)
     sender = SoakInstance('edge-0', 'a', Path(), '', [])
-    monkeypatch.setattr(StatementRecord, '_sender', lambda *_: sender)
+    monkeypatch.setattr(StatementRecord, 'sender', lambda *_: sender)
     record = StatementRecord(PlatformServer('k0', 'ledger', 'a', keyed=True))
     record.proxy = LoopbackProxy(('127.0.0.1', 1))
     record.instances = [sender]
@@ -46,7 +46,7 @@
     restarted: bool, _record: StatementRecord
 ) -> None:
     """Guards against a check of DRAIN that finds or excuses nothing."""
-    _record._server.leaving = True
+    _record.server.leaving = True
     leaving = web.Response(headers={'Server-Leaving': '1'})
     await _ask(_record, leaving)
     assert not _record.problems
@@ -61,7 +61,7 @@
     disturbed: bool, _record: StatementRecord
 ) -> None:
     """Guards against a check of BUDGET that finds or excuses nothing."""
-    _record._server.pause_text = '4'
+    _record.server.pause_text = '4'
     await _ask(_record, web.Response(status=503, headers={'Retry-After': '4'}))
     assert _record.proxy is not None
     if disturbed:
