--- a/tests/builders/instance_processes.py
+++ b/tests/builders/instance_processes.py
@@ -12,10 +12,22 @@
 
 @asynccontextmanager
 async def instance_processes(
-    count: int, directory: Path, store: tuple[str, int]
+    count: int,
+    directory: Path,
+    store: tuple[str, int],
+    **machine: int,
 ) -> AsyncIterator[list[SoakInstance]]:
-    """Runs instances in data centre a; ends what it started."""
+    """Runs instances in data centre a; ends what it started.
+
+    Args:
+        count: their number.
+        directory: of their settings and logs.
+        store: the address of the store.
+        machine: fields of the section of the machine.
+    """
     instances = [_instance(number, directory, store) for number in range(count)]
+    for instance in instances:
+        instance.machine.update(machine)
     async with AsyncExitStack() as stack:
         for instance in instances:
             stack.push_async_callback(instance.kill)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -33,7 +33,9 @@
 
 [bounds]
 grace = {grace}s
-"""
+
+[machine]
+{machine}"""
 GRACE_S = 3
 _END_TIMEOUT_S = 5.0
 _MB = 1_000_000
@@ -49,6 +51,8 @@
     Attributes:
         stopped_s: when SIGTERM was sent, on a monotonic clock.
         disturbed_s: when it last started, was suspended or resumed.
+        machine: fields of the section of the machine that differ from their
+            defaults.
     """
 
     name: str
@@ -63,6 +67,7 @@
     ending: bool = False
     stopped_s: list[float] = field(default_factory=list)
     disturbed_s: float = 0
+    machine: dict[str, int] = field(default_factory=dict)
 
     @property
     def ended_by_itself(self) -> bool:
@@ -75,6 +80,9 @@
         zones = '\n'.join(
             f'{zone} = {region}' for zone, region in REGION_BY_ZONE.items()
         )
+        machine = ''.join(
+            f'{name} = {number}\n' for name, number in self.machine.items()
+        )
         path = self.directory / f'{self.name}.ini'
         path.write_text(
             _SETTINGS.format(
@@ -84,6 +92,7 @@
                 zones=zones,
                 store=self.store,
                 grace=GRACE_S,
+                machine=machine,
                 **self.ports,
             )
         )
