Count small bodies as they are read; test the limits without processes

Cause: clients that only announce small bodies could fill the share of small requests, and a connection that gave way could wait for its client to read. Change: bodies up to 64 KiB are counted as read; a connection with unwritten bytes is aborted; what a closing connection has read is released at once.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/open_connections.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/open_connections.py
@@ -29,19 +29,20 @@
     Attributes:
         all: those that are open, also while they are being closed.
         closed: number of connections that were closed for want of room.
+        max_connections: bound of the open connections.
     """
 
     def __init__(self, max_connections: float = inf) -> None:
         self.all: set[_Connection] = set()
         self.closed = 0
-        self._max_connections = max_connections
+        self.max_connections = max_connections
         self._waiting: OrderedDict[_Connection, None] = OrderedDict()
 
     def add(self, connection: _Connection) -> None:
         """Adds a connection; closes others, or it, if there are too many."""
         self.all.add(connection)
         self._waiting[connection] = None
-        while len(self.all) > self._max_connections and self._waiting:
+        while len(self.all) > self.max_connections and self._waiting:
             longest, _ = self._waiting.popitem(last=False)
             self.all.discard(longest)
             self.closed += 1
--- a/packages/edge/src/yuccadale_edge/_internal/transport/received_requests.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/received_requests.py
@@ -1,10 +1,11 @@
 """Account of the requests that clients send, until they are answered.
 
-A request is charged from its first byte: what its head occupies, and its body
-by the announced size. Small and large requests have a share each, so that large
-ones never keep small ones out. When a share is full, the unfinished request
-whose client sends the least is given up; when all clients send well, the new
-one is refused. A request that is being handled is never given up.
+A request is charged from its first byte: what its head occupies, and its body,
+a large one by its announced size. Small and large requests have a share each,
+so that large ones never keep small ones out. When a share is full, the
+unfinished request whose client sends the least is given up; when all clients
+send well, the new one is refused. A request that is being handled is never
+given up.
 """
 
 from collections.abc import Callable
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -371,7 +371,7 @@
         transport = self._transport
         if transport is None:
             return
-        if self._closing or self._answers:
+        if self._closing or self._answers or self._unwritten_bytes():
             self.abort()
             return
         self._closing = True
@@ -463,7 +463,10 @@
             + _FIELD_BYTES * len(self._headers)
         )
         if self._listener.keeps_bodies:
-            size += max(self._body_bytes, self._announced_bytes)
+            # Small bodies are counted as read: clients that only announce them
+            # keep nobody out.
+            large = self._announced_bytes > SMALL_BYTES
+            size += max(self._body_bytes, self._announced_bytes * large)
         if not self._unfinished.grow_to(size):
             self._reject_status = HTTPStatus.SERVICE_UNAVAILABLE
 
@@ -610,6 +613,7 @@
         for answer in self._answers:
             answer.cancel()
         self._answers.clear()
+        self._drop_request()
         self._listener.connections.mark_closing(self)
         transport = self._transport
         if transport is None or transport.is_closing():
--- a/tests/edge/test_server_connection.py
+++ b/tests/edge/test_server_connection.py
@@ -375,3 +375,101 @@
         async with asyncio.timeout(_LONG_S):
             assert not await reader.read()
         writer.close()
+
+
+async def test_half_a_head_behind_an_answer_is_given_up() -> None:
+    """Guards against connections that stay open for ever.
+
+    The timer of the head ends while the request before it is handled.
+    """
+    async with _running_listener() as listener:
+        listener.state.limits.header_timeout_s = _IDLE_S / 3
+        listener.release.clear()
+        reader, writer = await listener.connect()
+        writer.write(_REQUEST + _REQUEST[:10])
+        await asyncio.sleep(_IDLE_S)
+        listener.release.set()
+        async with asyncio.timeout(_LONG_S):
+            answer = await reader.read()
+        assert answer.count(b'HTTP/1.1 200') == 1
+        writer.close()
+
+
+async def test_a_body_that_arrives_too_slowly_is_refused() -> None:
+    """Guards against bodies that are kept as long as a byte comes at times."""
+    async with _running_listener() as listener:
+        reader, writer = await listener.connect()
+        writer.write(_post(100_000))
+        sending = asyncio.create_task(_send_slowly(writer))
+        assert await _status(reader) == 408
+        sending.cancel()
+        assert listener.state.slow_bodies == 1
+        assert not listener.messages
+        assert listener.state.held_bytes == 0
+        writer.close()
+
+
+async def _send_slowly(writer: asyncio.StreamWriter) -> None:
+    while True:
+        writer.write(b'a')
+        await asyncio.sleep(_IDLE_S / 3)
+
+
+async def test_requests_ahead_of_answers_are_bounded() -> None:
+    """Guards against a read that holds thousands of requests."""
+    async with _running_listener() as listener:
+        listener.answer = b''
+        listener.release.clear()
+        reader, writer = await listener.connect()
+        count = 2000
+        writer.write(_REQUEST * count)
+        while not listener.messages:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(_IDLE_S / 3)
+        assert len(listener.messages) < 50
+        listener.release.set()
+        for _ in range(count):
+            assert await _status(reader) == 200
+        writer.close()
+
+
+async def test_bodies_that_no_handler_needs_are_not_kept() -> None:
+    """Guards against bodies for readiness that fill the memory."""
+    async with _running_listener() as listener:
+        listener.state.keeps_bodies = False
+        reader, writer = await listener.connect()
+        writer.write(_post(400_000) + b'b' * 399_999)
+        while not listener.state.held_bytes:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(_IDLE_S / 3)
+        assert listener.state.held_bytes < 20_000
+        writer.write(b'b')
+        assert await _status(reader) == 200
+        assert listener.messages[0].body == b''
+        writer.close()
+
+
+async def test_a_connection_that_waits_for_its_client_gives_way() -> None:
+    """Guards against silent clients that keep others from connecting.
+
+    One whose request is handled stays: its request may have run.
+    """
+    async with _running_listener() as listener:
+        listener.state.connections.max_connections = 2
+        listener.release.clear()
+        served, silent = [await listener.connect() for _ in range(2)]
+        served[1].write(_REQUEST)
+        silent[1].write(_post(10))
+        while not listener.messages or not listener.state.held_bytes:
+            await asyncio.sleep(0.01)
+        later = await listener.connect()
+        async with asyncio.timeout(_LONG_S):
+            refused = await silent[0].read()
+        assert refused.startswith(b'HTTP/1.1 503')
+        assert b'retry-after: ' in refused
+        later[1].write(_REQUEST)
+        listener.release.set()
+        for reader, writer in (served, later):
+            assert await _status(reader) == 200
+            writer.close()
+        silent[1].close()
