Send an overdue repeatable request to a second server

Change: a repeatable request whose server will answer after the target is sent to a second server that answers in time, within max_attempts and the retry budget. The first answer counts and the connection of the other attempt is closed. Requests that run at most once get no second attempt. A reported pace counts in full until its report is a second old, and a server counts as slow from a pace of 6, since servers often take three times as long for a while and still answer in time. A sender leaves slots to others also if it is the only one of its region.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -38,6 +38,10 @@
     RoutedRequest,
     Served,
 )
+from yuccadale_edge._internal.routing.second_attempts import (
+    Attempt,
+    first_result,
+)
 from yuccadale_edge._internal.routing.server_load import ServerLoads
 from yuccadale_edge._internal.routing.server_queue import (
     AdmissionError,
@@ -72,6 +76,10 @@
 # request.
 _LIMIT_USED_S = 0.25
 
+# A second attempt is made when it would end so long before the target, unless
+# the first server is known to be slow: times vary by about that much.
+_SECOND_SPARE_S = 0.1
+
 TimeSample = tuple[str, str, float]
 
 
@@ -177,7 +185,7 @@
         attempts = 0
         while server is not None:
             tried.add(_holder(server))
-            result = await self._serve_at(server, request, deadline_s)
+            result = await self._serve_once(server, request, deadline_s, tried)
             result.attempts += attempts
             attempts = result.attempts
             best = result if best is None else _more_informative(best, result)
@@ -188,6 +196,55 @@
         best.attempts = attempts
         return best
 
+    async def _serve_once(
+        self,
+        server: Server,
+        request: RoutedRequest,
+        deadline_s: float,
+        tried: set[Holder],
+    ) -> Result:
+        """Sends a request, to a second server if the first one is too slow."""
+        first = self._serve_at(server, request, deadline_s)
+        if not request.repeatable or not self._load_choice.governs(request):
+            return await first
+        target_s = elapsed_s() + self._until_target_s(request)
+
+        async def send(chosen: Server) -> Attempt | None:
+            if not await self._attempts.may_continue(request, 1):
+                return None
+            tried.add(_holder(chosen))
+            self._metrics.count('second_attempts', service=request.service)
+            return self._serve_at(chosen, request, deadline_s)
+
+        choose = partial(self._second_server, server, request, target_s, tried)
+        return await first_result(first, self._mean_s(request), choose, send)
+
+    def _second_server(
+        self,
+        server: Server,
+        request: RoutedRequest,
+        target_s: float,
+        tried: set[Holder],
+    ) -> Server | None:
+        """Returns a server that answers in time if the present one will not.
+
+        While the present server does not count as slow, it has until the last
+        moment at which another one could answer in time.
+        """
+        end_s = self._load_reports.expected_end_s(server, request)
+        if end_s is None or end_s <= target_s:
+            return None
+        chosen = self._choose_by_reports(request, tried)
+        if chosen is None:
+            return None
+        spare_s = target_s - elapsed_s() - chosen.expected_s
+        may_wait = not self._load_choice.is_slow(
+            Holder(server.server_id, server.incarnation)
+        )
+        if spare_s < 0 or (may_wait and spare_s > _SECOND_SPARE_S):
+            return None
+        return chosen.server
+
     async def _may_try_elsewhere(
         self, result: Result, request: RoutedRequest, deadline_s: float
     ) -> bool:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/load_choice.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/load_choice.py
@@ -17,7 +17,7 @@
 from yuccadale_edge._internal.ownership.segments import Holder
 from yuccadale_edge._internal.routing.pacing import ReturnTimes
 from yuccadale_edge._internal.routing.requests import RoutedRequest
-from yuccadale_edge._internal.routing.server_load import OVERDUE, ServerLoads
+from yuccadale_edge._internal.routing.server_load import ServerLoads
 from yuccadale_edge._internal.routing.server_queue import ServerQueue
 
 _log = structlog.get_logger()
@@ -179,7 +179,7 @@
         queue.limit = self._loads.concurrency(
             holder, server.slots, self.senders()
         )
-        is_slow = slowness >= OVERDUE
+        is_slow = self._loads.is_slow(holder)
         if is_slow == (holder in self._slow):
             queue.admit_next()
         elif is_slow:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/load_reports.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/load_reports.py
@@ -70,6 +70,7 @@
         self._metrics = metrics
         self._probed_s_by_holder: dict[Holder, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._in_flight_by_request: dict[int, InFlight] = {}
 
     @contextmanager
     def in_flight(
@@ -84,11 +85,25 @@
             with self._loads.in_flight(
                 holder, request.route, server.slots
             ) as in_flight:
+                self._in_flight_by_request[id(request)] = in_flight
                 yield in_flight
         finally:
-            if self._choice.governs(request):
-                self._choice.apply(server, queue)
-            self._choice.touch(holder)
+            self._in_flight_by_request.pop(id(request), None)
+            self._apply(server, request, queue)
+
+    def expected_end_s(
+        self, server: Server, request: RoutedRequest
+    ) -> float | None:
+        """Returns when a request is expected to be complete.
+
+        Returns:
+            None if it has not been sent to a server.
+        """
+        in_flight = self._in_flight_by_request.get(id(request))
+        if in_flight is None or in_flight.sent is None:
+            return None
+        holder = Holder(server.server_id, server.incarnation)
+        return self._loads.expected_end_s(holder, in_flight.sent)
 
     def observe(self, server: Server, answer: Answer, ended: int = 0) -> None:
         """Records the load that a server reports in an answer.
@@ -160,6 +175,13 @@
             )
         )
 
+    def _apply(
+        self, server: Server, request: RoutedRequest, queue: ServerQueue
+    ) -> None:
+        if self._choice.governs(request):
+            self._choice.apply(server, queue)
+        self._choice.touch(Holder(server.server_id, server.incarnation))
+
     async def _probe(self, server: Server, health_path: str) -> None:
         outcome = 'unanswered'
         try:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_load.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_load.py
@@ -27,6 +27,12 @@
 _DELAY_MEMORY = 2.0
 # A request is overdue after so many times its expected time.
 OVERDUE = 3.0
+# A request is late after so many times its expected time: it will probably
+# miss its target, but says little of its server yet.
+_LATE = 2.0
+# Servers often take three times as long for a while, and still answer within
+# the targets if nothing waits there. They count as slow from this factor on.
+_SLOW = 6.0
 # Shorter expectations are within the jitter of the network and of timers.
 _MIN_EXPECTED_S = 0.1
 # Answers before a mean is known well enough to call a request overdue.
@@ -67,10 +73,12 @@
     Attributes:
         number: tells it from the others.
         answered: whether the server ran and answered it.
+        sent: what is expected of it, if it is observed.
     """
 
     number: int
     answered: bool = False
+    sent: Sent | None = None
 
 
 @dataclass(slots=True)
@@ -137,8 +145,9 @@
     """Returns how many times longer than usual work takes, as reported."""
     if state.load is None:
         return 1.0
-    pace = min(max(state.load.pace, _MIN_PACE), _MAX_PACE)
-    return 1 + (pace - 1) * weight_of(now_s - state.reported_s)
+    if now_s - state.reported_s > STALE_S:
+        return 1.0
+    return min(max(state.load.pace, _MIN_PACE), _MAX_PACE)
 
 
 def delay_at(state: ServerState, now_s: float) -> float:
@@ -165,12 +174,18 @@
     return pace_at(state, now_s) * delay_at(state, now_s)
 
 
+def is_slow_at(state: ServerState, now_s: float) -> bool:
+    """Whether a server is too slow for requests that have a choice."""
+    delay = delay_at(state, now_s)
+    return delay >= OVERDUE or pace_at(state, now_s) * delay >= _SLOW
+
+
 def is_on_trial(state: ServerState, now_s: float) -> bool:
     """Whether a server is slow, or was and has not answered in time since.
 
     One request at a time is enough to notice that it has recovered.
     """
-    return state.delay >= OVERDUE or slowness_at(state, now_s) >= OVERDUE
+    return state.delay >= OVERDUE or is_slow_at(state, now_s)
 
 
 def concurrency_at(
@@ -190,7 +205,8 @@
     if is_on_trial(state, now_s):
         return 1
     slots = slots_at(state, declared, now_s)
-    even_part = max(1, slots // max(1, senders))
+    # Also a region with one sender gets requests from other regions.
+    even_part = max(1, slots // max(2, senders))
     return max(even_part, slots - ceil(others_at(state, now_s) - 0.5))
 
 
@@ -285,8 +301,8 @@
             expected_s = known.mean_s * state.factor
         before = len(state.sent_by_number) + others_at(state, now_s)
         queued = before >= slots_at(state, declared, now_s)
-        in_flight = InFlight(next(self._numbers))
         sent = Sent(now_s, route, expected_s, queued)
+        in_flight = InFlight(next(self._numbers), sent=sent)
         state.sent_by_number[in_flight.number] = sent
         try:
             yield in_flight
@@ -302,6 +318,21 @@
         """Returns how many times longer than usual work takes."""
         return slowness_at(self.state(holder), self._now())
 
+    def is_slow(self, holder: Holder) -> bool:
+        """Whether a server is too slow for requests that have a choice."""
+        return is_slow_at(self.state(holder), self._now())
+
+    def expected_end_s(self, holder: Holder, sent: Sent) -> float:
+        """Returns when a request in flight is expected to be complete."""
+        state = self.state(holder)
+        now_s = self._now()
+        age_s = now_s - sent.sent_s
+        if age_s > sent.expected_s * pace_at(state, now_s) * _LATE:
+            # A late request takes about as long again.
+            return now_s + age_s
+        took_s = sent.expected_s * slowness_at(state, now_s)
+        return sent.sent_s + max(age_s, took_s)
+
     def factor(self, holder: Holder) -> float:
         """Returns the times of a server at its usual pace, to the mean."""
         return self.state(holder).factor
--- a/tests/builders/loaded_servers.py
+++ b/tests/builders/loaded_servers.py
@@ -27,6 +27,7 @@
 SLOTS = 4
 WORK_S = 0.22
 TARGET_S = 0.8
+TIMEOUT_S = 2.0
 QUEUE_PLACES = 16
 _REGIONS = MappingProxyType({'a': 'north', 'b': 'north'})
 _MAINTENANCE_S = 0.2
@@ -97,11 +98,17 @@
     """The instance that sends for one data centre."""
 
     def __init__(
-        self, server_by_id: dict[str, LoadedServer], data_centre: str
+        self,
+        server_by_id: dict[str, LoadedServer],
+        data_centre: str,
+        *,
+        may_retry: bool = False,
     ) -> None:
         self.metrics = Metrics()
+        # Connections that were given up with a request in flight.
+        self.closed = 0
         self.results: list[tuple[Result, float, float]] = []
-        self._server_by_id = server_by_id
+        self.server_by_id = server_by_id
         view = SystemView(Mock(), Mock(), 2.0)
         for number, server_id in enumerate(server_by_id):
             view.servers.server_by_id[server_id] = Server(
@@ -123,7 +130,7 @@
             self.metrics,
             Place(data_centre, 'north', _REGIONS),
             Mock(),
-            Mock(may_continue=AsyncMock(return_value=False)),
+            Mock(may_continue=AsyncMock(return_value=may_retry)),
         )
 
     @asynccontextmanager
@@ -135,16 +142,20 @@
         **_options: bool,
     ) -> AsyncIterator[Mock]:
         """Provides a connection to a server, as ``ClientPool`` does."""
-        server = self._server_by_id[address[0]]
+        server = self.server_by_id[address[0]]
 
         async def exchange(
             head: bytes, *_args: object, **_options: object
         ) -> Answer:
-            return await server.answer(head, request_id)
+            try:
+                return await server.answer(head, request_id)
+            except asyncio.CancelledError:
+                self.closed += 1
+                raise
 
         yield Mock(exchange=exchange)
 
-    async def request(self, number: int, timeout_s: float = 2.0) -> Result:
+    async def request(self, number: int, *, repeatable: bool = True) -> Result:
         """Sends a request; its result and time are kept."""
         request_id = f'{id(self)}-{number}'
         began_s = elapsed_s()
@@ -157,10 +168,10 @@
             headers=[],
             body=b'',
             priority=0,
-            repeatable=True,
-            remaining_ms=timeout_s * 1000,
+            repeatable=repeatable,
+            remaining_ms=TIMEOUT_S * 1000,
             until_target_ms=TARGET_S * 1000,
-            allowed_attempts=1,
+            allowed_attempts=2,
         )
         result = await self.dispatcher.serve(routed)
         self.results.append((result, elapsed_s() - began_s, began_s))
--- a/tests/edge/test_server_load.py
+++ b/tests/edge/test_server_load.py
@@ -26,6 +26,7 @@
 )
 from yuccadale_edge._internal.routing.load_choice import LoadChoice
 from yuccadale_edge._internal.routing.load_reports import PROBE_INTERVAL_S
+from yuccadale_edge._internal.routing.requests import Result
 from yuccadale_edge._internal.routing.server_load import ServerLoads
 from yuccadale_edge._internal.transport.client_connection import Answer
 from yuccadale_platform._internal.requests import PlatformCodec
@@ -131,6 +132,16 @@
         assert loads.slowness(HOLDER) == pytest.approx(1)
 
 
+def test_work_that_takes_three_times_as_long_is_no_incident() -> None:
+    """Guards against usable servers that get one request at a time."""
+    loads = ServerLoads(_Clock())
+    loads.observe(HOLDER, ServerLoad(1, 0, SLOTS, 3.0))
+    assert not loads.is_slow(HOLDER)
+    assert loads.concurrency(HOLDER, SLOTS) == 3
+    loads.observe(HOLDER, ServerLoad(1, 0, SLOTS, 12.0))
+    assert loads.is_slow(HOLDER)
+
+
 def test_a_server_that_was_slow_is_tried_with_one_request() -> None:
     """Guards against a server that fills again before it has recovered."""
     clock = _Clock()
@@ -359,6 +370,48 @@
         assert max(returns) > min(returns) + 1
 
 
+async def _one_request(sender: Sender, *, repeatable: bool) -> Result:
+    """Sends a request to a server that becomes slow with it."""
+    servers = sender.server_by_id.values()
+    for server in servers:
+        server.received.clear()
+        server.pace = 12
+    task = asyncio.create_task(sender.request(0, repeatable=repeatable))
+    await asyncio.sleep(0.01)
+    for server in servers:
+        server.pace = 1
+    return await task
+
+
+@pytest.mark.usefixtures('_virtual_clock')
+@pytest.mark.parametrize(
+    ('repeatable', 'may_retry', 'arrivals'),
+    [(True, True, 2), (True, False, 1), (False, True, 1)],
+)
+@in_virtual_time
+async def test_an_overdue_request_gets_a_second_server(
+    *, repeatable: bool, may_retry: bool, arrivals: int
+) -> None:
+    """Guards against requests that wait for a server known to be slow.
+
+    Also against one that must run once, or is over the budget, sent twice.
+    """
+    servers = loaded_servers(4)
+    await asyncio.sleep(1)
+    sender = Sender(servers, 'a', may_retry=may_retry)
+    await sender.load(30, WARM_UP_S)
+    sender.closed = 0
+    began_s = elapsed_s()
+    result = await _one_request(sender, repeatable=repeatable)
+    is_in_time = elapsed_s() - began_s <= TARGET_S
+    received = sum(len(server.received) for server in servers.values())
+    assert received == arrivals
+    assert result.attempts == arrivals
+    assert is_in_time == (arrivals == 2)
+    # The connection of the other attempt, or after the deadline.
+    assert sender.closed == 1
+
+
 def _fail(*_args: object, **_options: object) -> None:
     raise AssertionError('a service without reports is served by them')
 
