Keep until when servers are cold, by entries and health responses

Cause: only the first entry of an incarnation counted, and one that differs in its slow start only was dropped, so that a server which became cold again was not known to be. The end of an evacuation said nothing about its servers.

Change: ColdServers keeps the end of the cold period of each incarnation. Every newer entry counts. A later end stays in force unless a newer entry or health response says that the server is warm. After an evacuation a server counts as cold until a health response, or for its slow start.

--- a/packages/edge/src/yuccadale_edge/_internal/evacuations.py
+++ b/packages/edge/src/yuccadale_edge/_internal/evacuations.py
@@ -23,6 +23,10 @@
     """Finds no request to evacuate in any row."""
 
 
+def _ignore_end(_data_centre: str) -> None:
+    """Does nothing when an evacuation ends."""
+
+
 class Evacuations:
     """The data centres that are evacuated at present.
 
@@ -31,10 +35,22 @@
         row_by_key: the latest rows, also removed ones.
     """
 
-    def __init__(self, data_centre_of: EvacuatedDataCentre) -> None:
+    def __init__(
+        self,
+        data_centre_of: EvacuatedDataCentre,
+        on_end: Callable[[str], None] = _ignore_end,
+    ) -> None:
+        """Creates the state of one instance.
+
+        Args:
+            data_centre_of: finds the requests to evacuate.
+            on_end: called with the data centre when an evacuation has ended,
+                also if its begin was not known here.
+        """
         self.data_centres: set[str] = set()
         self.row_by_key: dict[str, StoredRow] = {}
         self._data_centre_of = data_centre_of
+        self._on_end = on_end
 
     def contains_row(self, row: StoredRow) -> bool:
         """Whether a row requests an evacuation, or has requested one."""
@@ -53,6 +69,8 @@
         data_centre = self._data_centre_of(row.key)
         if data_centre is None:
             return False
+        if row.removed:
+            self._on_end(data_centre)
         if row.removed == (data_centre not in self.data_centres):
             return False
         if row.removed:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/codec.py
@@ -25,6 +25,10 @@
     """A server named a limit that is no number of requests a second."""
 
 
+class InvalidWarmUpError(ValueError):
+    """A health response names a remaining cold period that is no duration."""
+
+
 class InvalidPauseError(ValueError):
     """A server asked for a pause with a value that is no duration."""
 
@@ -78,6 +82,24 @@
             InvalidPauseError: the duration cannot be read.
         """
 
+    def encode_health_request(self, server: Server, path: str) -> bytes:
+        """Encodes a health request.
+
+        Args:
+            server: the server.
+            path: the health path of its service.
+        """
+
+    def remaining_warm_up_s(self, answer: Answer) -> float | None:
+        """Returns for how long a server is cold, by its health response.
+
+        Returns:
+            None if the answer does not say that.
+
+        Raises:
+            InvalidWarmUpError: the duration cannot be read.
+        """
+
     def says_it_leaves(self, answer: Answer) -> bool:
         """Whether the server says that it leaves."""
 
--- /dev/null
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/cold_servers.py
@@ -0,0 +1,266 @@
+"""Which servers are cold, by their entries and health responses.
+
+A cold server takes few requests a second and crashes under many. It is paced as
+one that named this limit itself; see ``rate_limits``.
+
+The end of a cold period is known for each incarnation. Messages may be late: a
+later end stays in force, unless a newer message says that the server is warm.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+import structlog
+
+from yuccadale_edge._internal.model import Server, Service
+from yuccadale_edge._internal.ownership.segments import Holder
+
+_log = structlog.get_logger()
+
+# Requests a second that servers take from all instances.
+Rates = Callable[[], Mapping[Holder, float]]
+ColdLimits = Callable[[], Iterable[tuple[Holder, float]]]
+
+# Shortest time between two health requests to a server.
+PROBE_INTERVAL_S = 0.5
+# Time for which it may stay unknown whether a server is cold, if its service
+# names no slow start.
+_MAX_UNKNOWN_S = 30.0
+
+
+@dataclass(slots=True)
+class _ColdPeriod:
+    """What is known of the cold period of an incarnation.
+
+    Attributes:
+        until_s: the latest end that was named.
+        named_until_s: the end that the newest message named.
+        shown_s: when the server was last known to be cold.
+        from_entry: whether an entry was the last to say that it is cold. A
+            newer entry may end that. After a health response, the next entry
+            may have been written before the server became cold.
+        unknown_s: since when it is unknown whether the server is cold, None if
+            that is known.
+        probed_s: when the last health request was sent.
+    """
+
+    until_s: float = 0
+    named_until_s: float = 0
+    shown_s: float = 0
+    from_entry: bool = False
+    unknown_s: float | None = None
+    probed_s: float | None = None
+
+
+class ColdServers:
+    """The cold periods of all servers that are, or may be, cold."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        """Creates the state of one instance.
+
+        Args:
+            now: returns the time in seconds.
+        """
+        self._now = now
+        self._period_by_holder: dict[Holder, _ColdPeriod] = {}
+        self._logged: set[Holder] = set()
+
+    @property
+    def known(self) -> bool:
+        """Whether any server is cold, or may be."""
+        return bool(self._period_by_holder)
+
+    def observe_entry(self, server: Server) -> None:
+        """Applies an entry that is newer than all others of the server."""
+        holder = Holder(server.server_id, server.incarnation)
+        period = self._period_by_holder.get(holder)
+        if server.slow_start_s > 0:
+            if period is None:
+                period = _ColdPeriod()
+                self._period_by_holder[holder] = period
+            self._extend(period, server.slow_start_s)
+            period.from_entry = True
+        elif period is None:
+            return
+        elif period.from_entry:
+            self._end(period)
+        else:
+            # It may be older than what the last health response showed.
+            period.named_until_s = self._now()
+
+    def observe_health(
+        self, holder: Holder, warm_up_s: float, sent_s: float
+    ) -> None:
+        """Applies a health response.
+
+        Args:
+            holder: the server that responded.
+            warm_up_s: the remaining time of its cold period, 0 if it is warm.
+            sent_s: when the health request was sent.
+        """
+        period = self._period_by_holder.get(holder)
+        if period is None:
+            if warm_up_s == 0:
+                return
+            period = _ColdPeriod()
+            self._period_by_holder[holder] = period
+        if period.unknown_s is not None and sent_s >= period.unknown_s:
+            period.unknown_s = None
+        if warm_up_s > 0:
+            self._extend(period, warm_up_s)
+            period.from_entry = False
+        elif sent_s > period.shown_s:
+            self._end(period)
+
+    def observe_evacuation_end(self, holders: Iterable[Holder]) -> None:
+        """Records that requests may again be sent to some servers.
+
+        They may have become cold during the evacuation.
+        """
+        for holder in holders:
+            period = self._period_by_holder.setdefault(holder, _ColdPeriod())
+            period.unknown_s = self._now()
+
+    def is_cold(self, holder: Holder, service: Service) -> bool:
+        """Whether a server is cold, or may be."""
+        period = self._period_by_holder.get(holder)
+        if period is None:
+            return False
+        now_s = self._now()
+        return now_s < period.until_s or _is_unknown(period, service, now_s)
+
+    def per_s(self, holder: Holder, service: Service) -> float | None:
+        """Returns how many requests a second a server takes from all instances.
+
+        Returns:
+            None if it is not cold, or its service does not limit that.
+        """
+        if service.cold_per_s is None or not self.is_cold(holder, service):
+            return None
+        return service.cold_per_s
+
+    def needs_probe(self, holder: Holder, service: Service) -> bool:
+        """Whether a health request should be sent to a server now.
+
+        That is while it is unknown whether the server is cold, and when the
+        newest message named an earlier end than another one before it.
+        """
+        if self.per_s(holder, service) is None:
+            return False
+        period = self._period_by_holder[holder]
+        now_s = self._now()
+        if (
+            period.probed_s is not None
+            and now_s - period.probed_s < PROBE_INTERVAL_S
+        ):
+            return False
+        return (
+            _is_unknown(period, service, now_s) or now_s >= period.named_until_s
+        )
+
+    def note_probe(self, holder: Holder) -> None:
+        """Records that a health request is sent now."""
+        self._period_by_holder[holder].probed_s = self._now()
+
+    def review(
+        self, servers: Iterable[Server], service_by_name: Mapping[str, Service]
+    ) -> tuple[set[Holder], set[Holder]]:
+        """Logs changes, and forgets servers that are gone or warm.
+
+        Args:
+            servers: all that are registered.
+            service_by_name: the services of the configuration.
+
+        Returns:
+            The servers that are limited since they are cold, and those of them
+            that were not at the last call.
+        """
+        cold: set[Holder] = set()
+        kept: set[Holder] = set()
+        for server in servers:
+            holder = Holder(server.server_id, server.incarnation)
+            service = service_by_name.get(server.service)
+            if service is None or not self.is_cold(holder, service):
+                continue
+            kept.add(holder)
+            if service.cold_per_s is not None:
+                cold.add(holder)
+        added = cold - self._logged
+        for holder in sorted(added):
+            self._log_cold(holder)
+        for ended in sorted(self._logged - cold):
+            _log.info(
+                'server warm',
+                server=ended.server_id,
+                incarnation=ended.incarnation,
+            )
+        self._logged = cold
+        self._forget(kept)
+        return cold, added
+
+    def _log_cold(self, holder: Holder) -> None:
+        period = self._period_by_holder[holder]
+        _log.info(
+            'server cold',
+            server=holder.server_id,
+            incarnation=holder.incarnation,
+            left_s=round(max(0, period.until_s - self._now()), 3),
+            unknown=period.unknown_s is not None,
+        )
+
+    def _forget(self, kept: set[Holder]) -> None:
+        """Forgets ended periods.
+
+        That of a server whose entry is missing lasts until its end, since the
+        entry may return after an outage of the store.
+        """
+        now_s = self._now()
+        for holder, period in list(self._period_by_holder.items()):
+            unknown_s = period.unknown_s
+            if holder in kept or now_s < period.until_s:
+                continue
+            if unknown_s is None or now_s - unknown_s > _MAX_UNKNOWN_S:
+                self._period_by_holder.pop(holder)
+
+    def _extend(self, period: _ColdPeriod, left_s: float) -> None:
+        now_s = self._now()
+        period.shown_s = now_s
+        period.named_until_s = now_s + left_s
+        period.until_s = max(period.until_s, period.named_until_s)
+
+    def _end(self, period: _ColdPeriod) -> None:
+        period.until_s = 0
+        period.named_until_s = 0
+        period.from_entry = False
+
+
+def planning_rates(
+    named_rates: Rates,
+    cold_limits: ColdLimits,
+) -> Rates:
+    """Returns the function of the limits for which keys move.
+
+    A cold server counts from the first moment, so that it gets no keys beyond
+    its limit.
+
+    Args:
+        named_rates: the limits that servers named, in requests a second.
+        cold_limits: the limits of cold servers.
+    """
+
+    def rates() -> Mapping[Holder, float]:
+        rate_by_holder = dict(named_rates())
+        for holder, per_s in cold_limits():
+            rate_by_holder[holder] = min(
+                per_s, rate_by_holder.get(holder, per_s)
+            )
+        return rate_by_holder
+
+    return rates
+
+
+def _is_unknown(period: _ColdPeriod, service: Service, now_s: float) -> bool:
+    if period.unknown_s is None:
+        return False
+    # A server that became cold before is warm after the slow start.
+    return now_s - period.unknown_s < (service.slow_start_s or _MAX_UNKNOWN_S)
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -29,8 +29,10 @@
     Configuration,
     Server,
     ServerState,
+    Service,
 )
 from yuccadale_edge._internal.ownership.segments import Holder
+from yuccadale_edge._internal.routing.cold_servers import ColdServers
 from yuccadale_edge._internal.server_availability import ServerAvailability
 from yuccadale_edge._internal.source_status import SourceAge, SourceStatus
 from yuccadale_edge._internal.store import Rows, StoredRow
@@ -154,14 +156,30 @@
     removed_s: float
 
 
+def _ignore_entry(_server: Server) -> None:
+    """Does nothing with an entry."""
+
+
 class ServerList:
     """The servers that registered themselves."""
 
-    def __init__(self, decode: DecodeServer) -> None:
+    def __init__(
+        self,
+        decode: DecodeServer,
+        observe_entry: Callable[[Server], None] = _ignore_entry,
+    ) -> None:
+        """Creates an empty list.
+
+        Args:
+            decode: decodes an entry.
+            observe_entry: called with each newer entry, also if it differs from
+                the one before in the remaining slow start only.
+        """
         self.server_by_id: dict[str, Server] = {}
         self.version_by_id: dict[str, int] = {}
         self.row_by_id: dict[str, StoredRow] = {}
         self._decode = decode
+        self._observe_entry = observe_entry
         self._removal_s_by_id: dict[str, float] = {}
         self._cold_until_s: dict[tuple[str, int], float] = {}
         # The last entries of removed servers.
@@ -292,6 +310,7 @@
             return False
         self._removal_s_by_id.pop(row.key, None)
         self._removed_by_id.pop(row.key, None)
+        self._observe_entry(server)
         known = self.server_by_id.get(row.key)
         if known == server:
             return False
@@ -404,8 +423,13 @@
         self.max_source_age_s = max_source_age_s
         self.configuration: Configuration | None = None
         self.configuration_row: StoredRow | None = None
-        self.servers = ServerList(decode_server)
-        self.evacuations = Evacuations(evacuated_data_centre)
+        self.cold_servers = ColdServers(elapsed_s)
+        self.servers = ServerList(
+            decode_server, self.cold_servers.observe_entry
+        )
+        self.evacuations = Evacuations(
+            evacuated_data_centre, self._observe_evacuation_end
+        )
         self.status_by_table = {
             table: SourceStatus() for table in SOURCE_TABLES
         }
@@ -578,6 +602,42 @@
         """Whether new requests may be sent to a server."""
         return self.availability.accepts_requests(server)
 
+    def cold_per_s(self, server: Server) -> float | None:
+        """Returns the requests a second that a cold server takes from all.
+
+        Returns:
+            None if it is not cold, or its service does not limit that.
+        """
+        if not self.cold_servers.known:
+            # Each choice among the servers of a service asks this.
+            return None
+        service = self._service(server)
+        if service is None or service.cold_per_s is None:
+            return None
+        holder = Holder(server.server_id, server.incarnation)
+        return self.cold_servers.per_s(holder, service)
+
+    def cold_limits(self) -> Iterable[tuple[Holder, float]]:
+        """Returns the cold servers that are limited, with their limits."""
+        for server in self.servers.server_by_id.values():
+            per_s = self.cold_per_s(server)
+            if per_s is not None:
+                yield Holder(server.server_id, server.incarnation), per_s
+
+    def servers_to_probe(self) -> Iterable[tuple[Server, str]]:
+        """Returns the servers that should be asked, with the health paths."""
+        if not self.cold_servers.known:
+            return
+        for server in self.servers.server_by_id.values():
+            service = self._service(server)
+            holder = Holder(server.server_id, server.incarnation)
+            if (
+                service is not None
+                and self.cold_servers.needs_probe(holder, service)
+                and not self.availability.is_leaving(server)
+            ):
+                yield server, service.health_path
+
     def all_leave(self, service: str) -> bool:
         """Whether a service has servers, and all have said that they leave."""
         servers = self.servers.of(service)
@@ -593,6 +653,18 @@
             if service.keyed
         ]
 
+    def _service(self, server: Server) -> Service | None:
+        if self.configuration is None:
+            return None
+        return self.configuration.service_by_name.get(server.service)
+
+    def _observe_evacuation_end(self, data_centre: str) -> None:
+        self.cold_servers.observe_evacuation_end(
+            Holder(server.server_id, server.incarnation)
+            for server in self.servers.server_by_id.values()
+            if server.data_centre == data_centre
+        )
+
     def _removals_of_missing(self, rows: Rows) -> Iterable[StoredRow]:
         present = {row.key for row in rows.rows}
         return [
--- a/packages/edge/src/yuccadale_edge/instance.py
+++ b/packages/edge/src/yuccadale_edge/instance.py
@@ -28,6 +28,7 @@
 from yuccadale_edge._internal.routing.codec import (
     InvalidLimitError,
     InvalidPauseError,
+    InvalidWarmUpError,
 )
 from yuccadale_edge._internal.routing.requests import (
     CallerRequest,
@@ -97,6 +98,8 @@
     'Instance',
     'InvalidLimitError',
     'InvalidPauseError',
+    'InvalidWarmUpError',
+    'InvalidWarmUpError',
     'InvalidRowError',
     'Machine',
     'NotSentError',
