Pace cold servers as ones that named their limit

Cause: a cold server got as many requests as a warm one, from all instances at once, and keys up to half of its capacity.

Change: its sender spaces the requests by cold_per_s, or by a smaller limit that the server names; other instances forward to the sender. Requests without a key are not queued for a cold server: it is not chosen while its pace is used up. Requests that were queued or admitted before are refused as not run, and those without a key go to another server. Keys are planned by cold_per_s from the first moment.

tests/edge/test_dispatch.py: its mock of the view gets the new attributes.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -39,6 +39,7 @@
 from yuccadale_edge._internal.model import Settings
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.call_runner import ServerCalls
+from yuccadale_edge._internal.routing.cold_servers import planning_rates
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
 from yuccadale_edge._internal.store import (
     Rows,
@@ -88,7 +89,10 @@
             reporter,
             calls,
             metrics,
-            dispatcher.rate_limits.planning_rate_by_holder,
+            planning_rates(
+                dispatcher.rate_limits.planning_rate_by_holder,
+                system_view.cold_limits,
+            ),
         )
         self.read_wait_s = self._member.read_wait_s
         self._limit_exchange = exchange_limits(
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -415,10 +415,15 @@
 
     def _capacity(self, server: Server) -> float:
         speed = self.speeds.speed(server.server_id)
-        if self._system_view.servers.cold(server):
+        if self._is_cold(server):
             speed *= _COLD_SPEED
         return server.slots * speed
 
+    def _is_cold(self, server: Server) -> bool:
+        return self._system_view.cold_per_s(
+            server
+        ) is not None or self._system_view.servers.cold(server)
+
     def _span(
         self, segment: Segment, usable: dict[Holder, Server], now_s: float
     ) -> Span:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -25,6 +25,7 @@
 from yuccadale_edge._internal.routing.attempts import Attempts
 from yuccadale_edge._internal.routing.codec import RequestCodec
 from yuccadale_edge._internal.routing.forwarding import Forwarder
+from yuccadale_edge._internal.routing.health_probes import HealthProbes
 from yuccadale_edge._internal.routing.pacing import ReturnTimes
 from yuccadale_edge._internal.routing.rate_limits import RateLimits
 from yuccadale_edge._internal.routing.requests import (
@@ -100,6 +101,9 @@
             self.service_times,
             self._refuse_queued,
         )
+        self._health_probes = HealthProbes(
+            system_view, pool, codec, metrics, forwarder
+        )
         self._queue_by_holder: dict[Holder, ServerQueue] = {}
         self._limit_used_until_s: dict[Holder, float] = {}
         self._returns_by_service: dict[str, ReturnTimes] = {}
@@ -139,6 +143,7 @@
         self.rate_limits.keep_only(known)
         self.statements.keep_only(known)
         self._refuse_queued()
+        self._review_cold_servers()
         for holder in self._limit_used_until_s.keys() - known:
             self._limit_used_until_s.pop(holder)
         for holder in list(self._queue_by_holder):
@@ -220,17 +225,21 @@
         One instance in each region sends for a service; all may use the same
         part of the limits.
         """
-        limits = map(self.rate_limits.per_s, map(_holder, servers))
-        region_of = self._place.region_by_data_centre
-        instances = self._system_view.instance_by_name.values()
-        regions = {region_of.get(one.data_centre) for one in instances}
+        limits = map(self._limit_per_s, servers)
         returns = self._returns_by_service.setdefault(
             service, ReturnTimes(elapsed_s)
         )
         total_per_s = sum(limit or 0 for limit in limits)
-        per_s = total_per_s / max(1, len(regions))
+        per_s = total_per_s / self._count_regions()
         return max(_LIMIT_USED_S, returns.book_s(per_s))
 
+    def _count_regions(self) -> int:
+        """Returns the number of regions with instances, at least 1."""
+        region_of = self._place.region_by_data_centre
+        instances = self._system_view.instance_by_name.values()
+        regions = {region_of.get(one.data_centre) for one in instances}
+        return max(1, len(regions))
+
     def _should_retry_error(
         self, served: Served, request: RoutedRequest, deadline_s: float
     ) -> bool:
@@ -279,8 +288,19 @@
             and self._forwarder.limit_sender(server, request) is not None
         )
 
+    def _limit_per_s(self, server: Server) -> float | None:
+        """Returns the limit of a server that named one or is cold."""
+        per_s = min(
+            _or_inf(self.rate_limits.per_s(_holder(server))),
+            _or_inf(self._system_view.cold_per_s(server)),
+        )
+        return None if per_s == inf else per_s
+
     def _is_limited(self, server: Server) -> bool:
-        return self.rate_limits.per_s(_holder(server)) is not None
+        return self._limit_per_s(server) is not None
+
+    def _is_cold(self, server: Server) -> bool:
+        return self._system_view.cold_per_s(server) is not None
 
     def _is_usable(self, server: Server, request: RoutedRequest) -> bool:
         return self._system_view.usable(server) and self._place.allows(
@@ -291,19 +311,40 @@
         self, server: Server, request: RoutedRequest, tried: set[Holder]
     ) -> bool:
         holder = _holder(server)
-        until_s = self._limit_used_until_s.get(holder, 0)
         return (
             holder not in tried
             and self._is_usable(server, request)
-            and until_s <= elapsed_s()
+            and self._takes_requests(holder)
+            and not self._is_cold_limit_used(server, request)
+        )
+
+    def _takes_requests(self, holder: Holder) -> bool:
+        until_s = self._limit_used_until_s.get(holder, 0)
+        return (
+            until_s <= elapsed_s()
             and self.statements.refusal_code(holder) is None
         )
 
+    def _is_cold_limit_used(
+        self, server: Server, request: RoutedRequest
+    ) -> bool:
+        """Whether a request would wait here for a cold server.
+
+        Requests without a key are served by other servers meanwhile.
+        """
+        return (
+            request.key is None
+            and self._is_cold(server)
+            and not self._is_sent_by_another(server, request)
+            and self._queue(server).delayed
+        )
+
     async def _serve_at(
         self, server: Server, request: RoutedRequest, deadline_s: float
     ) -> Result:
         """Sends a request to a server, through the sender of a limited one."""
         if self._is_limited(server):
+            self._space_choices(server, request)
             result = await self._serve_through_sender(
                 server, request, deadline_s
             )
@@ -331,15 +372,33 @@
                 self.statements.observe_forwarded(result)
                 return result
 
+    def _space_choices(self, server: Server, request: RoutedRequest) -> None:
+        """Spaces the requests to a cold server that another instance sends.
+
+        One instance in each region chooses servers for a service without keys.
+        Their requests would be refused one after another by all cold servers
+        before a warm one is chosen.
+        """
+        cold_per_s = self._system_view.cold_per_s(server)
+        if cold_per_s is None or request.key is not None:
+            return
+        if self._is_sent_by_another(server, request):
+            self._block_choice(server, self._count_regions() / cold_per_s)
+
     def _record_limit_use(self, server: Server, result: Result) -> None:
         """Chooses other servers while the limit of this one is used up."""
         if isinstance(result, Served):
             return
         if result.code == ResultCode.server_limited:
-            self._limit_used_until_s[_holder(server)] = elapsed_s() + min(
-                result.retry_after_s or 0, _LIMIT_USED_S
+            self._block_choice(
+                server, min(result.retry_after_s or 0, _LIMIT_USED_S)
             )
 
+    def _block_choice(self, server: Server, for_s: float) -> None:
+        holder = _holder(server)
+        known_s = self._limit_used_until_s.get(holder, 0)
+        self._limit_used_until_s[holder] = max(known_s, elapsed_s() + for_s)
+
     async def _queue_and_send(
         self, server: Server, request: RoutedRequest, deadline_s: float
     ) -> Result:
@@ -347,6 +406,10 @@
         if refused is not None:
             return refused
         queue = self._queue(server)
+        if self._is_cold_limit_used(server, request):
+            return _cold_limit_used(
+                server, self._book_return_s(server.service, [server])
+            )
         queued_s = elapsed_s()
         try:
             async with queue.admit(
@@ -401,6 +464,7 @@
         waited_ms: float,
     ) -> Result:
         sent_s = elapsed_s()
+        was_cold = self._is_cold(server)
         try:
             async with self._pool.acquire(
                 server.address,
@@ -410,14 +474,16 @@
                 force_new=not request.request_id,
                 request_id=request.request_id,
             ) as connection:
-                refused = self.statements.refusal(server, request)
+                refused = self._refusal_at_last(
+                    server, request, was_cold=was_cold
+                )
                 if refused is not None:
                     return refused
                 left_s = deadline_s - elapsed_s()
                 head = self._codec.encode_head(
                     request, server, left_s * _MS_PER_S
                 )
-                self.rate_limits.count_sent(server)
+                self._count_sent(server)
                 sending = Sending(request, server, connection)
                 async with asyncio.timeout(max(0, left_s)):
                     answer = await connection.exchange(
@@ -472,6 +538,26 @@
             server.incarnation,
         )
 
+    def _refusal_at_last(
+        self, server: Server, request: RoutedRequest, *, was_cold: bool
+    ) -> Refused | None:
+        """Returns why a request that was admitted is not sent, if so.
+
+        Args:
+            server: the server.
+            request: the request, for which a connection is open.
+            was_cold: whether it was paced for a cold server.
+        """
+        cold_per_s = self._system_view.cold_per_s(server)
+        if cold_per_s is not None and not was_cold:
+            return _cold_limit_used(server, 1 / cold_per_s)
+        return self.statements.refusal(server, request)
+
+    def _count_sent(self, server: Server) -> None:
+        self.rate_limits.count_sent(server)
+        if self._is_cold(server):
+            self._metrics.count('cold_sends', server=server.server_id)
+
     def _not_executed(
         self,
         server: Server,
@@ -530,11 +616,12 @@
 
     def _sending_rate(self, server: Server) -> float:
         holder = _holder(server)
-        if not self.rate_limits.restricts(holder):
+        cold_per_s = self._system_view.cold_per_s(server)
+        if cold_per_s is None and not self.rate_limits.restricts(holder):
             return inf
-        return self.rate_limits.sending_rate(
-            holder, self._forwarder.limit_share(server)
-        )
+        share = self._forwarder.limit_share(server)
+        per_s = self.rate_limits.sending_rate(holder, share)
+        return per_s if cold_per_s is None else min(per_s, cold_per_s * share)
 
     def _mark_unreachable(self, server: Server, reason: str) -> None:
         availability = self._system_view.availability
@@ -548,6 +635,26 @@
             )
         self._pool.close_idle(server.address)
 
+    def _review_cold_servers(self) -> None:
+        """Applies changes of the cold servers, and asks where unclear."""
+        view = self._system_view
+        if view.configuration is None:
+            return
+        cold, added = view.cold_servers.review(
+            view.servers.server_by_id.values(),
+            view.configuration.service_by_name,
+        )
+        if cold or added:
+            self._metrics.gauge('cold_servers', len(cold))
+        else:
+            self._metrics.remove_gauge('cold_servers')
+        for holder in added & self._queue_by_holder.keys():
+            # They were queued for a server without a limit.
+            self._queue_by_holder[holder].refuse_waiting(
+                ResultCode.server_limited
+            )
+        self._health_probes.start_due()
+
     def _probe(self, server: Server) -> None:
         if self.statements.refusal_code(_holder(server)) is not None:
             return
@@ -569,6 +676,19 @@
     return Holder(server.server_id, server.incarnation)
 
 
+def _cold_limit_used(server: Server, wait_s: float) -> Refused:
+    return Refused(
+        ResultCode.server_limited,
+        'the server is cold, and its limit is used up',
+        wait_s,
+        server.server_id,
+    )
+
+
+def _or_inf(per_s: float | None) -> float:
+    return inf if per_s is None else per_s
+
+
 def _more_informative(earlier: Result, later: Result) -> Result:
     """Returns the result to report after two attempts.
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
@@ -126,6 +126,13 @@
             position += 1
         return LIMIT_SHARES[position] if position < len(LIMIT_SHARES) else 0
 
+    def is_limit_sender(self, server: Server) -> bool:
+        """Whether this instance is the first sender that may be reached."""
+        for sender in self._senders_of(server):
+            if not self._is_suspected(sender):
+                return sender.name == self._instance
+        return False
+
     def limit_sender(
         self, server: Server, request: RoutedRequest
     ) -> Instance | None:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
@@ -142,6 +142,11 @@
         """Number of requests that wait for admission."""
         return len(self._waiting)
 
+    @property
+    def delayed(self) -> bool:
+        """Whether the rate lets another request wait."""
+        return self._pacing_wait_s(inf, None) > 0
+
     def rank(
         self,
         *,
@@ -268,7 +273,10 @@
         """Refuses all queued requests; returns their number."""
         waiting = [one for one in self._waiting if not one.admission.done()]
         for queued in waiting:
-            queued.admission.set_exception(AdmissionError(code, 0))
+            wait_s: float = 0
+            if code == ResultCode.server_limited:
+                wait_s = self._pacer.book_return_s()
+            queued.admission.set_exception(AdmissionError(code, wait_s))
         self._waiting.clear()
         return len(waiting)
 
--- a/tests/edge/test_dispatch.py
+++ b/tests/edge/test_dispatch.py
@@ -32,7 +32,8 @@
     pool = Mock(acquire=acquire)
     server = Mock(server_id='s', incarnation=1, state=ServerState.ready)
     system_view = Mock(
-        availability=ServerAvailability(elapsed_s, {'s': server})
+        availability=ServerAvailability(elapsed_s, {'s': server}),
+        cold_per_s=lambda _: None,
     )
     dispatcher = Dispatcher(
         system_view, pool, Mock(), Mock(), Mock(), Mock(), Mock()
@@ -56,6 +57,9 @@
         servers=Mock(server_by_id=server_by_id),
         availability=ServerAvailability(elapsed_s, server_by_id),
         instance_by_name={},
+        configuration=None,
+        cold_per_s=lambda _: None,
+        servers_to_probe=list,
     )
     dispatcher = Dispatcher(
         system_view, Mock(), Mock(), Mock(), Mock(), Mock(), Mock()
