--- a/packages/edge/src/yuccadale_edge/_internal/routing/load_reports.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/load_reports.py
@@ -192,7 +192,7 @@
                 asyncio.timeout(_ANSWER_TIMEOUT_S),
             ):
                 answer = await connection.exchange(
-                    self._codec.encode_health_check(server, health_path),
+                    self._codec.encode_health_request(server, health_path),
                     self._is_health_answer,
                     _ANSWER_TIMEOUT_S,
                 )
--- a/packages/edge/src/yuccadale_edge/instance.py
+++ b/packages/edge/src/yuccadale_edge/instance.py
@@ -29,6 +29,7 @@
     InvalidLimitError,
     InvalidLoadError,
     InvalidPauseError,
+    InvalidWarmUpError,
     ServerLoad,
 )
 from yuccadale_edge._internal.routing.requests import (
@@ -101,6 +102,7 @@
     'InvalidLoadError',
     'InvalidPauseError',
     'InvalidRowError',
+    'InvalidWarmUpError',
     'Machine',
     'NotSentError',
     'OwnershipCall',
