Charge requests in steps and parse bodies in larger pieces

Cause: each field and each kilobyte of a body in chunks was charged by itself. Change: charges are rounded up to 4 KiB; bodies in chunks are parsed in pieces of 4 KiB.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -95,7 +95,7 @@
 # Share for requests for readiness and metrics.
 _STATUS_SHARE = 0.02
 # Share for open connections of callers besides their requests, and the memory
-# of one of them.
+# of one of them with what it has read, but not parsed.
 _CONNECTIONS_SHARE = 0.1
 _CONNECTION_BYTES = 20_000
 # Shares of the descriptors for open connections of callers, for those of
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -55,15 +55,17 @@
 _READ_BYTES = 16 * 1024
 # Bytes of heads, and of bodies in chunks, that are parsed at once. The parser
 # cannot pause, so they may hold requests beyond the bounds of a connection.
-_PARSED_BYTES = 128
-_PARSED_CHUNK_BYTES = 1024
+_PARSED_BYTES = 256
+_PARSED_CHUNK_BYTES = 4 * 1024
 # Memory of a request besides its bytes: its task, message and place in a queue.
 _REQUEST_BYTES = 8 * 1024
 # Memory of a header field besides its bytes: two byte strings in a tuple.
 _FIELD_BYTES = 150
+# Requests are charged in steps, since each field and piece adds little.
+_CHARGED_STEP_BYTES = 4 * 1024
 # Requests of one connection that are handled hold no more before the next one
 # is read.
-_MAX_AHEAD_BYTES = 4 * SMALL_BYTES
+_MAX_AHEAD_BYTES = 6 * SMALL_BYTES
 # Bytes from which writing waits for the client. Some answers stay unread at
 # many connections at once.
 _MAX_UNWRITTEN_BYTES = 16 * 1024
@@ -467,7 +469,8 @@
             # keep nobody out.
             large = self._announced_bytes > SMALL_BYTES
             size += max(self._body_bytes, self._announced_bytes * large)
-        if not self._unfinished.grow_to(size):
+        steps = -(-size // _CHARGED_STEP_BYTES)
+        if not self._unfinished.grow_to(steps * _CHARGED_STEP_BYTES):
             self._reject_status = HTTPStatus.SERVICE_UNAVAILABLE
 
     def _drop_request(self) -> None:
