Report each broken rule of the soak's evacuations and regions once

Cause: with evacuations ignored, one run listed each of hundreds of requests. Change: one problem for each server and sender, and for each server.

--- a/tests/soak/evacuations.py
+++ b/tests/soak/evacuations.py
@@ -88,8 +88,7 @@
         if written_s is None:
             return
         self.counts['requests in evacuations'] += 1
-        late_s = time.monotonic() - written_s
-        if late_s < _BOUND_S:
+        if time.monotonic() < written_s + _BOUND_S:
             return
         record = self._record_by_server[server.server_id]
         sender = record.sender(request)
@@ -99,11 +98,12 @@
         from_s = max(
             self._complies_from_s(sender), record.proxy.disturbed_s + _BOUND_S
         )
-        if time.monotonic() > from_s:
-            self.problems.append(
-                f'{server.server_id} got a request of {sender.name} '
-                f'{late_s:.2f} s after the evacuation of {server.zone}'
-            )
+        problem = (
+            f'{server.server_id} got requests of {sender.name} later than '
+            f'{_BOUND_S} s after the evacuation of {server.zone}'
+        )
+        if time.monotonic() > from_s and problem not in self.problems:
+            self.problems.append(problem)
 
     def _complies_from_s(self, sender: SoakInstance) -> float:
         """Returns from when on an instance must know of an evacuation."""
--- a/tests/soak/routes.py
+++ b/tests/soak/routes.py
@@ -89,10 +89,10 @@
         if request.path == '/download/x':
             self._download_ids.add(request_id)
         elsewhere = REGION_BY_ZONE[server.zone] != _HOME_REGION
+        problem = f'{server.server_id} got requests for {_HOME_REGION} only'
         if request.path == '/home/x' and elsewhere:
-            self.problems.append(
-                f'{request_id} for {_HOME_REGION} reached {server.server_id}'
-            )
+            if problem not in self.problems:
+                self.problems.append(problem)
 
     def max_runs(self, request_id: str) -> int:
         """Returns how often a request may run."""
