--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -287,6 +287,7 @@
             tasks = [
                 ('membership', self._cluster.run),
                 ('limits of servers', self._cluster.exchange_limits),
+                ('cold servers', self._cluster.exchange_cold),
                 ('servers that leave', self._cluster.exchange_leaving),
                 ('housekeeping', self._housekeeping),
                 *((f'reader of {one.table}', one.run) for one in self._readers),
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -7,6 +7,7 @@
 
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.broadcaster import Broadcaster
+from yuccadale_edge._internal.membership.cold_exchange import exchange_cold
 from yuccadale_edge._internal.membership.electorate import Electorate
 from yuccadale_edge._internal.membership.leader import Leader
 from yuccadale_edge._internal.membership.leadership import Leadership
@@ -17,6 +18,8 @@
 from yuccadale_edge._internal.membership.links import PeerLinks
 from yuccadale_edge._internal.membership.member import REPORT_INTERVAL_S, Member
 from yuccadale_edge._internal.membership.messages import (
+    COLD_RELAY_TOPIC,
+    COLD_TOPIC,
     LEADER_UPDATE_TOPIC,
     LEAVING_RELAY_TOPIC,
     LEAVING_TOPIC,
@@ -99,6 +102,8 @@
             dispatcher.rate_limits, system_view, broadcaster
         )
         self.exchange_limits = self._limit_exchange.run
+        self._cold_exchange = exchange_cold(system_view, broadcaster)
+        self.exchange_cold = self._cold_exchange.run
         self._leaving_exchange = exchange_leaving(
             system_view, broadcaster, leadership.leading
         )
@@ -203,6 +208,8 @@
             NOMINATION_TOPIC: self._member.handle_nomination,
             LIMITS_TOPIC: self._limit_exchange.handle,
             LIMITS_RELAY_TOPIC: self._limit_exchange.handle_relay,
+            COLD_TOPIC: self._cold_exchange.handle,
+            COLD_RELAY_TOPIC: self._cold_exchange.handle_relay,
             LEAVING_TOPIC: self._leaving_exchange.handle,
             LEAVING_RELAY_TOPIC: self._leaving_exchange.handle_relay,
         }.get(topic)
--- a/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
@@ -22,6 +22,8 @@
 NOMINATION_TOPIC = 'nominate'
 LIMITS_TOPIC = 'limits'
 LIMITS_RELAY_TOPIC = 'limits relay'
+COLD_TOPIC = 'cold servers'
+COLD_RELAY_TOPIC = 'cold servers relay'
 LEAVING_TOPIC = 'leaving'
 LEAVING_RELAY_TOPIC = 'leaving relay'
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/cold_servers.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/cold_servers.py
@@ -9,7 +9,9 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from math import inf
 
+import msgspec
 import structlog
 
 from yuccadale_edge._internal.model import Server, Service
@@ -23,6 +25,12 @@
 
 # Shortest time between two health requests to a server.
 PROBE_INTERVAL_S = 0.5
+# Health responses are told to others for this time.
+_RETENTION_S = 10.0
+# Links end when a message is delayed by about this time.
+_MAX_DELAY_S = 1.0
+# Instances learn of the end of an evacuation within this time of each other.
+_CONVERGENCE_S = 2.0
 # Time for which it may stay unknown whether a server is cold, if its service
 # names no slow start.
 _MAX_UNKNOWN_S = 30.0
@@ -52,6 +60,38 @@
     probed_s: float | None = None
 
 
+class ColdNotice(msgspec.Struct, array_like=True, frozen=True):
+    """What an instance tells the others about a health response.
+
+    Attributes:
+        left_s: the remaining time of the cold period, 0 if it has ended.
+        age_s: time since the health request was sent.
+    """
+
+    server_id: str
+    incarnation: int
+    left_s: float
+    age_s: float
+
+    def __post_init__(self) -> None:
+        """Rejects values that no instance sends."""
+        if not (0 <= self.left_s < inf and 0 <= self.age_s < inf):
+            raise ValueError('a cold period or its age is out of range')
+
+
+@dataclass(frozen=True, slots=True)
+class _HealthResponse:
+    """A health response that this instance received.
+
+    Attributes:
+        until_s: the end of the cold period.
+        sent_s: when the request was sent.
+    """
+
+    until_s: float
+    sent_s: float
+
+
 class ColdServers:
     """The cold periods of all servers that are, or may be, cold."""
 
@@ -64,6 +104,8 @@
         self._now = now
         self._period_by_holder: dict[Holder, _ColdPeriod] = {}
         self._logged: set[Holder] = set()
+        self._response_by_holder: dict[Holder, _HealthResponse] = {}
+        self._untold: set[Holder] = set()
 
     @property
     def known(self) -> bool:
@@ -98,19 +140,49 @@
             warm_up_s: the remaining time of its cold period, 0 if it is warm.
             sent_s: when the health request was sent.
         """
-        period = self._period_by_holder.get(holder)
-        if period is None:
-            if warm_up_s == 0:
-                return
-            period = _ColdPeriod()
-            self._period_by_holder[holder] = period
-        if period.unknown_s is not None and sent_s >= period.unknown_s:
-            period.unknown_s = None
-        if warm_up_s > 0:
-            self._extend(period, warm_up_s)
-            period.from_entry = False
-        elif sent_s > period.shown_s:
-            self._end(period)
+        self._untold.add(holder)
+        self._response_by_holder[holder] = _HealthResponse(
+            self._now() + warm_up_s, sent_s
+        )
+        self._observe_response(holder, warm_up_s, sent_s, asked_s=sent_s)
+
+    def take_notices(self, *, repeat: bool) -> list[ColdNotice]:
+        """Returns the health responses to tell the other instances.
+
+        Args:
+            repeat: add those that were told before.
+        """
+        now_s = self._now()
+        self._response_by_holder = {
+            holder: response
+            for holder, response in self._response_by_holder.items()
+            if now_s - response.sent_s < _RETENTION_S
+        }
+        holders = set(self._untold)
+        self._untold.clear()
+        return [
+            ColdNotice(
+                *holder,
+                max(0, response.until_s - now_s),
+                max(0, now_s - response.sent_s),
+            )
+            for holder, response in self._response_by_holder.items()
+            if repeat or holder in holders
+        ]
+
+    def apply_notices(self, notices: Iterable[ColdNotice]) -> None:
+        """Applies health responses that another instance received."""
+        now_s = self._now()
+        for notice in notices:
+            sent_s = now_s - notice.age_s
+            self._observe_response(
+                Holder(notice.server_id, notice.incarnation),
+                notice.left_s,
+                # The message may have been on its way for this long.
+                sent_s - _MAX_DELAY_S,
+                # The other instance may have known of the return earlier.
+                asked_s=sent_s + _CONVERGENCE_S,
+            )
 
     def observe_evacuation_end(self, holders: Iterable[Holder]) -> None:
         """Records that requests may again be sent to some servers.
@@ -198,6 +270,32 @@
         self._forget(kept)
         return cold, added
 
+    def _observe_response(
+        self, holder: Holder, warm_up_s: float, sent_s: float, *, asked_s: float
+    ) -> None:
+        """Applies a health response.
+
+        Args:
+            holder: the server.
+            warm_up_s: the remaining time of its cold period.
+            sent_s: the request was sent then, or later.
+            asked_s: the request was sent after an evacuation that was known
+                here to have ended by then.
+        """
+        period = self._period_by_holder.get(holder)
+        if period is None:
+            if warm_up_s == 0:
+                return
+            period = _ColdPeriod()
+            self._period_by_holder[holder] = period
+        if period.unknown_s is not None and asked_s >= period.unknown_s:
+            period.unknown_s = None
+        if warm_up_s > 0:
+            self._extend(period, warm_up_s)
+            period.from_entry = False
+        elif sent_s > period.shown_s:
+            self._end(period)
+
     def _log_cold(self, holder: Holder) -> None:
         period = self._period_by_holder[holder]
         _log.info(
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -13,9 +13,9 @@
 from types import MappingProxyType
 from typing import Any
 
-from tests.builders.limit_record import LimitRecord
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.broadcaster import Broadcaster
+from yuccadale_edge._internal.membership.cold_exchange import exchange_cold
 from yuccadale_edge._internal.membership.leaving_exchange import (
     exchange_leaving,
 )
@@ -25,6 +25,8 @@
     PeerUnreachableError,
 )
 from yuccadale_edge._internal.membership.messages import (
+    COLD_RELAY_TOPIC,
+    COLD_TOPIC,
     LEAVING_RELAY_TOPIC,
     LEAVING_TOPIC,
     LIMITS_RELAY_TOPIC,
@@ -32,6 +34,7 @@
 )
 from yuccadale_edge._internal.model import (
     Bounds,
+    Configuration,
     Place,
     Server,
     ServerState,
@@ -63,6 +66,8 @@
 from yuccadale_edge._internal.transport.client_pool import Address
 from yuccadale_platform._internal.requests import PlatformCodec
 
+from tests.builders.limit_record import LimitRecord
+
 REGION_BY_DATA_CENTRE = MappingProxyType(
     {'a': 'north', 'b': 'north', 'c': 'south'}
 )
@@ -94,6 +99,9 @@
         leaving: whether its answers say that it leaves.
         pause_s: the pause that it asks for while it refuses all requests.
         lost_keys: whether it refuses all requests since it owns no keys.
+        cold_until_s: until when it is cold.
+        entry: what its last heartbeat has stored.
+        health_s: when health requests arrived.
         record: limits and arrivals.
     """
 
@@ -103,6 +111,9 @@
     pause_s: float | None = None
     lost_keys: bool = False
     service_s: float = 0.05
+    cold_until_s: float = 0
+    entry: Server | None = None
+    health_s: list[float] = field(default_factory=list)
     record: LimitRecord = field(default_factory=lambda: LimitRecord(SETTLING_S))
 
     def name_limit(self, per_s: float) -> None:
@@ -110,6 +121,17 @@
         self.limit_text = None if per_s == inf else str(per_s)
         self.record.named.append((elapsed_s(), per_s))
 
+    def write_entry(self) -> None:
+        """Stores what the other processes learn of it."""
+        left_s = max(0, self.cold_until_s - elapsed_s())
+        self.entry = replace(self.server, slow_start_s=left_s)
+
+    def answer_health(self) -> Answer:
+        """Says for how long it is cold."""
+        self.health_s.append(elapsed_s())
+        left_ms = max(0, self.cold_until_s - elapsed_s()) * 1000
+        return Answer(200, [(b'x-warmup-ms', b'%d' % left_ms)])
+
     async def answer(self, request_id: bytes) -> Answer:
         """Runs a request."""
         self.record.arrivals_s.append(elapsed_s())
@@ -205,6 +227,9 @@
         self._node = node
         self._server = node.world.server
 
+    def close(self) -> None:
+        """Closes nothing: no bytes are kept here."""
+
     def note_failure(self, request_id: str) -> None:
         """Notes nothing: no other request is sent here."""
 
@@ -217,14 +242,16 @@
         matches: AnswerMatcher,
         _unacknowledged_s: float,
         *,
-        head_only: bool,
-        body: bytes,
+        head_only: bool = False,
+        body: bytes = b'',
     ) -> Answer:
         """Sends a request; fails if the server has started again meanwhile."""
         assert not head_only
         assert not body
         expected = f'x-expect-instance: {self._server.server.server_id}\r\n'
         assert expected.encode() in request
+        if request.startswith(b'GET /health '):
+            return self._server.answer_health()
         before = self._server.server.incarnation
         self._node.sends.record(before)
         request_id = request.split(b'X-Attempt-Id: ')[1].split(b'\r\n')[0]
@@ -327,6 +354,8 @@
         handle = {
             LIMITS_TOPIC: peer.exchange.handle,
             LIMITS_RELAY_TOPIC: peer.exchange.handle_relay,
+            COLD_TOPIC: peer.cold_exchange.handle,
+            COLD_RELAY_TOPIC: peer.cold_exchange.handle_relay,
             LEAVING_TOPIC: peer.leaving_exchange.handle,
             LEAVING_RELAY_TOPIC: peer.leaving_exchange.handle_relay,
         }[topic]
@@ -350,12 +379,14 @@
         self.cut: set[str] = set()
         self.heard_s = elapsed_s()
         self.sends = SendRecord()
+        self._entry: Server | None = None
         place = Place(
             entry.data_centre,
             REGION_BY_DATA_CENTRE[entry.data_centre],
             REGION_BY_DATA_CENTRE,
         )
         self.view = SystemView(_decodes_nothing, _decodes_nothing, 2.0)
+        self.view.configuration = world.configuration
         self.metrics = Metrics()
         links: Any = SimulatedLinks(self)
         pool: Any = SimulatedPool(self)
@@ -410,10 +441,12 @@
         self.exchange = exchange_limits(
             self.dispatcher.rate_limits, self.view, broadcaster
         )
+        self.cold_exchange = exchange_cold(self.view, broadcaster)
         self.leaving_exchange = exchange_leaving(self.view, broadcaster, bool)
         self._tasks = [
             asyncio.create_task(self.exchange.run()),
             asyncio.create_task(self.leaving_exchange.run()),
+            asyncio.create_task(self.cold_exchange.run()),
             asyncio.create_task(self._maintain()),
         ]
 
@@ -421,6 +454,10 @@
         """Applies the present entry of the server."""
         server = self.world.server.server
         self.view.servers.server_by_id[server.server_id] = server
+        entry = self.world.server.entry
+        if entry is not None and entry is not self._entry:
+            self._entry = entry
+            self.view.cold_servers.observe_entry(entry)
 
     def learn_roster(self, entries: list[Instance], version: int) -> None:
         """Applies an update of the leader."""
@@ -485,7 +522,13 @@
 class LimitWorld:
     """Instances, one server, and a leader that tells the roster."""
 
-    def __init__(self, seed: int, instances: int = 6) -> None:
+    def __init__(
+        self,
+        seed: int,
+        instances: int = 6,
+        configuration: Configuration | None = None,
+    ) -> None:
+        self.configuration = configuration
         self.random = random.Random(seed)
         self.loses_messages = False
         self.notices = 0
@@ -556,12 +599,17 @@
             running = [node for node in self.nodes if node.running]
             self._start(self._request(self.random.choice(running), keyed))
 
-    async def faults(self, for_s: float) -> None:
-        """Injects random changes and faults, which overlap."""
+    async def faults(self, for_s: float, *, of_server: bool = True) -> None:
+        """Injects random changes and faults, which overlap.
+
+        Args:
+            for_s: how long.
+            of_server: whether the server starts again and changes its limit.
+        """
         end_s = elapsed_s() + for_s
+        of_servers = (self._change_limit, self._restart_server)
         actions = (
-            self._change_limit,
-            self._restart_server,
+            *(of_servers if of_server else ()),
             self._restart_instance,
             self._isolate_instance,
             self._cut_from_leader,
@@ -686,10 +734,12 @@
 
 @asynccontextmanager
 async def limit_world(
-    seed: int, instances: int = 6
+    seed: int,
+    instances: int = 6,
+    configuration: Configuration | None = None,
 ) -> AsyncIterator[LimitWorld]:
     """Runs a world; its tasks end with the block."""
-    world = LimitWorld(seed, instances)
+    world = LimitWorld(seed, instances, configuration)
     # The first roster arrives.
     await asyncio.sleep(0.3)
     try:
