Compare servers by times of one route; do not probe limited servers

Cause: the kept cost of a server was that of the route that was last sent there, so that a full server looked free after a short request. Probes counted neither against limits of servers nor stopped for those that leave.

Change: a table of servers keeps the costs of one route and scales the expected time for others. Limited, leaving and unreachable servers are not asked; a server in two tables is asked once.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -162,7 +162,9 @@
         self._load_reports.keep_only(known)
         self._refuse_queued()
         self._load_reports.probe_due(
-            self._system_view.configuration, self._forwarder.sends_for
+            self._system_view.configuration,
+            self._forwarder.sends_for,
+            self._may_probe,
         )
         for holder in self._limit_used_until_s.keys() - known:
             self._limit_used_until_s.pop(holder)
@@ -174,6 +176,18 @@
             else:
                 queue.admit_next()
 
+    def _may_probe(self, server: Server) -> bool:
+        """Whether the health path of a server may be asked.
+
+        A request to a limited server would count against its limit.
+        """
+        holder = Holder(server.server_id, server.incarnation)
+        return (
+            not self._is_limited(server)
+            and self._system_view.usable(server)
+            and self.statements.refusal_code(holder) is None
+        )
+
     async def _serve_at_any(
         self, request: RoutedRequest, deadline_s: float
     ) -> Result:
@@ -237,7 +251,8 @@
         chosen = self._choose_by_reports(request, tried)
         if chosen is None:
             return None
-        spare_s = target_s - elapsed_s() - chosen.expected_s
+        spare_s = target_s - elapsed_s()
+        spare_s -= chosen.completion_s(self._mean_s(request))
         may_wait = not self._load_choice.is_slow(
             Holder(server.server_id, server.incarnation)
         )
@@ -329,9 +344,12 @@
         if not self._load_choice.governs(request):
             return self._choose_by_own_load(request, tried)
         chosen = self._choose_by_reports(request, tried)
-        if chosen is None or elapsed_s() + chosen.expected_s > deadline_s:
+        if chosen is None:
             return None
-        return chosen.server
+        completion_s = chosen.completion_s(self._mean_s(request))
+        return (
+            None if elapsed_s() + completion_s > deadline_s else chosen.server
+        )
 
     def _choose_by_reports(
         self, request: RoutedRequest, tried: set[Holder]
--- a/packages/edge/src/yuccadale_edge/_internal/routing/load_choice.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/load_choice.py
@@ -35,6 +35,8 @@
 _RETURNS_SHARE = 0.5
 # Tables that were not used for this time are dropped.
 _TABLE_RETENTION_S = 10.0
+# Avoids a division by the time of a route that takes none.
+_MIN_MEAN_S = 1e-4
 # Returns of refused callers are not sooner than this.
 _MIN_RETURN_S = 0.1
 
@@ -54,6 +56,7 @@
 
     Attributes:
         distance_cost: see ``_DISTANCE_COST``.
+        mean_s: mean time of the route that the times are for.
         expected_s: when one more request would be complete.
         wait_s: the part of that before the server runs it.
         per_s: requests a second that all its slots complete.
@@ -63,10 +66,15 @@
     holder: Holder
     queue: ServerQueue
     distance_cost: float
+    mean_s: float
     expected_s: float = inf
     wait_s: float = 0
     per_s: float = 0
 
+    def completion_s(self, mean_s: float) -> float:
+        """Returns when a request of a route with this mean is complete."""
+        return self.expected_s * mean_s / self.mean_s
+
 
 @dataclass(slots=True)
 class _Table:
@@ -140,13 +148,13 @@
                 queues.
             pacing_wait_s: returns the wait for the limit of a server.
         """
-        table = self._table(request, candidates)
+        table = self._table(request, mean_s, candidates)
         if table.costs:
             indices = table.indices_of(table.changed)
         else:
             indices = self._apply_all(table)
         for changed in indices:
-            self._update(table, changed, request, mean_s, pacing_wait_s)
+            self._update(table, changed, request, pacing_wait_s)
         table.changed.clear()
         costs = table.costs
         excluded = table.indices_of(tried)
@@ -249,6 +257,7 @@
     def _table(
         self,
         request: RoutedRequest,
+        mean_s: float,
         candidates: ServersToChoose,
     ) -> _Table:
         key = (request.service, request.regions)
@@ -264,6 +273,7 @@
                     Holder(server.server_id, server.incarnation),
                     queue,
                     _DISTANCE_COST[self._place.distance(server.data_centre)],
+                    max(mean_s, _MIN_MEAN_S),
                 )
                 for server, queue in candidates()
             ],
@@ -288,11 +298,11 @@
         table: _Table,
         index: int,
         request: RoutedRequest,
-        mean_s: float,
         pacing_wait_s: PacingWait,
     ) -> None:
         candidate = table.candidates[index]
         queue = candidate.queue
+        mean_s = candidate.mean_s
         own = queue.running + queue.waiting
         wait_s, service_s = self._loads.expected_s(
             candidate.holder, mean_s, candidate.server.slots, own
--- a/packages/edge/src/yuccadale_edge/_internal/routing/load_reports.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/load_reports.py
@@ -136,16 +136,22 @@
         self,
         configuration: Configuration | None,
         sends_for: Callable[[str], bool],
+        may_probe: Callable[[Server], bool],
     ) -> None:
         """Asks servers whose load is not known.
 
         Args:
             configuration: names the health path.
             sends_for: whether this instance is the sender of a service.
+            may_probe: whether a server may be asked.
         """
         if configuration is None:
             return
-        due = [one for one in self._choice.in_use() if self._is_due(one)]
+        due = {
+            one.holder: one
+            for one in self._choice.in_use()
+            if self._is_due(one) and may_probe(one.server)
+        }.values()
         services = {one.server.service for one in due}
         sent_services = set(filter(sends_for, services))
         for candidate in due:
--- a/tests/edge/test_server_load.py
+++ b/tests/edge/test_server_load.py
@@ -422,6 +422,46 @@
     assert sender.dispatcher.loads.reports(Holder('s000', 1))
 
 
+@pytest.mark.usefixtures('_virtual_clock')
+@in_virtual_time
+async def test_a_limited_server_is_not_asked() -> None:
+    """Guards against probes beyond the limit of a server."""
+    await asyncio.sleep(1)
+    dispatcher = Sender(loaded_servers(1), 'a').dispatcher
+    server = dispatcher._system_view.servers.server_by_id['s000']
+    assert dispatcher._may_probe(server)
+    dispatcher.rate_limits.observe(server, 5, elapsed_s())
+    assert not dispatcher._may_probe(server)
+
+
+@pytest.mark.usefixtures('_virtual_clock')
+@in_virtual_time
+async def test_short_requests_do_not_make_a_full_server_look_free() -> None:
+    """Guards against times of different routes that are compared."""
+    await asyncio.sleep(1)
+    dispatcher = Sender(loaded_servers(3), 'a').dispatcher
+    choice = dispatcher._load_choice
+    choice.add_service('open')
+    full, free = Holder('s000', 1), Holder('s002', 1)
+    dispatcher.loads.observe(full, ServerLoad(SLOTS, 4, SLOTS))
+    request = Mock(key=None, service='open', regions=())
+
+    def chosen_for(mean_s: float) -> Holder:
+        candidate = choice.choose(
+            request,
+            mean_s,
+            (),
+            lambda: dispatcher._candidates(request),
+            lambda *_: 0,
+        )
+        assert candidate is not None
+        return candidate.holder
+
+    assert chosen_for(0.4) == free
+    choice.touch(full)
+    assert chosen_for(0.02) == free
+
+
 async def _one_request(sender: Sender, *, repeatable: bool) -> Result:
     """Sends a request to a server that becomes slow with it."""
     servers = sender.server_by_id.values()
