Say when keys without an owner get one, and wait only for that

The leader published the estimate once, when the owner ended, and 0 for keys that wait for a reachable server, for grants of the previous leader, a record or an answer.

Change: the leader estimates for each range from all leases that must end. What has no known end (store away, call without an answer) is expected to last as long again as it has. Estimates are compared each 0.2 s and published when they differ by 0.25 s or a quarter. An instance refuses at once if the estimate is after half of the remaining time, as before; else it waits until the estimate and 0.5 s, or the target if that is later. Estimates of an older leader refuse nothing. Retry-After is the estimate, spread by the speed of an owner over at most a third of the remaining time, from a random start in each instance. Without an estimate requests wait for half of their time, as before; Retry-After is the time waited, 0.25 to 1 s.

Not measured on a deployment.

Rules removed by hand, and the tests that fail. test_owner_waits.py: the refusal at once (owner_comes_too_late, estimate_grows), the end after the estimate and the target in it (as_long_as_the_estimate_and_the_target), the epoch (older_leader), the random start and the booking (returns_...), the time waited (without_an_estimate). test_owner_estimates.py: publication of changes (4 tests), the overdue time (call_without_an_answer, store_is_away), grants without an answer (released_keys, report, change_of_the_leader), unprovable grants (cannot_be_proven), reachability (not_reached), earlier processes (earlier_process), the outage (outage_counts_for_all_keys).

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -23,6 +23,7 @@
     CallRunner,
     ServerCalls,
 )
+from yuccadale_edge._internal.ownership.owner_estimates import OwnerEstimates
 from yuccadale_edge._internal.ownership.planning import (
     MovePlanner,
     max_parallel_moves,
@@ -137,6 +138,8 @@
         self._moved_s_by_range: dict[tuple[int, int], float] = {}
         self._planned_s: float = 0
         self._record_retry_s: float = 0
+        self._unwritten_since_s: float | None = None
+        self._estimates = OwnerEstimates(self._reachable, self._blocked_s)
         self._recorded = True
         self._ending = False
 
@@ -271,6 +274,8 @@
             # that are to keep copies from now on.
             self._recorded_for = required_for
             self.table.require_record()
+        if self.table.unrecorded and self._unwritten_since_s is None:
+            self._unwritten_since_s = elapsed_s()
         if self._may_record():
             await self._record()
 
@@ -307,10 +312,13 @@
         return self._recorded and self._may_act() and not self._ending
 
     def _publish_changes(self) -> None:
+        now_s = elapsed_s()
         changes = self.table.pop_changes()
+        if self._may_act():
+            # An instance that no longer leads has a later leader's estimates.
+            changes += self._estimates.outdated(self.table.segments, now_s)
         if not changes:
             return
-        now_s = elapsed_s()
         ranges = [
             self._owned_range(segment, now_s)
             for first, last in changes
@@ -327,18 +335,15 @@
                 segment.owner.incarnation,
                 0,
             )
-        blocked = self._has_unreachable_holders(segment)
-        available_in_s = (
-            self.table.grantable_in_s(segment, now_s) if blocked else 0
-        )
+        available_in_s = self._estimates.publish_in_s(segment, now_s)
         return OwnedRange(segment.first, segment.last, None, 0, available_in_s)
 
-    def _has_unreachable_holders(self, segment: Segment) -> bool:
-        return any(
-            lease.released or not self._reachable(holder)
-            for holder, lease in segment.lease_by_holder.items()
-            if holder != segment.target
-        )
+    def _blocked_s(self, segment: Segment) -> float:
+        """Returns how long already a record for a grant was not written."""
+        recorded = segment.recorded and self._recorded
+        if recorded or self._unwritten_since_s is None:
+            return 0
+        return elapsed_s() - self._unwritten_since_s
 
     def _reachable(self, holder: Holder) -> bool:
         return self._system_view.availability.is_reachable(holder.server_id)
@@ -488,5 +493,6 @@
             )
             return
         if written:
+            self._unwritten_since_s = None
             self.table.mark_recorded(plan_version)
             self._recorded = True
--- a/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/segments.py
@@ -543,15 +543,6 @@
                 segment.handover = handover
             self._remove_ended_leases(segment, now_s)
 
-    def grantable_in_s(self, segment: Segment, now_s: float) -> float:
-        """Returns the time until every other lease on a segment has expired."""
-        ends = [
-            lease.end_s - now_s
-            for holder, lease in segment.lease_by_holder.items()
-            if holder != segment.target
-        ]
-        return max(ends, default=0)
-
     def pop_changes(self) -> list[tuple[int, int]]:
         """Returns the ranges whose owner changed and clears the list."""
         changes = self.changed
--- a/packages/edge/src/yuccadale_edge/_internal/routing/pacing.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/pacing.py
@@ -105,7 +105,12 @@
         self._now = now
         self._last_s: float = 0
 
-    def book_s(self, per_s: float, delay_s: float = 0) -> float:
+    def book_s(
+        self,
+        per_s: float,
+        delay_s: float = 0,
+        horizon_s: float = _RETURN_HORIZON_S,
+    ) -> float:
         """Returns when a caller that is refused now may return, in seconds.
 
         Each refused caller gets a time of its own, in order of refusal. Beyond
@@ -114,6 +119,7 @@
         Args:
             per_s: returns a second that find room.
             delay_s: time until there is room for the first one.
+            horizon_s: time over which returns are spread after that.
         """
         if per_s == 0:
             return _OTHER_SENDER_S
@@ -121,7 +127,7 @@
         interval_s = 1 / per_s
         earliest_s = now_s + delay_s + interval_s
         horizon_s = delay_s + max(
-            _RETURN_HORIZON_S, interval_s * _RETURN_HORIZON_INTERVALS
+            horizon_s, interval_s * _RETURN_HORIZON_INTERVALS
         )
         self._last_s = max(self._last_s + interval_s, earliest_s)
         if self._last_s > now_s + horizon_s:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -23,6 +23,11 @@
     decode_request,
     encode_message,
 )
+from yuccadale_edge._internal.routing.owner_waits import (
+    TYPICAL_MOVE_S,
+    OwnerReturns,
+    wait_limit_s,
+)
 from yuccadale_edge._internal.routing.requests import (
     CallerRequest,
     Refused,
@@ -39,6 +44,7 @@
 from yuccadale_edge._internal.system_view import (
     CONFIGURATION_TABLE,
     Instance,
+    Owner,
     SystemView,
 )
 from yuccadale_edge._internal.transport.server_connection import (
@@ -56,10 +62,6 @@
 _DEFAULT_RETRY_AFTER_S = 0.5
 # An outdated configuration is usually confirmed within this time.
 _CONFIRMATION_RETRY_S = 0.3
-# Moving keys usually have a new owner within this time.
-_TYPICAL_MOVE_S = 0.25
-# Share of the remaining time that a request waits for its key to get an owner.
-_MOVE_WAIT_SHARE = 0.5
 _MAX_TRIES = 6
 # Return of a caller when all servers of a service leave.
 _NEXT_SERVER_S = 1.0
@@ -154,6 +156,7 @@
         self._record_key_work = record_key_work
         self._stop_guard = stop_guard
         self._answer_times = ServiceTimes()
+        self._owner_returns = OwnerReturns(elapsed_s)
         self._round_robin = WeightedRoundRobin()
         self._longest_s_by_route: dict[str, float] = {}
 
@@ -366,7 +369,9 @@
         attempts: int,
     ) -> Result:
         if routed.key is not None:
-            refused = await self._find_owner(routed, deadline_s)
+            refused = await self._find_owner(
+                routed, deadline_s, arrived_s + route.target_latency_s
+            )
             if refused is not None:
                 return refused
         now_s = elapsed_s()
@@ -388,17 +393,15 @@
             return result
 
     async def _find_owner(
-        self, routed: RoutedRequest, deadline_s: float
+        self, routed: RoutedRequest, deadline_s: float, target_s: float
     ) -> Refused | None:
-        """Sets the owner of the key; waits while the key has none."""
+        """Sets the owner of the key; waits while it is expected in time."""
         assert routed.key is not None
         owners = self._system_view.owners(routed.service)
         started_s = elapsed_s()
-        max_wait_s = (deadline_s - started_s) * _MOVE_WAIT_SHARE
         while True:
             owner = owners.owner(routed.key)
-            now_s = elapsed_s()
-            waited_s = now_s - started_s
+            waited_s = elapsed_s() - started_s
             if owner.holder is not None and self._can_send_to(
                 owner.holder.server_id, routed.server_id, waited_s
             ):
@@ -411,14 +414,55 @@
                     'all servers of the service leave',
                     _NEXT_SERVER_S,
                 )
-            available_in_s = max(owner.available_at_s - now_s, 0)
-            if waited_s + available_in_s > max_wait_s:
-                return Refused(
-                    ResultCode.slot_moving,
-                    'the key has no owner at present',
-                    max(available_in_s, _TYPICAL_MOVE_S),
+            available_at_s = self._available_at_s(routed.service, owner)
+            limit_s = wait_limit_s(
+                started_s=started_s,
+                remaining_s=deadline_s - started_s,
+                until_target_s=target_s - started_s,
+                available_at_s=available_at_s,
+            )
+            if waited_s >= limit_s:
+                return self._refuse_without_owner(
+                    routed, available_at_s, waited_s, deadline_s
                 )
-            await self._system_view.wait_for_change(max_wait_s - waited_s)
+            await self._system_view.wait_for_change(limit_s - waited_s)
+
+    def _available_at_s(self, service: str, owner: Owner) -> float:
+        """Returns when a key is expected to have an owner, 0 if unknown."""
+        epoch, _ = self._system_view.owners(service).version
+        if owner.holder is not None:
+            # The server is not usable, or has refused the request.
+            return 0
+        if epoch < self._system_view.membership_version[0]:
+            # A later leader has not said anything about the keys yet.
+            return 0
+        return owner.available_at_s
+
+    def _refuse_without_owner(
+        self,
+        routed: RoutedRequest,
+        available_at_s: float,
+        waited_s: float,
+        deadline_s: float,
+    ) -> Refused:
+        now_s = elapsed_s()
+        servers = self._system_view.servers.of(routed.service)
+        slots = max((server.slots for server in servers), default=1)
+        mean_s = self._dispatcher.service_times.mean_s(routed.route)
+        available_in_s = max(available_at_s - now_s, 0)
+        return Refused(
+            ResultCode.slot_moving,
+            f'the key has no owner for {available_in_s:.1f} s'
+            if available_in_s
+            else 'the key has no owner at present',
+            self._owner_returns.book_s(
+                routed.service,
+                available_in_s,
+                waited_s,
+                slots / mean_s,
+                deadline_s - now_s,
+            ),
+        )
 
     def _can_send_to(
         self, server_id: str, refused_by: str | None, waited_s: float
@@ -428,7 +472,7 @@
             return False
         # A server that has just answered that it does not own the key gets the
         # request again only after an ownership update had time to arrive.
-        return server_id != refused_by or waited_s > _TYPICAL_MOVE_S
+        return server_id != refused_by or waited_s > TYPICAL_MOVE_S
 
     async def _send(self, routed: RoutedRequest) -> Result:
         routed.forwards = 0
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -68,7 +68,8 @@
 
     Attributes:
         holder: None while the keys move or have no owner.
-        available_at_s: when they are expected to have an owner again.
+        available_at_s: when they are expected to have an owner again, 0 if
+            that is unknown or very soon.
     """
 
     holder: Holder | None
@@ -671,6 +672,8 @@
     holder = None
     if changed.server_id is not None:
         holder = Holder(changed.server_id, changed.incarnation)
+    if changed.available_in_s <= 0:
+        return Owner(holder, 0)
     return Owner(holder, now_s + changed.available_in_s)
 
 
