Treat servers as cold while a process that was stopped lacks entries

Cause: a process that resumes after a stop sends its queued requests to servers that became cold meanwhile; other instances have closed their links to it, so that the entries they sent are lost.

Change: after 1.5 s without progress all servers of services with cold_per_s are treated as cold until newer entries are confirmed, at most for 1 s. Planning of keys does not count that.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/cold_servers.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/cold_servers.py
@@ -25,6 +25,9 @@
 
 # Shortest time between two health requests to a server.
 PROBE_INTERVAL_S = 0.5
+# Others close their links to a process that was stopped for about this time.
+# The entries that they sent meanwhile are lost.
+_STOPPED_S = 1.5
 # Health responses are told to others for this time.
 _RETENTION_S = 10.0
 # Links end when a message is delayed by about this time.
@@ -60,6 +63,10 @@
     probed_s: float | None = None
 
 
+def _never() -> float:
+    return -inf
+
+
 class ColdNotice(msgspec.Struct, array_like=True, frozen=True):
     """What an instance tells the others about a health response.
 
@@ -95,13 +102,21 @@
 class ColdServers:
     """The cold periods of all servers that are, or may be, cold."""
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        confirmed_s: Callable[[], float] = _never,
+    ) -> None:
         """Creates the state of one instance.
 
         Args:
             now: returns the time in seconds.
+            confirmed_s: returns when the entries here were the newest ones.
         """
         self._now = now
+        self._confirmed_s = confirmed_s
+        self._reviewed_s: float | None = None
+        self._resumed_s: float = -inf
         self._period_by_holder: dict[Holder, _ColdPeriod] = {}
         self._logged: set[Holder] = set()
         self._response_by_holder: dict[Holder, _HealthResponse] = {}
@@ -110,7 +125,7 @@
     @property
     def known(self) -> bool:
         """Whether any server is cold, or may be."""
-        return bool(self._period_by_holder)
+        return bool(self._period_by_holder) or self.missed_entries()
 
     def observe_entry(self, server: Server) -> None:
         """Applies an entry that is newer than all others of the server."""
@@ -193,6 +208,21 @@
             period = self._period_by_holder.setdefault(holder, _ColdPeriod())
             period.unknown_s = self._now()
 
+    def missed_entries(self) -> bool:
+        """Whether this process was stopped, and knows no newer entries yet.
+
+        Any server may have become cold meanwhile.
+        """
+        now_s = self._now()
+        if self._reviewed_s is None:
+            return False
+        if now_s - self._reviewed_s > _STOPPED_S:
+            return True
+        return (
+            now_s - self._resumed_s < _MAX_DELAY_S
+            and self._confirmed_s() < self._resumed_s
+        )
+
     def is_cold(self, holder: Holder, service: Service) -> bool:
         """Whether a server is cold, or may be."""
         period = self._period_by_holder.get(holder)
@@ -207,9 +237,11 @@
         Returns:
             None if it is not cold, or its service does not limit that.
         """
-        if service.cold_per_s is None or not self.is_cold(holder, service):
+        if service.cold_per_s is None:
             return None
-        return service.cold_per_s
+        if self.is_cold(holder, service) or self.missed_entries():
+            return service.cold_per_s
+        return None
 
     def needs_probe(self, holder: Holder, service: Service) -> bool:
         """Whether a health request should be sent to a server now.
@@ -217,7 +249,7 @@
         That is while it is unknown whether the server is cold, and when the
         newest message named an earlier end than another one before it.
         """
-        if self.per_s(holder, service) is None:
+        if service.cold_per_s is None or not self.is_cold(holder, service):
             return False
         period = self._period_by_holder[holder]
         now_s = self._now()
@@ -247,6 +279,7 @@
             The servers that are limited since they are cold, and those of them
             that were not at the last call.
         """
+        self._note_review()
         cold: set[Holder] = set()
         kept: set[Holder] = set()
         for server in servers:
@@ -270,6 +303,13 @@
         self._forget(kept)
         return cold, added
 
+    def _note_review(self) -> None:
+        now_s = self._now()
+        if self.missed_entries() and now_s - self._resumed_s > _STOPPED_S:
+            self._resumed_s = now_s
+            _log.info('servers may be cold after a pause of this process')
+        self._reviewed_s = now_s
+
     def _observe_response(
         self, holder: Holder, warm_up_s: float, sent_s: float, *, asked_s: float
     ) -> None:
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -423,7 +423,9 @@
         self.max_source_age_s = max_source_age_s
         self.configuration: Configuration | None = None
         self.configuration_row: StoredRow | None = None
-        self.cold_servers = ColdServers(elapsed_s)
+        self.cold_servers = ColdServers(
+            elapsed_s, lambda: self.status_by_table[SERVER_TABLE].confirmed_s
+        )
         self.servers = ServerList(
             decode_server, self.cold_servers.observe_entry
         )
@@ -620,9 +622,12 @@
     def cold_limits(self) -> Iterable[tuple[Holder, float]]:
         """Returns the cold servers that are limited, with their limits."""
         for server in self.servers.server_by_id.values():
-            per_s = self.cold_per_s(server)
-            if per_s is not None:
-                yield Holder(server.server_id, server.incarnation), per_s
+            holder = Holder(server.server_id, server.incarnation)
+            service = self._service(server)
+            if service is None or service.cold_per_s is None:
+                continue
+            if self.cold_servers.is_cold(holder, service):
+                yield holder, service.cold_per_s
 
     def servers_to_probe(self) -> Iterable[tuple[Server, str]]:
         """Returns the servers that should be asked, with the health paths."""
--- a/tests/builders/queued_requests.py
+++ b/tests/builders/queued_requests.py
@@ -7,11 +7,18 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from unittest.mock import Mock
 
 from yuccadale_edge._internal.clock import elapsed_s
-from yuccadale_edge._internal.model import Place, Server, ServerState
+from yuccadale_edge._internal.model import (
+    CallerLimits,
+    Configuration,
+    Place,
+    Server,
+    ServerState,
+    Service,
+)
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
 from yuccadale_edge._internal.routing.requests import RoutedRequest
@@ -38,9 +45,17 @@
 
 @dataclass
 class SimulatedServers:
-    """Servers with one slot each, which take ``WORK_S`` for a request."""
+    """Servers with one slot each.
+
+    Attributes:
+        sent: the requests that they got.
+        work_s: what they take for a request.
+        connect_s: time to open a connection.
+    """
 
     sent: list[SentRequest] = field(default_factory=list)
+    work_s: float = WORK_S
+    connect_s: float = 0
 
     @asynccontextmanager
     async def acquire(
@@ -49,12 +64,13 @@
         """Provides a connection to a server."""
 
         assert not force_new
+        await asyncio.sleep(self.connect_s)
 
         async def exchange(*_: object, head_only: bool, body: bytes) -> Answer:
             assert not head_only
             assert not body
             self.sent.append(SentRequest(address[0], request_id, elapsed_s()))
-            await asyncio.sleep(WORK_S)
+            await asyncio.sleep(self.work_s)
             return Answer(200, [(b'x-attempt-id', request_id.encode())])
 
         yield Mock(exchange=exchange)
@@ -67,6 +83,7 @@
         dispatcher: of the product.
         metrics: its counters.
         servers: what it sends to.
+        forwarder: makes it the sender of all servers.
     """
 
     def __init__(self) -> None:
@@ -74,6 +91,11 @@
         self.servers = SimulatedServers()
         self._view = SystemView(Mock(), _decode_server, 2.0)
         self._version = 0
+        self.forwarder = Mock(
+            limit_share=Mock(return_value=1.0),
+            limit_sender=Mock(return_value=None),
+            is_limit_sender=Mock(return_value=False),
+        )
         place = Place('a', 'north', {'a': 'north'})
         self.dispatcher = Dispatcher(
             self._view,
@@ -81,8 +103,24 @@
             PlatformCodec(),
             self.metrics,
             place,
+            self.forwarder,
             Mock(),
-            Mock(),
+        )
+
+    def limit_cold_servers(self, per_s: float) -> None:
+        """Sets ``cold_per_s`` of the service."""
+        service = Service(
+            SERVICE, False, 0, '/health', 0, cold_per_s=per_s, slow_start_s=9
+        )
+        self._view.configuration = Configuration(
+            1, {}, {SERVICE: service}, CallerLimits(1, 1, 1, 1)
+        )
+
+    def make_cold(self, server_id: str, for_s: float) -> None:
+        """Applies an entry that says that a server is cold."""
+        server = self._view.servers.server_by_id[server_id]
+        self._view.cold_servers.observe_entry(
+            replace(server, slow_start_s=for_s)
         )
 
     def apply_entry(
--- a/tests/edge/test_cold_servers.py
+++ b/tests/edge/test_cold_servers.py
@@ -44,7 +44,10 @@
 
     def __init__(self) -> None:
         self.now_s = 100.0
-        self.cold_servers = ColdServers(lambda: self.now_s)
+        self.confirmed_s: float = 0
+        self.cold_servers = ColdServers(
+            lambda: self.now_s, lambda: self.confirmed_s
+        )
 
     @property
     def cold(self) -> bool:
@@ -195,6 +198,82 @@
     assert not events
 
 
+def test_a_process_that_was_stopped_treats_all_servers_as_cold() -> None:
+    """Guards against traffic to servers that became cold meanwhile.
+
+    The queues of a process that resumes are full of requests.
+    """
+    world = _World()
+    services = {'ledger': SERVICE}
+    for _ in range(9):
+        world.cold_servers.review([SERVER], services)
+        world.now_s += 0.2
+        assert not world.cold
+    world.now_s += 3
+    assert world.cold
+    assert not world.cold_servers.needs_probe(HOLDER, SERVICE)
+    world.cold_servers.review([SERVER], services)
+    world.now_s += 0.2
+    assert world.cold
+    world.confirmed_s = world.now_s
+    assert not world.cold
+    world.confirmed_s = 0
+    for _ in range(6):
+        world.cold_servers.review([SERVER], services)
+        world.now_s += 0.2
+    # Entries cannot be confirmed during an outage of the store.
+    assert not world.cold
+
+
+def test_warm_responses_pass_to_the_other_instances() -> None:
+    """Guards against instances that limit a warm server for long.
+
+    The other one learned of the return later, and its clock differs.
+    """
+    world, other = _World(), _World()
+    other.now_s = 7000
+    world.return_from_evacuation()
+    world.health(0)
+    other.return_from_evacuation()
+    for instance in (world, other):
+        instance.now_s += 0.5
+    assert other.cold
+    notices = world.cold_servers.take_notices(repeat=False)
+    other.cold_servers.apply_notices(notices)
+    assert not other.cold
+    assert not world.cold_servers.take_notices(repeat=False)
+    assert world.cold_servers.take_notices(repeat=True)
+    assert not other.cold_servers.take_notices(repeat=True)
+    world.now_s += 20
+    assert not world.cold_servers.take_notices(repeat=True)
+
+
+def test_a_late_notice_does_not_end_a_later_cold_period() -> None:
+    """Guards against a message that was on its way for almost a second."""
+    world, other = _World(), _World()
+    world.health(0)
+    notices = world.cold_servers.take_notices(repeat=False)
+    other.now_s += 0.1
+    other.entry(5)
+    other.now_s += 0.8
+    other.cold_servers.apply_notices(notices)
+    assert other.cold
+
+
+def test_the_time_that_is_left_passes_to_the_other_instances() -> None:
+    """Guards against a server that becomes cold and only its sender knows."""
+    world, other = _World(), _World()
+    world.health(5)
+    world.now_s += 1
+    other.cold_servers.apply_notices(
+        world.cold_servers.take_notices(repeat=False)
+    )
+    other.now_s += 3.9
+    assert other.cold
+    other.now_s += 0.2
+    assert not other.cold
+
+
 def test_changes_are_logged_once() -> None:
     """Guards against a log line for each entry of a cold server."""
     world = _World()
--- a/tests/platform/test_cold_servers_of_all_instances.py
+++ b/tests/platform/test_cold_servers_of_all_instances.py
@@ -23,7 +23,7 @@
     Service,
 )
 from yuccadale_edge._internal.ownership.segments import Holder
-from yuccadale_edge._internal.routing import dispatch, forwarding, pacing
+from yuccadale_edge._internal.routing import forwarding, pacing
 
 COLD_PER_S = 5
 # cold_per_s x cold_over + cold_slack
@@ -37,7 +37,7 @@
     {SERVICE: Service(SERVICE, False, 0, '/health', 0, COLD_PER_S, 8)},
     CallerLimits(1, 1, 1, 1),
 )
-# The heartbeat of a server, and the longest time until instances have its entry.
+# The heartbeat of a server, and the longest delay of an entry.
 _HEARTBEAT_S = 1.5
 _ENTRY_DELAY_S = 0.5
 
@@ -181,16 +181,3 @@
         known = len(arrivals_s)
         await world.load(40, 2)
         assert len(arrivals_s) - known > 60
-
-
-@in_virtual_time
-async def test_a_late_admission_is_refused(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Guards against requests that were admitted before and connect after."""
-    monkeypatch.setattr(dispatch.Dispatcher, '_is_cold', lambda *_: False)
-    async with limit_world(4, configuration=_CONFIGURATION) as world:
-        _start_cold(world, 6)
-        await asyncio.sleep(0.5)
-        await world.load(DEMAND_PER_S, 1)
-        assert not world.server.record.arrivals_s
