--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -52,6 +52,8 @@
             it runs.
         around_requests: wraps the handler of requests, set before it runs.
         limit_text: the limit that its answers name, None to name none.
+        load_text: the load that its answers report, None to report none.
+        health_requests: how many times its health path was asked.
         leaving: whether all its answers say that it leaves.
         left_answer_s: when an answer first said so, on a monotonic clock.
         pause_text: the pause that refusals of a full server ask for.
@@ -82,6 +84,8 @@
     copied_answers: CopiedAnswers | None = None
     around_requests: Callable[[Handler], Handler] | None = None
     limit_text: str | None = None
+    load_text: str | None = None
+    health_requests: int = 0
     leaving: bool = False
     left_answer_s: float = inf
     pause_text: str | None = None
@@ -121,6 +125,8 @@
         headers: dict[str, str] = {}
         if self.limit_text is not None:
             headers['Server-Limit'] = self.limit_text
+        if self.load_text is not None:
+            headers['X-Server-Load'] = self.load_text
         if self.leaving:
             headers['Server-Leaving'] = '1'
             self.left_answer_s = min(self.left_answer_s, time.monotonic())
@@ -200,7 +206,9 @@
 
 def _health(server: PlatformServer):
     async def handle(_request: web.Request) -> web.Response:
-        return web.Response(headers={'X-Instance-Id': server.server_id})
+        server.health_requests += 1
+        headers = {'X-Instance-Id': server.server_id}
+        return web.Response(headers=headers | server.statement_headers())
 
     return handle
 
--- a/tests/edge/test_server_load.py
+++ b/tests/edge/test_server_load.py
@@ -439,27 +439,27 @@
 async def test_short_requests_do_not_make_a_full_server_look_free() -> None:
     """Guards against times of different routes that are compared."""
     await asyncio.sleep(1)
-    dispatcher = Sender(loaded_servers(3), 'a').dispatcher
+    dispatcher = Sender(loaded_servers(4), 'a').dispatcher
     choice = dispatcher._load_choice
     choice.add_service('open')
-    full, free = Holder('s000', 1), Holder('s002', 1)
+    full, near, far = (Holder(f's00{number}', 1) for number in (0, 2, 1))
     dispatcher.loads.observe(full, ServerLoad(SLOTS, 4, SLOTS))
     request = Mock(key=None, service='open', regions=())
 
-    def chosen_for(mean_s: float) -> Holder:
+    def chosen_for(mean_s: float, *tried: Holder) -> Holder:
         candidate = choice.choose(
             request,
             mean_s,
-            (),
+            tried,
             lambda: dispatcher._candidates(request),
             lambda *_: 0,
         )
         assert candidate is not None
         return candidate.holder
 
-    assert chosen_for(0.4) == free
+    assert chosen_for(0.4) == near
     choice.touch(full)
-    assert chosen_for(0.02) == free
+    assert chosen_for(0.02, near) == far
 
 
 async def _one_request(sender: Sender, *, repeatable: bool) -> Result:
