Take overdue requests at most servers for a delay of the sender

Cause: after a stop of the sender, or while its machine is overloaded, requests look overdue at all servers, each of which would get one request at a time. A request that waits for a slot that other senders use looked overdue, too.

Change: if requests are overdue at more than 60% of the servers, those that were sent until then are no evidence. The expected time of a request contains its wait for a slot.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/load_choice.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/load_choice.py
@@ -35,6 +35,9 @@
 _RETURNS_SHARE = 0.5
 # Tables that were not used for this time are dropped.
 _TABLE_RETENTION_S = 10.0
+# If requests are overdue at more than this share of the servers, the delay is
+# on this side: the process was stopped, or its machine is overloaded.
+_OWN_DELAY_SHARE = 0.6
 # Avoids a division by the time of a route that takes none.
 _MIN_MEAN_S = 1e-4
 # Returns of refused callers are not sooner than this.
@@ -288,6 +291,17 @@
 
     def _apply_all(self, table: _Table) -> list[int]:
         """Applies what is known of all candidates; returns their indices."""
+        delayed = sum(
+            self._loads.is_delayed(one.holder) for one in table.candidates
+        )
+        if delayed > len(table.candidates) * _OWN_DELAY_SHARE:
+            self._loads.forget_delays()
+            self._metrics.count('own_delays')
+            _log.warning(
+                'requests to most servers overdue, no server counts as slow',
+                servers=len(table.candidates),
+                delayed=delayed,
+            )
         for candidate in table.candidates:
             self.apply(candidate.server, candidate.queue)
         table.costs = [inf for _ in table.candidates]
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_load.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_load.py
@@ -55,8 +55,8 @@
     Attributes:
         sent_s: when it was sent.
         route: of the request.
-        expected_s: its time on this server at the usual pace; infinite if too
-            few times are known.
+        expected_s: its time on this server at the usual pace, with the wait
+            for a slot; infinite if too few times are known.
         queued: whether the server had no free slot for it.
     """
 
@@ -300,8 +300,10 @@
         if known is not None and known.answers >= _MIN_ANSWERS:
             expected_s = known.mean_s * state.factor
         before = len(state.sent_by_number) + others_at(state, now_s)
-        queued = before >= slots_at(state, declared, now_s)
-        sent = Sent(now_s, route, expected_s, queued)
+        slots = slots_at(state, declared, now_s)
+        ahead = max(0, before - slots + 1)
+        expected_s *= 1 + ahead / slots
+        sent = Sent(now_s, route, expected_s, ahead > 0)
         in_flight = InFlight(next(self._numbers), sent=sent)
         state.sent_by_number[in_flight.number] = sent
         try:
@@ -333,6 +335,17 @@
         took_s = sent.expected_s * slowness_at(state, now_s)
         return sent.sent_s + max(age_s, took_s)
 
+    def is_delayed(self, holder: Holder) -> bool:
+        """Whether requests to a server are, or were last, overdue."""
+        return delay_at(self.state(holder), self._now()) >= OVERDUE
+
+    def forget_delays(self) -> None:
+        """Requests that were sent until now are no longer evidence."""
+        now_s = self._now()
+        for state in self._state_by_holder.values():
+            state.delay = 1.0
+            state.proven_s = now_s
+
     def factor(self, holder: Holder) -> float:
         """Returns the times of a server at its usual pace, to the mean."""
         return self.state(holder).factor
--- a/tests/edge/test_server_load.py
+++ b/tests/edge/test_server_load.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextlib import ExitStack
 from unittest.mock import Mock
 
 import pytest
@@ -13,6 +14,7 @@
     QUEUE_PLACES,
     SLOTS,
     TARGET_S,
+    TIMEOUT_S,
     LoadedServer,
     Sender,
     capacity_per_s,
@@ -123,6 +125,18 @@
         assert loads.slowness(HOLDER) == pytest.approx(12)
 
 
+def test_the_wait_for_a_slot_is_expected() -> None:
+    """Guards against a server that looks slow since others have filled it."""
+    clock = _Clock()
+    loads = _known_loads(clock)
+    loads.observe(HOLDER, ServerLoad(SLOTS, 7, SLOTS))
+    with loads.in_flight(HOLDER, ROUTE, SLOTS):
+        clock.now_s += MEAN_S * 4
+        assert not loads.is_delayed(HOLDER)
+        clock.now_s += MEAN_S * 6
+        assert loads.is_delayed(HOLDER)
+
+
 def test_one_long_request_does_not_make_a_server_slow() -> None:
     """Guards against a server that is avoided for the tail of one request."""
     clock = _Clock()
@@ -462,6 +476,24 @@
     assert chosen_for(0.02, near) == far
 
 
+@pytest.mark.usefixtures('_virtual_clock')
+@in_virtual_time
+async def test_a_stop_of_the_sender_makes_no_server_slow() -> None:
+    """Guards against all servers that get one request after a stop."""
+    servers = loaded_servers(6)
+    sender, _ = await _two_senders(servers)
+    loads = sender.dispatcher.loads
+    holders = [Holder(server_id, 1) for server_id in servers]
+    with ExitStack() as requests:
+        for holder in holders:
+            requests.enter_context(loads.in_flight(holder, 'read', SLOTS))
+        await asyncio.sleep(TIMEOUT_S)
+    assert all(map(loads.is_delayed, holders))
+    await sender.request(0)
+    assert not any(map(loads.is_slow, holders))
+    assert sender.metrics.value('own_delays') == 1
+
+
 async def _one_request(sender: Sender, *, repeatable: bool) -> Result:
     """Sends a request to a server that becomes slow with it."""
     servers = sender.server_by_id.values()
