--- a/tests/edge/test_server_load.py
+++ b/tests/edge/test_server_load.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextlib import ExitStack
 from unittest.mock import Mock
 
 import pytest
@@ -13,6 +14,7 @@
     QUEUE_PLACES,
     SLOTS,
     TARGET_S,
+    TIMEOUT_S,
     LoadedServer,
     Sender,
     capacity_per_s,
@@ -123,6 +125,18 @@
         assert loads.slowness(HOLDER) == pytest.approx(12)
 
 
+def test_the_wait_for_a_slot_is_expected() -> None:
+    """Guards against a server that looks slow since others have filled it."""
+    clock = _Clock()
+    loads = _known_loads(clock)
+    loads.observe(HOLDER, ServerLoad(SLOTS, 7, SLOTS))
+    with loads.in_flight(HOLDER, ROUTE, SLOTS):
+        clock.now_s += MEAN_S * 4
+        assert not loads.is_delayed(HOLDER)
+        clock.now_s += MEAN_S * 6
+        assert loads.is_delayed(HOLDER)
+
+
 def test_one_long_request_does_not_make_a_server_slow() -> None:
     """Guards against a server that is avoided for the tail of one request."""
     clock = _Clock()
@@ -439,27 +453,45 @@
 async def test_short_requests_do_not_make_a_full_server_look_free() -> None:
     """Guards against times of different routes that are compared."""
     await asyncio.sleep(1)
-    dispatcher = Sender(loaded_servers(3), 'a').dispatcher
+    dispatcher = Sender(loaded_servers(4), 'a').dispatcher
     choice = dispatcher._load_choice
     choice.add_service('open')
-    full, free = Holder('s000', 1), Holder('s002', 1)
+    full, near, far = (Holder(f's00{number}', 1) for number in (0, 2, 1))
     dispatcher.loads.observe(full, ServerLoad(SLOTS, 4, SLOTS))
     request = Mock(key=None, service='open', regions=())
 
-    def chosen_for(mean_s: float) -> Holder:
+    def chosen_for(mean_s: float, *tried: Holder) -> Holder:
         candidate = choice.choose(
             request,
             mean_s,
-            (),
+            tried,
             lambda: dispatcher._candidates(request),
             lambda *_: 0,
         )
         assert candidate is not None
         return candidate.holder
 
-    assert chosen_for(0.4) == free
+    assert chosen_for(0.4) == near
     choice.touch(full)
-    assert chosen_for(0.02) == free
+    assert chosen_for(0.02, near) == far
+
+
+@pytest.mark.usefixtures('_virtual_clock')
+@in_virtual_time
+async def test_a_stop_of_the_sender_makes_no_server_slow() -> None:
+    """Guards against all servers that get one request after a stop."""
+    servers = loaded_servers(6)
+    sender, _ = await _two_senders(servers)
+    loads = sender.dispatcher.loads
+    holders = [Holder(server_id, 1) for server_id in servers]
+    with ExitStack() as requests:
+        for holder in holders:
+            requests.enter_context(loads.in_flight(holder, 'read', SLOTS))
+        await asyncio.sleep(TIMEOUT_S)
+    assert all(map(loads.is_delayed, holders))
+    await sender.request(0)
+    assert not any(map(loads.is_slow, holders))
+    assert sender.metrics.value('own_delays') == 1
 
 
 async def _one_request(sender: Sender, *, repeatable: bool) -> Result:
