Keep large bodies in their region while it has usable servers

Cause: with busy servers in one region, requests to a service without keys went to the other one, bodies of 60 kB too.

Change: a body above 16 KiB goes to servers of the region of its sender, if one of them is usable.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -69,6 +69,8 @@
 _EXTRA_IN_FLIGHT = 0
 _FIRST_SERVER_ERROR = 500
 _MS_PER_S = 1000.0
+# Larger bodies go to servers of the own region while it has usable ones.
+_MAX_CROSSING_BYTES = 16 * 1024
 # Weight of a new measurement in a server's slowdown.
 _EWMA_WEIGHT = 0.05
 # Extra cost of a server in another data centre or region, in requests.
@@ -197,6 +199,7 @@
         self, request: RoutedRequest, deadline_s: float
     ) -> Result:
         tried: set[Holder] = set()
+        request = self._keep_large_body_in_region(request)
         server = self._choose_server(request, tried, deadline_s)
         if server is None:
             return self._no_server(request)
@@ -215,6 +218,25 @@
         best.attempts = attempts
         return best
 
+    def _keep_large_body_in_region(
+        self, request: RoutedRequest
+    ) -> RoutedRequest:
+        """Restricts a large body to the servers of this region, if it has any.
+
+        All traffic between two regions shares one link, which bodies of 60 kB
+        fill at some 60 requests a second.
+        """
+        if len(request.body) <= _MAX_CROSSING_BYTES:
+            return request
+        regions = (self._place.region,)
+        if not self._place.allows(self._place.data_centre, request.regions):
+            return request
+        kept = msgspec.structs.replace(request, regions=regions)
+        servers = self._system_view.servers.of(request.service)
+        if any(self._is_usable(server, kept) for server in servers):
+            return kept
+        return request
+
     async def _serve_once(
         self,
         server: Server,
--- a/tests/edge/test_dispatch.py
+++ b/tests/edge/test_dispatch.py
@@ -6,8 +6,9 @@
 import pytest
 
 from yuccadale_edge._internal.clock import elapsed_s
-from yuccadale_edge._internal.model import Server, ServerState
+from yuccadale_edge._internal.model import Place, Server, ServerState
 from yuccadale_edge._internal.routing.dispatch import Dispatcher
+from yuccadale_edge._internal.routing.requests import RoutedRequest
 from yuccadale_edge._internal.server_availability import ServerAvailability
 from yuccadale_edge._internal.transport.client_connection import (
     UNACKNOWLEDGED_S,
@@ -70,3 +71,36 @@
     server_by_id.clear()
     dispatcher.maintain_queues()
     assert not dispatcher._returns_by_service
+
+
+@pytest.mark.parametrize(
+    ('size', 'data_centres', 'chosen'),
+    [
+        (100, 'ab', {'a', 'b'}),
+        (60_000, 'ab', {'a'}),
+        (60_000, 'b', {'b'}),
+    ],
+)
+async def test_a_large_body_stays_in_its_region(
+    size: int, data_centres: str, chosen: set[str]
+) -> None:
+    """Guards against a burst of uploads that fills the link between regions."""
+    servers = [
+        Server(one, 'x', ('h', 1), one, 1, ServerState.ready, 1, 0)
+        for one in data_centres
+    ]
+    system_view = Mock(
+        servers=Mock(of=lambda _: servers),
+        usable=lambda _: True,
+        all_leave=lambda _: False,
+    )
+    place = Place('a', 'north', {'a': 'north', 'b': 'south'})
+    dispatcher = Dispatcher(
+        system_view, Mock(), Mock(), Mock(), place, Mock(), Mock()
+    )
+    request = RoutedRequest(
+        'r', 'route', 'x', b'POST', b'/', [], b'x' * size, 0, False, 1, 1, 1
+    )
+    kept = dispatcher._keep_large_body_in_region(request)
+    usable = [one for one in servers if dispatcher._is_usable(one, kept)]
+    assert {one.data_centre for one in usable} == chosen
