Count the whole of an answer until it is written; fewer requests ahead

Cause: of an answer that a client reads in part, only the unwritten rest was counted, although all of it stays in memory. Requests ahead of answers could take half of the share of small requests, so that few connections filled the queues of servers. Change: the last answer counts in full while writing waits; requests ahead take at most an eighth of the share.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/received_requests.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/received_requests.py
@@ -24,7 +24,7 @@
 # Share of small requests, relative to that of large ones.
 _SMALL_SHARE = 0.5
 # Share of small requests that may arrive ahead of the answers before them.
-_AHEAD_SHARE = 0.5
+_AHEAD_SHARE = 0.125
 # Share of the account that others may use while one request larger than its
 # share is accepted.
 _OTHERS_SHARE = 0.125
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -199,6 +199,7 @@
         self._unparsed = b''
         self._head_complete = False
         self._body_until_s: float = 0
+        self._written_body_bytes = 0
         self._writing_paused = False
         self._rejected = False
         self._headers: Headers = []
@@ -505,7 +506,8 @@
             return
         size = sum(map(_reply_size, self._answers))
         if self._writing_paused:
-            size += self._unwritten_bytes()
+            # The last answer stays in memory until all of it is written.
+            size += max(self._unwritten_bytes(), self._written_body_bytes)
         if self._unwritten is None:
             if not size:
                 return
@@ -598,6 +600,7 @@
 
     def _write_reply(self, reply: Reply, *, last: bool) -> None:
         """Writes an answer; a large body is not copied behind its head."""
+        self._written_body_bytes = len(reply.body)
         head = encode_reply_head(reply, last=last)
         if len(reply.body) <= SMALL_BYTES:
             self._write(head + reply.body)
