Hold instances of the soak to an evacuation once they have read it

Cause: any outage of the store or reset of a connection excused an instance for the next 5 s.

Change: once an instance was undisturbed for as long as a change of the configuration may take, only its restart or suspension excuses it.

--- a/tests/soak/evacuations.py
+++ b/tests/soak/evacuations.py
@@ -17,18 +17,18 @@
 
 _BOUND_S = Bounds().evacuation_s
 _EVACUATED_S = (1.0, _BOUND_S + 3.0, _BOUND_S + 3.0)
-_STORE_CHECK_S = 0.05
-# Without other faults, all instances have read a row by then.
-_READ_S = 1.0
+_CHECK_S = 0.05
+# An instance that is not disturbed has read a row by then.
+_READ_S = Bounds().configuration_s
 
 
 class SoakEvacuations:
     """Evacuates data centres, one at a time.
 
-    A request may reach a server until the bound has passed since the row could
-    be read, and since the instance that sent the request or a connection of it
-    was last disturbed. Outages of the store excuse nothing once the row has
-    been read.
+    A request may reach a server until the bound has passed since its sender
+    could read the row: neither the store nor the sender nor its connections
+    were disturbed for long enough. Once the row has been read, only a restart
+    or a suspension of the sender excuses later requests.
 
     Attributes:
         problems: requests that reached a server later.
@@ -50,7 +50,8 @@
         self._store = store
         self._record_by_server = {one.server.server_id: one for one in records}
         self._written_s_by_data_centre: dict[str, float] = {}
-        self._readable_s = inf
+        self._store_down_s: float = 0
+        self._readable_s_by_sender: dict[str, float] = {}
 
     async def evacuate(self, random_source: random.Random) -> None:
         """Evacuates a data centre for a time."""
@@ -58,20 +59,19 @@
         self._store.state.put('op', f'evacuate/{data_centre}', {})
         await self._store.state.notify_feeds()
         written_s = time.monotonic()
-        self._readable_s = inf
+        self._readable_s_by_sender.clear()
         self._written_s_by_data_centre[data_centre] = written_s
         self.counts['evacuations'] += 1
+        instances = next(iter(self._record_by_server.values())).instances
         until_s = written_s + random_source.choice(_EVACUATED_S)
-        store_up_s = written_s
         while time.monotonic() < until_s:
-            if self._store.faults.down and self._readable_s == inf:
-                store_up_s = time.monotonic()
-            elif time.monotonic() > store_up_s + _READ_S:
-                self._readable_s = store_up_s
-            await asyncio.sleep(_STORE_CHECK_S)
-        record = next(iter(self._record_by_server.values()))
+            if self._store.faults.down:
+                self._store_down_s = time.monotonic()
+            for instance in instances:
+                self._observe(instance, written_s)
+            await asyncio.sleep(_CHECK_S)
         self.counts['instances that had to comply'] += sum(
-            self._complies_from_s(one) < until_s for one in record.instances
+            self._complies_from_s(one) < until_s for one in instances
         )
         await self.clear()
 
@@ -105,9 +105,22 @@
         if time.monotonic() > from_s and problem not in self.problems:
             self.problems.append(problem)
 
+    def _observe(self, sender: SoakInstance, written_s: float) -> None:
+        """Notes from when on an instance could read an evacuation."""
+        readable_s = self._readable_s_by_sender.get(sender.name, inf)
+        if sender.disturbed_s > readable_s:
+            self._readable_s_by_sender.pop(sender.name)
+        elif readable_s == inf:
+            disturbed_s = [proxy.disturbed_s for proxy in sender.proxies]
+            since_s = max(
+                written_s, self._store_down_s, sender.disturbed_s, *disturbed_s
+            )
+            if not sender.paused and time.monotonic() > since_s + _READ_S:
+                self._readable_s_by_sender[sender.name] = since_s
+
     def _complies_from_s(self, sender: SoakInstance) -> float:
-        """Returns from when on an instance must know of an evacuation."""
-        disturbed_s = [proxy.disturbed_s for proxy in sender.proxies]
-        return _BOUND_S + max(
-            self._readable_s, sender.disturbed_s, *disturbed_s
-        )
+        """Returns from when on an instance must comply with an evacuation."""
+        readable_s = self._readable_s_by_sender.get(sender.name, inf)
+        if sender.disturbed_s > readable_s:
+            return inf
+        return readable_s + _BOUND_S
--- a/tests/soak/test_routes.py
+++ b/tests/soak/test_routes.py
@@ -32,7 +32,7 @@
 @pytest.fixture
 def _evacuations(monkeypatch: pytest.MonkeyPatch) -> SoakEvacuations:
     """Evacuations that one instance has to observe."""
-    for name in ('_BOUND_S', '_READ_S', '_STORE_CHECK_S'):
+    for name in ('_BOUND_S', '_READ_S', '_CHECK_S'):
         monkeypatch.setattr(f'tests.soak.evacuations.{name}', _BOUND_S)
     sender = SoakInstance('edge-0', 'a', Path(), '', [])
     monkeypatch.setattr(StatementRecord, 'sender', lambda *_: sender)
