Spread the returns to a full server by what it completes

Cause: Retry-After of queue_full and deadline_too_short was the expected wait of the queue. All who were refused in the same moment, as after keys became hot, came back in the same moment and were refused again.

Change: a return is booked for each request that the server completes, from the end of the present queue, over at most a third of the time that the request still had. Urgent requests are first, then those that waited. Requests that are refused in one check are booked in that order.

Of 30 requests at once, refused callers return in steps of 0.1 s; before, all of them within one.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/pacing.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/pacing.py
@@ -25,6 +25,11 @@
 # Returns of refused callers are spread over this time, or these intervals.
 _RETURN_HORIZON_S = 5.0
 _RETURN_HORIZON_INTERVALS = 4
+# Part of their remaining time over which callers return to a full server: they
+# need the rest for the wait and the work there.
+_RETURN_SHARE = 1 / 3
+# Returns are spread over this time at least, also shortly before a deadline.
+_MIN_HORIZON_S = 0.1
 # Return of a caller whose instance may send nothing. Instances agree on a
 # reachable sender again within about this time.
 _OTHER_SENDER_S = 1.0
@@ -105,6 +110,11 @@
         self._now = now
         self._last_s: float = 0
 
+    @property
+    def last_in_s(self) -> float:
+        """Time until the last return that was booked."""
+        return max(0, self._last_s - self._now())
+
     def book_s(
         self,
         per_s: float,
@@ -135,6 +145,60 @@
         return self._last_s - now_s
 
 
+class OrderedReturns:
+    """Spreads the returns of callers by what a server completes.
+
+    Callers of urgent requests return first, and before others of the same
+    priority those whose request has waited.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        """Starts without returns.
+
+        Args:
+            now: returns the time in seconds.
+        """
+        self._now = now
+        self._returns_by_order: dict[tuple[int, bool], ReturnTimes] = {}
+
+    def book_s(
+        self,
+        *,
+        priority: int,
+        has_waited: bool,
+        per_s: float,
+        delay_s: float,
+        remaining_s: float,
+    ) -> float:
+        """Returns when a caller that is refused now may return, in seconds.
+
+        Args:
+            priority: 0 is the most urgent.
+            has_waited: whether the request has waited.
+            per_s: requests a second that the server completes.
+            delay_s: expected wait of the requests that are queued.
+            remaining_s: time until the deadline of the request.
+        """
+        horizon_s = max(remaining_s * _RETURN_SHARE, _MIN_HORIZON_S)
+        order = priority, not has_waited
+        earlier_s = max(
+            (
+                returns.last_in_s
+                for known, returns in self._returns_by_order.items()
+                if known < order
+            ),
+            default=0,
+        )
+        # The others return in the second half at the latest.
+        after_s = min(max(earlier_s - delay_s, 0), horizon_s / 2)
+        horizon_s -= after_s
+        returns = self._returns_by_order.setdefault(
+            order, ReturnTimes(self._now)
+        )
+        per_s = max(per_s, _RETURN_HORIZON_INTERVALS / horizon_s)
+        return returns.book_s(per_s, delay_s + after_s, horizon_s)
+
+
 class PriorityShares:
     """Minimum shares, so that urgent requests do not starve the others."""
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/server_queue.py
@@ -20,6 +20,7 @@
 
 from yuccadale_core.codes import ResultCode
 from yuccadale_edge._internal.routing.pacing import (
+    OrderedReturns,
     PriorityShares,
     Rate,
     RequestPacer,
@@ -51,6 +52,8 @@
 # Interval of the checks whether waiting requests will be served, apart from
 # those when a request arrives: a server that answers nothing causes no event.
 _CHECK_INTERVAL_S = 0.1
+# Service times below this one do not count for the returns of callers.
+_SHORTEST_SERVICE_S = 0.001
 # Priorities get their minimum shares for this time after a refusal.
 _OVERLOAD_S = 1.0
 
@@ -60,7 +63,7 @@
 
     Attributes:
         code: why.
-        expected_wait_s: when a later request may be admitted.
+        expected_wait_s: when the caller may return.
     """
 
     def __init__(self, code: ResultCode, expected_wait_s: float) -> None:
@@ -125,6 +128,7 @@
         priority: 0 is the most urgent.
         target_start_s: latest start that meets the target latency.
         latest_start_s: latest start that meets the deadline.
+        queued_s: when it began to wait.
         admission: done when the request may be sent or is refused.
     """
 
@@ -133,6 +137,7 @@
     target_start_s: float
     expected_service_s: float
     latest_start_s: float
+    queued_s: float
     admission: asyncio.Future[None]
 
 
@@ -168,6 +173,7 @@
         self._pacer = RequestPacer(per_s, now)
         self._shares = PriorityShares(now)
         self._pace = ServerPace(now)
+        self._returns = OrderedReturns(now)
         self._overloaded_until_s = -inf
         self._timer: asyncio.TimerHandle | None = None
         self._check_timer: asyncio.TimerHandle | None = None
@@ -325,12 +331,12 @@
                 ResultCode.server_limited, self._pacer.book_return_s()
             )
         if expected_wait_s + expected_service_s > remaining_s:
-            return self._overload(
-                ResultCode.deadline_too_short, expected_wait_s
-            )
-        if expected_wait_s > until_target_s:
-            return self._overload(ResultCode.queue_full, expected_wait_s)
-        return None
+            code = ResultCode.deadline_too_short
+        elif expected_wait_s > until_target_s:
+            code = ResultCode.queue_full
+        else:
+            return None
+        return self._overload(code, priority, expected_service_s, remaining_s)
 
     def _slot_wait_s(self, rank: float) -> float:
         if self.running < self.limit and not self._waiting:
@@ -391,6 +397,7 @@
             target_start_s,
             expected_service_s,
             latest_start_s,
+            self._now(),
             admission,
         )
         self._waiting.append(queued)
@@ -405,9 +412,7 @@
                 raise AdmissionError(
                     ResultCode.server_limited, self._pacer.book_return_s()
                 ) from error
-            raise AdmissionError(
-                ResultCode.deadline_too_short, self.expected_wait_s()
-            ) from error
+            raise self._too_late(queued) from error
         except asyncio.CancelledError:
             self._cancel_wait(queued)
             raise
@@ -444,10 +449,47 @@
             return False
         return self._shares.is_owed(priority)
 
-    def _overload(self, code: ResultCode, wait_s: float) -> AdmissionError:
+    def _overload(
+        self,
+        code: ResultCode,
+        priority: int,
+        expected_service_s: float,
+        remaining_s: float,
+        *,
+        has_waited: bool = False,
+    ) -> AdmissionError:
         """Returns the refusal of a request that there is no time for."""
         self._overloaded_until_s = self._now() + _OVERLOAD_S
-        return AdmissionError(code, wait_s)
+        stretch = self._pace.stretch(self._running_times())
+        service_s = max(expected_service_s * stretch, _SHORTEST_SERVICE_S)
+        return_s = self._returns.book_s(
+            priority=priority,
+            has_waited=has_waited,
+            per_s=self.limit / service_s,
+            delay_s=self._slot_wait_s(inf),
+            remaining_s=remaining_s,
+        )
+        return AdmissionError(code, return_s)
+
+    def _too_late(self, queued: _QueuedRequest) -> AdmissionError:
+        """Returns the refusal of a queued request."""
+        now_s = self._now()
+        service_s = queued.expected_service_s
+        return self._overload(
+            ResultCode.deadline_too_short,
+            queued.priority,
+            service_s,
+            queued.latest_start_s + service_s - now_s,
+            has_waited=now_s > queued.queued_s,
+        )
+
+    def _running_times(self) -> list[tuple[float, float]]:
+        """Returns expected and elapsed time of the requests that run."""
+        now_s = self._now()
+        return [
+            (one.expected_s, now_s - one.started_s)
+            for one in self._running_by_number.values()
+        ]
 
     def _refuse_not_served(self) -> None:
         """Refuses waiting requests that will not be started in time."""
@@ -456,30 +498,30 @@
             self._check_timer = None
         if self._pacer.limited or not self._waiting:
             return
-        for queued in self._requests_not_served():
+        refused = self._requests_not_served()
+        for queued in refused:
             self._waiting.remove(queued)
+        for queued in refused:
             if not queued.admission.done():
-                error = self._overload(
-                    ResultCode.deadline_too_short, self.expected_wait_s()
-                )
-                queued.admission.set_exception(error)
+                queued.admission.set_exception(self._too_late(queued))
         if self._waiting:
             self._check_timer = asyncio.get_running_loop().call_later(
                 _CHECK_INTERVAL_S, self._refuse_not_served
             )
 
     def _requests_not_served(self) -> list[_QueuedRequest]:
-        """Returns the waiting requests that will not be started in time."""
+        """Returns the waiting requests that will not be started in time.
+
+        Those that have waited longest are first.
+        """
         waiting = sorted(self._waiting, key=self._start_order())
         numbers = self._numbers_not_served(waiting)
-        return [one for one in waiting if one.rank[1] in numbers]
+        refused = [one for one in waiting if one.rank[1] in numbers]
+        return sorted(refused, key=lambda one: (one.priority, one.rank[1]))
 
     def _numbers_not_served(self, waiting: list[_QueuedRequest]) -> set[int]:
         now_s = self._now()
-        running = [
-            (one.expected_s, now_s - one.started_s)
-            for one in self._running_by_number.values()
-        ]
+        running = self._running_times()
         stretch = self._pace.stretch(running)
         capacity = Capacity(
             self.limit,
