Count uploads of ordinary size as small requests

Cause: a body of 60 kB was charged with 70 kB and counted as a large request, so that large bodies could keep it out. Change: requests up to 128 KiB are small ones. Result: test_bodies_of_all_callers_together_are_bounded, extended by such an upload beside two large bodies, passes on both loops.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/received_requests.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/received_requests.py
@@ -21,6 +21,9 @@
 
 _log = structlog.get_logger()
 
+# A small request with its head and all that is charged for it. A body of up to
+# 64 KiB belongs to one.
+SMALL_REQUEST_BYTES = 2 * SMALL_BYTES
 # Share of small requests, relative to that of large ones.
 _SMALL_SHARE = 0.5
 # Share of small requests that may arrive ahead of the answers before them.
@@ -160,15 +163,15 @@
 
     def _count(self, size: int, sign: int) -> None:
         self.size += sign * size
-        if size <= SMALL_BYTES:
+        if size <= SMALL_REQUEST_BYTES:
             self._small_size += sign * size
 
     def _has_room(self, request: UnfinishedRequest, size: int) -> bool:
-        if size <= SMALL_BYTES:
+        if size <= SMALL_REQUEST_BYTES:
             added = size - request.size
             bound = self._max_bytes * _SMALL_SHARE
             return self._small_size + added <= bound
-        own_size = request.size if request.size > SMALL_BYTES else 0
+        own_size = request.size if request.size > SMALL_REQUEST_BYTES else 0
         others_size = self.size - self._small_size - own_size
         if others_size and others_size + size > self._max_bytes:
             return False
@@ -183,11 +186,11 @@
     def _give_up_slowest(self, request: UnfinishedRequest, size: int) -> bool:
         """Gives up an unfinished request; False if all clients send well."""
         now_s = self._now()
-        small = size <= SMALL_BYTES
+        small = size <= SMALL_REQUEST_BYTES
         rate_by_request = {
             one: one.bytes_per_s(now_s)
             for one in self._unfinished
-            if one is not request and (one.size <= SMALL_BYTES) == small
+            if one is not request and (one.size <= SMALL_REQUEST_BYTES) == small
         }
         slow = {
             one: rate
--- a/tests/edge/test_server_connection.py
+++ b/tests/edge/test_server_connection.py
@@ -167,16 +167,19 @@
         refused = await listener.connect()
         refused[1].write(_post(400_000))
         assert await _status(refused[0]) == 503
-        small = await listener.connect()
+        small, upload = [await listener.connect() for _ in range(2)]
         small[1].write(_post(10) + b'b' * 10)
+        upload[1].write(_post(60_000) + b'b' * 60_000)
+        while len(listener.messages) < len(accepted) + 2:
+            await asyncio.sleep(0.01)
         listener.release.set()
-        for reader, _ in (*accepted, small):
+        for reader, _ in (*accepted, small, upload):
             assert await _status(reader) == 200
         assert listener.state.held_bytes == 0
         again = await listener.connect()
         again[1].write(_post(400_000) + b'b' * 400_000)
         assert await _status(again[0]) == 200
-        for _, writer in (*accepted, refused, small, again):
+        for _, writer in (*accepted, refused, small, upload, again):
             writer.close()
 
 
