Do not hold an answer while a second attempt is allowed

Cause: asking the entry instance for a second attempt takes up to 0.5 s, and an answer of the first server that came meanwhile was held. A service without a usable server was refused as one that is too slow.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -291,7 +291,7 @@
         paused = self.statements.first_return(usable, request)
         if paused is not None:
             return paused
-        if self._load_choice.best(request) is not None:
+        if usable and self._load_choice.best(request) is not None:
             return Refused(
                 ResultCode.deadline_too_short,
                 'no server is expected to complete the request in time',
--- a/packages/edge/src/yuccadale_edge/_internal/routing/second_attempts.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/second_attempts.py
@@ -32,38 +32,50 @@
         choose: asked at intervals until it returns a server.
         send: asked once for the attempt at that server.
     """
-    tasks = [asyncio.create_task(first)]
+    task = asyncio.create_task(first)
+    tasks: list[asyncio.Task[Result | None]] = [task]
     try:
         await asyncio.wait(tasks, timeout=quiet_s)
-        while not tasks[0].done():
+        while not task.done():
             server = choose()
             if server is not None:
-                attempt = await send(server)
-                if attempt is not None:
-                    tasks.append(asyncio.create_task(attempt))
-                return await _first_answer(tasks)
+                tasks.append(asyncio.create_task(_send_second(send, server)))
+                return await _first_answer(task, tasks)
             await asyncio.wait(tasks, timeout=_CHECK_S)
-        return tasks[0].result()
+        return task.result()
     finally:
         await _cancel(tasks)
 
 
-async def _first_answer(tasks: list[asyncio.Task[Result]]) -> Result:
+async def _send_second(send: SecondAttempt, server: Server) -> Result | None:
+    attempt = await send(server)
+    return None if attempt is None else await attempt
+
+
+async def _first_answer(
+    first: asyncio.Task[Result], tasks: list[asyncio.Task[Result | None]]
+) -> Result:
     """Returns the first answer, or else the result of the first attempt."""
+    answer: Result | None = None
     for ended in asyncio.as_completed(tasks):
-        result = await ended
-        if isinstance(result, Served):
+        answer = await ended
+        if isinstance(answer, Served):
             break
-    else:
-        result = tasks[0].result()
+    result = answer if isinstance(answer, Served) else first.result()
     # Both attempts were made, whichever was answered.
-    result.attempts = sum(
-        task.result().attempts if task.done() else 1 for task in tasks
-    )
+    result.attempts = sum(map(_attempts, tasks))
     return result
 
 
-async def _cancel(tasks: list[asyncio.Task[Result]]) -> None:
+def _attempts(task: asyncio.Task[Result | None]) -> int:
+    """Returns how many attempts a task made; it may be asking for its own."""
+    if not task.done():
+        return 1
+    result = task.result()
+    return 0 if result is None else result.attempts
+
+
+async def _cancel(tasks: list[asyncio.Task[Result | None]]) -> None:
     pending = [task for task in tasks if not task.done()]
     for task in pending:
         task.cancel()
--- a/tests/edge/test_server_load.py
+++ b/tests/edge/test_server_load.py
@@ -30,7 +30,8 @@
 )
 from yuccadale_edge._internal.routing.load_choice import LoadChoice
 from yuccadale_edge._internal.routing.load_reports import PROBE_INTERVAL_S
-from yuccadale_edge._internal.routing.requests import Refused, Result
+from yuccadale_edge._internal.routing.requests import Refused, Result, Served
+from yuccadale_edge._internal.routing.second_attempts import first_result
 from yuccadale_edge._internal.routing.server_load import ServerLoads
 from yuccadale_edge._internal.transport.client_connection import Answer
 from yuccadale_platform._internal.requests import PlatformCodec
@@ -536,6 +537,24 @@
     assert sender.closed == 1
 
 
+@in_virtual_time
+async def test_an_answer_does_not_wait_for_the_allowance() -> None:
+    """Guards against an answer held until another instance has replied."""
+    served = Served(200, [], b'', 's', 1, 0, 0)
+
+    async def first() -> Result:
+        await asyncio.sleep(1)
+        return served
+
+    async def ask_entry(_server: object) -> None:
+        await asyncio.sleep(5)
+
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    assert await first_result(first(), 0.5, Mock, ask_entry) is served
+    assert loop.time() < began_s + 2
+
+
 def _fail(*_args: object, **_options: object) -> None:
     raise AssertionError('a service without reports is served by them')
 
