--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -207,7 +207,9 @@
         attempts = 0
         while server is not None:
             tried.add(_holder(server))
-            result = await self._serve_once(server, request, deadline_s, tried)
+            result = await self._serve_once(
+                server, request, deadline_s, tried, attempts
+            )
             result.attempts += attempts
             attempts = result.attempts
             best = result if best is None else _more_informative(best, result)
@@ -243,6 +245,7 @@
         request: RoutedRequest,
         deadline_s: float,
         tried: set[Holder],
+        earlier_attempts: int,
     ) -> Result:
         """Sends a request, to a second server if the first one is too slow."""
         first = self._serve_at(server, request, deadline_s)
@@ -251,7 +254,9 @@
         target_s = elapsed_s() + self._until_target_s(request)
 
         async def send(chosen: Server) -> Attempt | None:
-            if not await self._attempts.may_continue(request, 1):
+            if not await self._attempts.may_continue(
+                request, earlier_attempts + 1
+            ):
                 return None
             tried.add(_holder(chosen))
             self._metrics.count('second_attempts', service=request.service)
--- a/tests/edge/test_dispatch.py
+++ b/tests/edge/test_dispatch.py
@@ -1,5 +1,6 @@
 """How requests are sent to servers."""
 
+import asyncio
 from contextlib import asynccontextmanager
 from unittest.mock import AsyncMock, Mock
 
@@ -104,3 +105,32 @@
     kept = dispatcher._keep_large_body_in_region(request)
     usable = [one for one in servers if dispatcher._is_usable(one, kept)]
     assert {one.data_centre for one in usable} == chosen
+
+
+async def test_a_second_attempt_counts_those_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests that run more often than their route allows.
+
+    After a server error, a second attempt of the retry was a third one.
+    """
+    attempts = Mock(may_continue=AsyncMock(return_value=False))
+    dispatcher = Dispatcher(
+        Mock(), Mock(), Mock(), Mock(), Mock(), Mock(), attempts
+    )
+    dispatcher._load_choice = Mock(governs=lambda _: True)
+    request = Mock(repeatable=True, until_target_ms=100)
+
+    async def serve_at(*_args: object) -> Mock:
+        await asyncio.sleep(0.1)
+        return Mock(attempts=1)
+
+    second = Mock()
+    for name, replaced in (
+        ('_serve_at', serve_at),
+        ('_mean_s', lambda _: 0),
+        ('_second_server', lambda *_: second),
+    ):
+        monkeypatch.setattr(dispatcher, name, replaced)
+    await dispatcher._serve_once(Mock(), request, 1, set(), 1)
+    attempts.may_continue.assert_awaited_once_with(request, 2)
