--- a/tests/edge/test_dispatch.py
+++ b/tests/edge/test_dispatch.py
@@ -125,12 +125,8 @@
         await asyncio.sleep(0.1)
         return Mock(attempts=1)
 
-    second = Mock()
-    for name, replaced in (
-        ('_serve_at', serve_at),
-        ('_mean_s', lambda _: 0),
-        ('_second_server', lambda *_: second),
-    ):
-        monkeypatch.setattr(dispatcher, name, replaced)
+    monkeypatch.setattr(dispatcher, '_serve_at', serve_at)
+    monkeypatch.setattr(dispatcher, '_mean_s', Mock(return_value=0))
+    monkeypatch.setattr(dispatcher, '_second_server', Mock())
     await dispatcher._serve_once(Mock(), request, 1, set(), 1)
     attempts.may_continue.assert_awaited_once_with(request, 2)
