Limit the large bodies on their way to another region

Bursts of uploads of 60 kB for keys with owners in the other region fill the link of 30 Mbit/s that all instances share; connections between regions then time out and updates are late. Refused names the wait in the queue, so that the delay of refused bodies is known, too.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -33,6 +33,10 @@
 from yuccadale_edge._internal.routing.load_reports import LoadReports
 from yuccadale_edge._internal.routing.pacing import ReturnTimes
 from yuccadale_edge._internal.routing.rate_limits import RateLimits
+from yuccadale_edge._internal.routing.region_links import (
+    MAX_CROSSING_BYTES,
+    needs_room,
+)
 from yuccadale_edge._internal.routing.requests import (
     Refused,
     Result,
@@ -69,8 +73,6 @@
 _EXTRA_IN_FLIGHT = 0
 _FIRST_SERVER_ERROR = 500
 _MS_PER_S = 1000.0
-# Larger bodies go to servers of the own region while it has usable ones.
-_MAX_CROSSING_BYTES = 16 * 1024
 # Weight of a new measurement in a server's slowdown.
 _EWMA_WEIGHT = 0.05
 # Extra cost of a server in another data centre or region, in requests.
@@ -226,7 +228,7 @@
         All traffic between two regions shares one link, which bodies of 60 kB
         fill at some 60 requests a second.
         """
-        if len(request.body) <= _MAX_CROSSING_BYTES:
+        if len(request.body) <= MAX_CROSSING_BYTES:
             return request
         regions = (self._place.region,)
         if not self._place.allows(self._place.data_centre, request.regions):
@@ -525,7 +527,16 @@
             if result is not None:
                 self._record_limit_use(server, result)
                 return result
-        return await self._queue_and_send(server, request, deadline_s)
+        if not needs_room(self._place, request, server.data_centre):
+            return await self._queue_and_send(server, request, deadline_s)
+        async with self._forwarder.region_links.crossing(
+            request, server.data_centre
+        ) as crossing:
+            if crossing.refused is not None:
+                return crossing.refused
+            result = await self._queue_and_send(server, request, deadline_s)
+            crossing.observe_sent(result)
+            return result
 
     async def _serve_through_sender(
         self, server: Server, request: RoutedRequest, deadline_s: float
@@ -615,6 +626,7 @@
                 f'{queue.running} running, {queue.waiting} queued',
                 return_s,
                 server.server_id,
+                waited_ms=(elapsed_s() - queued_s) * _MS_PER_S,
             )
 
     def _refuse_queued(self) -> None:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
@@ -17,6 +17,11 @@
 )
 from yuccadale_edge._internal.model import Place, Server
 from yuccadale_edge._internal.observability.metrics import Metrics
+from yuccadale_edge._internal.routing.region_links import (
+    Crossing,
+    RegionLinks,
+    needs_room,
+)
 from yuccadale_edge._internal.routing.requests import (
     Refused,
     Result,
@@ -80,6 +85,7 @@
         self._place = place
         self._instance = instance
         self._hears_leader = hears_leader
+        self.region_links = RegionLinks(place, metrics, elapsed_s)
         self._suspect_until_by_name: dict[str, float] = {}
         self._senders_by_place: dict[tuple[str, str], list[Instance]] = {}
         self._roster_of_senders: object = None
@@ -168,9 +174,29 @@
     ) -> Result | None:
         """Forwards a request and returns the result of its sender.
 
+        A large body to another region may be refused instead.
+
         Returns:
             None if the sender was not reached; the request was not sent.
         """
+        if not needs_room(self._place, request, sender.data_centre):
+            return await self._forward(sender, request, None)
+        refused = self.region_links.owner_refusal(request)
+        if refused is not None:
+            return refused
+        async with self.region_links.crossing(
+            request, sender.data_centre
+        ) as crossing:
+            if crossing.refused is not None:
+                return crossing.refused
+            return await self._forward(sender, request, crossing)
+
+    async def _forward(
+        self,
+        sender: Instance,
+        request: RoutedRequest,
+        crossing: Crossing | None,
+    ) -> Result | None:
         request.forwards += 1
         try:
             result = await self._links.request(
@@ -182,6 +208,7 @@
             )
         except PeerUnreachableError as error:
             request.forwards -= 1
+            _note_loss(crossing)
             self._mark_suspected(sender, str(error))
             return None
         except NoRoomError:
@@ -193,10 +220,14 @@
             )
         except LinkLostError as error:
             if not isinstance(error, RequestFailedError):
+                _note_loss(crossing)
                 self._mark_suspected(sender, str(error))
             return Refused(
                 ResultCode.link_lost, f'{sender.name}: {error}', attempts=1
             )
+        if crossing is not None:
+            crossing.observe_forwarded(result)
+            self.region_links.observe_owner(request, result)
         if _is_stopping(result):
             request.forwards -= 1
             self._mark_suspected(sender, 'it is stopping')
@@ -246,3 +277,8 @@
         isinstance(result, Refused)
         and result.code == ResultCode.instance_draining
     )
+
+
+def _note_loss(crossing: Crossing | None) -> None:
+    if crossing is not None:
+        crossing.lose()
--- a/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
@@ -63,6 +63,7 @@
         retry_after_s: when the caller may retry, None if unknown.
         server_id: the server that was tried, empty if none was.
         attempts: how many times the request was sent to a server.
+        waited_ms: time in the queue that refused it, None if unknown.
     """
 
     code: int
@@ -70,6 +71,7 @@
     retry_after_s: float | None = None
     server_id: str = ''
     attempts: int = 0
+    waited_ms: float | None = None
 
     @property
     def outcome(self) -> Outcome:
