Do not let a late entry end what a health response showed

A stale entry that said cold, followed by the one that ended that earlier period, ended a new cold period that only a health response had shown.

Change: an entry that says warm counts from 2 s after the last health response that said cold; before, the sender asks which of them is newer. Tests of the codec.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/cold_servers.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/cold_servers.py
@@ -32,6 +32,8 @@
 _RETENTION_S = 10.0
 # Links end when a message is delayed by about this time.
 _MAX_DELAY_S = 1.0
+# Entries arrive within this time, unless the store is unavailable.
+_ENTRY_DELAY_S = 2.0
 # Instances learn of the end of an evacuation within this time of each other.
 _CONVERGENCE_S = 2.0
 # Time for which it may stay unknown whether a server is cold, if its service
@@ -47,9 +49,8 @@
         until_s: the latest end that was named.
         named_until_s: the end that the newest message named.
         shown_s: when the server was last known to be cold.
-        from_entry: whether an entry was the last to say that it is cold. A
-            newer entry may end that. After a health response, the next entry
-            may have been written before the server became cold.
+        responded_s: when a health response last said that it is cold. Entries
+            that arrive soon after that may have been written before.
         unknown_s: since when it is unknown whether the server is cold, None if
             that is known.
         probed_s: when the last health request was sent.
@@ -58,7 +59,7 @@
     until_s: float = 0
     named_until_s: float = 0
     shown_s: float = 0
-    from_entry: bool = False
+    responded_s: float = -inf
     unknown_s: float | None = None
     probed_s: float | None = None
 
@@ -136,13 +137,12 @@
                 period = _ColdPeriod()
                 self._period_by_holder[holder] = period
             self._extend(period, server.slow_start_s)
-            period.from_entry = True
         elif period is None:
             return
-        elif period.from_entry:
+        elif self._now() - period.responded_s > _ENTRY_DELAY_S:
             self._end(period)
         else:
-            # It may be older than what the last health response showed.
+            # The sender asks which of the two is newer.
             period.named_until_s = self._now()
 
     def observe_health(
@@ -332,7 +332,7 @@
             period.unknown_s = None
         if warm_up_s > 0:
             self._extend(period, warm_up_s)
-            period.from_entry = False
+            period.responded_s = self._now()
         elif sent_s > period.shown_s:
             self._end(period)
 
@@ -369,7 +369,6 @@
     def _end(self, period: _ColdPeriod) -> None:
         period.until_s = 0
         period.named_until_s = 0
-        period.from_entry = False
 
 
 def planning_rates(
--- a/tests/builders/queued_requests.py
+++ b/tests/builders/queued_requests.py
@@ -130,6 +130,11 @@
         content = f'{state.value} {incarnation}'.encode()
         self._apply(StoredRow(server_id, content, self._version + 1))
 
+    def slow_down(self, server_id: str, slowdown: float) -> None:
+        """Makes a server seem slower than the others."""
+        server = self._view.servers.server_by_id[server_id]
+        self.dispatcher._queue(server).slowdown = slowdown
+
     def apply_removal(self, server_id: str) -> None:
         """Applies the removal of a server's entry."""
         self._apply(StoredRow(server_id, b'', self._version + 1, removed=True))
--- a/tests/platform/test_queues_of_cold_servers.py
+++ b/tests/platform/test_queues_of_cold_servers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from itertools import pairwise
 from unittest.mock import AsyncMock
 
 import pytest
@@ -12,8 +13,12 @@
 from tests.builders.leadership_world import use_virtual_clock
 from tests.builders.queued_requests import SendingInstance, sending_instance
 from tests.builders.virtual_time import in_virtual_time
-from yuccadale_edge._internal.model import ServerState
+from yuccadale_core.codes import ResultCode
+from yuccadale_edge._internal.model import Server, ServerState
+from yuccadale_edge._internal.routing.codec import InvalidWarmUpError
 from yuccadale_edge._internal.routing.requests import Served
+from yuccadale_edge._internal.transport.client_connection import Answer
+from yuccadale_platform._internal.requests import PlatformCodec
 
 COLD_PER_S = 5
 
@@ -45,6 +50,36 @@
         assert 10 <= _servers_used(instance).count('a') <= 17
 
 
+@in_virtual_time
+async def test_a_slow_warm_server_is_chosen_while_the_pace_is_used_up() -> None:
+    """Guards against a wait for a cold server that looks short."""
+    async with sending_instance('a', 'b') as instance:
+        instance.limit_cold_servers(COLD_PER_S)
+        instance.make_cold('a', 5)
+        instance.slow_down('b', 3)
+        requests = [instance.start_request(f'r{number}') for number in range(2)]
+        await asyncio.sleep(0.01)
+        assert _servers_used(instance) == ['a', 'b']
+        await asyncio.gather(*requests)
+
+
+@in_virtual_time
+async def test_requests_that_were_queued_return_one_after_another() -> None:
+    """Guards against callers that all return at the same time."""
+    async with sending_instance('a') as instance:
+        instance.limit_cold_servers(COLD_PER_S)
+        requests = [instance.start_request(f'r{number}') for number in range(6)]
+        await asyncio.sleep(0.1)
+        instance.make_cold('a', 9)
+        results = await asyncio.gather(*requests[1:])
+        assert {one.code for one in results} == {ResultCode.server_limited}
+        returns_s = sorted(one.retry_after_s for one in results)
+        assert all(
+            later_s - earlier_s > 0.95 / COLD_PER_S
+            for earlier_s, later_s in pairwise(returns_s)
+        )
+
+
 @in_virtual_time
 async def test_requests_queued_for_a_server_that_becomes_cold_move() -> None:
     """Guards against requests that are held for a server that became cold."""
@@ -107,3 +142,34 @@
                 await instance.start_request(f'r{number}'), Served
             )
         assert len(_servers_used(instance)) == 30
+
+
+def _health_response(*texts: bytes, status: int = 200) -> Answer:
+    return Answer(status, [(b'x-warmup-ms', text) for text in texts])
+
+
+def test_health_responses_are_read() -> None:
+    """Guards against a cold period that is lost or far too long.
+
+    A response of another server at the address says nothing.
+    """
+    codec = PlatformCodec()
+    read = codec.remaining_warm_up_s
+    assert read(_health_response(b'0')) == 0
+    assert read(_health_response(b' 2500')) == pytest.approx(2.5)
+    assert read(_health_response(b'2500', status=503)) == pytest.approx(2.5)
+    assert read(_health_response()) is None
+    assert read(_health_response(b'0', status=421)) is None
+    for texts in ((b'-1',), (b'soon',), (b'999999999',), (b'1', b'2')):
+        with pytest.raises(InvalidWarmUpError):
+            read(_health_response(*texts))
+
+
+def test_a_health_request_names_its_server() -> None:
+    """Guards against a response of a server that has taken the address."""
+    server = Server('s', 'x', ('10.0.0.1', 8), 'a', 1, ServerState.ready, 1, 0)
+    request = PlatformCodec().encode_health_request(server, '/health')
+    assert request == (
+        b'GET /health HTTP/1.1\r\nHost: 10.0.0.1:8\r\n'
+        b'x-expect-instance: s\r\n\r\n'
+    )
