Give no room to a body whose caller has just left

A waiting body whose task is cancelled stayed in the queue until the task ran. If room became free before that, it was given to the cancelled future, which raised an error and kept the room for ever. Found by hypothesis in tests/edge/test_region_links.py (three requests, the third cancelled in the moment in which the first ends); it passes now.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/region_links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/region_links.py
@@ -338,6 +338,9 @@
                 self._timer = loop.call_later(room_in_s, self.admit)
                 return
             waiting = self._waiting.pop(0)
+            if waiting.begun.cancelled():
+                # Its task has not run yet since it was cancelled.
+                continue
             waiting.begun.set_result(self.window.begin(waiting.size))
 
     async def _wait(self, waiting: _Waiting, limit_s: float) -> int | None:
@@ -355,8 +358,8 @@
         """Gives back room that was given in the moment of the cancellation."""
         if waiting.begun.done() and not waiting.begun.cancelled():
             self.end(waiting.begun.result(), None)
-            return
-        self._waiting.remove(waiting)
+        elif waiting in self._waiting:
+            self._waiting.remove(waiting)
 
 
 class Crossing:
