Let the test of a slow warm server fail without its rule

Cause: with a slowdown of 3 the cold server was not the cheaper choice, so that the test passed without the rule (the pace that is used up).

Change: a slowdown of 8. Without the rule the test fails now.

--- a/tests/platform/test_queues_of_cold_servers.py
+++ b/tests/platform/test_queues_of_cold_servers.py
@@ -56,7 +56,7 @@
     async with sending_instance('a', 'b') as instance:
         instance.limit_cold_servers(COLD_PER_S)
         instance.make_cold('a', 5)
-        instance.slow_down('b', 3)
+        instance.slow_down('b', 8)
         requests = [instance.start_request(f'r{number}') for number in range(2)]
         await asyncio.sleep(0.01)
         assert _servers_used(instance) == ['a', 'b']
