Check for a stop of the process once for each request

Change: the check runs for each request, and before an admitted request is sent. A test of a process that resumes with requests.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/cold_servers.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/cold_servers.py
@@ -118,6 +118,7 @@
         self._confirmed_s = confirmed_s
         self._reviewed_s: float | None = None
         self._resumed_s: float = -inf
+        self._missed_entries = False
         self._period_by_holder: dict[Holder, _ColdPeriod] = {}
         self._logged: set[Holder] = set()
         self._response_by_holder: dict[Holder, _HealthResponse] = {}
@@ -126,7 +127,7 @@
     @property
     def known(self) -> bool:
         """Whether any server is cold, or may be."""
-        return bool(self._period_by_holder) or self.missed_entries()
+        return self._missed_entries or bool(self._period_by_holder)
 
     def observe_entry(self, server: Server) -> None:
         """Applies an entry that is newer than all others of the server."""
@@ -208,17 +209,17 @@
             period = self._period_by_holder.setdefault(holder, _ColdPeriod())
             period.unknown_s = self._now()
 
-    def missed_entries(self) -> bool:
-        """Whether this process was stopped, and knows no newer entries yet.
+    def check_pause(self) -> None:
+        """Notes whether this process was stopped and knows no newer entries.
 
-        Any server may have become cold meanwhile.
+        Any server may have become cold meanwhile. Called for each request and
+        not for each server, since a clock is read.
         """
-        now_s = self._now()
         if self._reviewed_s is None:
-            return False
-        if now_s - self._reviewed_s > _STOPPED_S:
-            return True
-        return (
+            return
+        now_s = self._now()
+        stopped = now_s - self._reviewed_s > _STOPPED_S
+        self._missed_entries = stopped or (
             now_s - self._resumed_s < _MAX_DELAY_S
             and self._confirmed_s() < self._resumed_s
         )
@@ -239,7 +240,7 @@
         """
         if service.cold_per_s is None:
             return None
-        if self.is_cold(holder, service) or self.missed_entries():
+        if self._missed_entries or self.is_cold(holder, service):
             return service.cold_per_s
         return None
 
@@ -305,10 +306,12 @@
 
     def _note_review(self) -> None:
         now_s = self._now()
-        if self.missed_entries() and now_s - self._resumed_s > _STOPPED_S:
+        reviewed_s = now_s if self._reviewed_s is None else self._reviewed_s
+        if now_s - reviewed_s > _STOPPED_S:
             self._resumed_s = now_s
             _log.info('servers may be cold after a pause of this process')
         self._reviewed_s = now_s
+        self.check_pause()
 
     def _observe_response(
         self, holder: Holder, warm_up_s: float, sent_s: float, *, asked_s: float
--- a/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/dispatch.py
@@ -112,6 +112,7 @@
     async def serve(self, request: RoutedRequest) -> Result:
         """Sends a request to its owner, or to any server of the service."""
         deadline_s = elapsed_s() + request.remaining_ms / _MS_PER_S
+        self._system_view.cold_servers.check_pause()
         if request.server_id is None:
             return await self._serve_at_any(request, deadline_s)
         server = self._system_view.servers.server_by_id.get(request.server_id)
@@ -548,6 +549,7 @@
             request: the request, for which a connection is open.
             was_cold: whether it was paced for a cold server.
         """
+        self._system_view.cold_servers.check_pause()
         cold_per_s = self._system_view.cold_per_s(server)
         if cold_per_s is not None and not was_cold:
             return _cold_limit_used(server, 1 / cold_per_s)
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -610,8 +610,8 @@
         Returns:
             None if it is not cold, or its service does not limit that.
         """
+        # Each choice among the servers of a service asks this for all of them.
         if not self.cold_servers.known:
-            # Each choice among the servers of a service asks this.
             return None
         service = self._service(server)
         if service is None or service.cold_per_s is None:
--- a/tests/edge/test_cold_servers.py
+++ b/tests/edge/test_cold_servers.py
@@ -51,7 +51,8 @@
 
     @property
     def cold(self) -> bool:
-        """Whether the server is limited."""
+        """Whether the server is limited for the next request."""
+        self.cold_servers.check_pause()
         return self.cold_servers.per_s(HOLDER, SERVICE) == 5
 
     def entry(self, left_s: float) -> None:
--- a/tests/platform/test_queues_of_cold_servers.py
+++ b/tests/platform/test_queues_of_cold_servers.py
@@ -131,6 +131,28 @@
         assert 10 <= instance.forwarder.forward.await_count <= 16
 
 
+@in_virtual_time
+async def test_a_process_that_resumes_paces_its_requests() -> None:
+    """Guards against a burst of requests from before the stop of a process.
+
+    Its housekeeping does not run, like that of a process that is stopped.
+    """
+    async with sending_instance('a', is_maintained=False) as instance:
+        instance.limit_cold_servers(COLD_PER_S)
+        instance.servers.work_s = 0.02
+        instance.dispatcher.maintain_queues()
+        await asyncio.sleep(3)
+        requests = [instance.start_request(f'r{number}') for number in range(9)]
+        await asyncio.sleep(0.5)
+        assert len(_servers_used(instance)) <= 2
+        # No newer entry is confirmed: the store is away.
+        for _ in range(7):
+            instance.dispatcher.maintain_queues()
+            await asyncio.sleep(0.2)
+        await asyncio.gather(*requests)
+        assert isinstance(await instance.start_request('later'), Served)
+
+
 @in_virtual_time
 async def test_services_without_the_limit_use_a_cold_server() -> None:
     """Guards against a change for deployments without ``cold_per_s``."""
