Measure how long refused requests were held, and when they may return

Change: histograms refusal_ms and retry_after_ms by code, and a counter of estimates that the leader published again.

Without the observation of refusals test_metrics_say_how_long fails.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/manager.py
@@ -316,7 +316,14 @@
         changes = self.table.pop_changes()
         if self._may_act():
             # An instance that no longer leads has a later leader's estimates.
-            changes += self._estimates.outdated(self.table.segments, now_s)
+            outdated = self._estimates.outdated(self.table.segments, now_s)
+            changes += outdated
+            if outdated:
+                self._metrics.count(
+                    'owner_estimates_changed',
+                    len(outdated),
+                    service=self.service,
+                )
         if not changes:
             return
         ranges = [
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -579,7 +579,13 @@
         retry_after_s = refused.retry_after_s
         if refused.outcome == Outcome.not_run and retry_after_s is None:
             retry_after_s = _DEFAULT_RETRY_AFTER_S
+        after_ms = _since_ms(request.message.arrived_s)
         self._metrics.count('refusals', route=name, code=code.name)
+        self._metrics.observe_ms('refusal', after_ms, code=code.name)
+        if retry_after_s is not None:
+            self._metrics.observe_ms(
+                'retry_after', retry_after_s * _MS_PER_S, code=code.name
+            )
         configuration = self._system_view.configuration
         _log.info(
             'request refused',
@@ -594,7 +600,7 @@
             owners_version=self._system_view.owners_version(service),
             arrivals=refused.attempts,
             retry_after_s=retry_after_s,
-            after_ms=_since_ms(request.message.arrived_s),
+            after_ms=after_ms,
             configuration=configuration.version if configuration else None,
         )
         return self._codec.refusal(request.request_id, code, retry_after_s)
--- a/tests/edge/test_owner_waits.py
+++ b/tests/edge/test_owner_waits.py
@@ -57,12 +57,13 @@
             's', SERVICE, ('s', 1), 'a', SLOTS, ServerState.ready, 1, 0
         )
         self.view.membership_version = (EPOCH, 1)
+        self.metrics = Metrics()
         self.router = RequestRouter(
             self.view,
             Mock(service_times=ServiceTimes()),
             Mock(),
             Mock(),
-            Metrics(),
+            self.metrics,
             Place('a', 'north', {'a': 'north'}),
             Mock(),
             Mock(),
@@ -201,6 +202,19 @@
     assert refused.retry_after_s == pytest.approx(1)
 
 
+@in_virtual_time
+async def test_metrics_say_how_long_refused_requests_were_held() -> None:
+    """Guards against waits in vain that no metric shows."""
+    instance = await _instance()
+    request = Mock(key=7, request_id='r')
+    request.message.arrived_s = elapsed_s() - 2
+    refused = Refused(ResultCode.slot_moving, 'no owner', 0.04)
+    instance.router._refuse(request, None, refused)
+    text = instance.metrics.text()
+    assert 'refusal_ms_sum{code="slot_moving"} 2000' in text
+    assert 'retry_after_ms_sum{code="slot_moving"} 40' in text
+
+
 @in_virtual_time
 async def test_returns_to_keys_without_an_owner_are_spread() -> None:
     """Guards against callers that all return when the owner is expected.
