Test the loss of links, and room given in the moment of a cancellation

Each rule of region_links.py, forwarding.py and dispatch.py was removed once by hand with tests/edge/test_region_links.py. Each of these fails a test: window, decrease, pause, increase, growth only when full, shorter pauses, once for each round, delays of small requests, wait and work not counted, target, priority, times reduced by the wait, spread returns, refusal of owners with its longest time and its priority, cancelled waits, end on exit, size, earlier attempts, deadline passed on the way, direct sends. Three did not fail at first: room given back by a cancelled wait, the test of the region, and the loss when no link is made. They fail with the tests added here, as do the losses of links and of direct sends.

--- a/tests/builders/shared_link.py
+++ b/tests/builders/shared_link.py
@@ -6,7 +6,10 @@
 from unittest.mock import Mock
 
 from yuccadale_core.codes import ResultCode
-from yuccadale_edge._internal.membership.links import PeerUnreachableError
+from yuccadale_edge._internal.membership.links import (
+    LinkLostError,
+    PeerUnreachableError,
+)
 from yuccadale_edge._internal.model import Place
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.routing.forwarding import (
@@ -62,6 +65,7 @@
         bits_per_s: its capacity.
         refuse: whether the queue of the owner is full.
         reachable: whether connections can be made.
+        lost: whether links are lost after a request was sent.
         worked_s: time of a request at its server.
         waited_s: time of a request in the queue of the owner.
         crossed: large bodies by the second in which they were sent.
@@ -71,6 +75,7 @@
     bits_per_s: float = 30e6
     refuse: bool = False
     reachable: bool = True
+    lost: bool = False
     worked_s: float = 0.26
     waited_s: float = 0
     crossed: list[float] = field(default_factory=list)
@@ -88,6 +93,8 @@
         self, _address: object, _topic: str, body: bytes, *_: object
     ) -> Result:
         """Replaces ``PeerLinks.request``."""
+        if self.lost:
+            raise LinkLostError('closed')
         if not self.reachable:
             await asyncio.sleep(0.4)
             raise PeerUnreachableError('no connection within 0.4 s')
--- a/tests/edge/test_region_links.py
+++ b/tests/edge/test_region_links.py
@@ -74,7 +74,7 @@
     """Guards against uploads that fill the link between regions.
 
     Load: 195 uploads of 60 kB a second for 6 s cross, half of them each way,
-    over 30 Mbit/s. Without a window, small requests took 3 s at its end and
+    over 30 Mbit/s. Without a window, small requests took up to 3.9 s and
     connections timed out after 0.4 s.
     """
     link = SharedLink()
@@ -247,6 +247,7 @@
                 assert isinstance(await instance.forward(small), Served)
                 near = await instance.forward(upload(), 'b')
                 assert isinstance(near, Served)
+                assert 'north' not in instance.metrics.text()
 
     in_virtual_time(scenario)()
 
@@ -319,6 +320,49 @@
         assert crossing.delay_s == delay_s
 
 
+@pytest.mark.parametrize('failure', ['unreachable', 'lost'])
+def test_a_lost_link_counts_as_a_long_delay(failure: str) -> None:
+    """Guards against a full link that is not noticed, as nothing returns."""
+
+    async def scenario() -> None:
+        link = SharedLink(
+            reachable=failure != 'unreachable', lost=failure == 'lost'
+        )
+        instance = ForwardingInstance(link)
+        await instance.forward(upload())
+        text = instance.metrics.text()
+        assert 'yuccadale_region_window{region="south"} 1.0' in text
+
+    in_virtual_time(scenario)()
+
+
+def test_a_body_lost_on_its_way_to_a_server_counts_as_a_long_delay() -> None:
+    """Guards against own sends that fill the link unnoticed."""
+    for code, delay_s in (
+        (ResultCode.answer_lost, inf),
+        (ResultCode.server_unreachable, inf),
+        (ResultCode.queue_full, None),
+    ):
+        crossing = Crossing(_Clock())
+        crossing.observe_sent(Refused(code, ''))
+        assert crossing.delay_s == delay_s
+
+
+@in_virtual_time
+async def test_a_caller_that_leaves_as_it_gets_room_gives_it_back() -> None:
+    """Guards against room given to a task that is cancelled in that moment."""
+    instance = ForwardingInstance(SharedLink())
+    holds_room = asyncio.create_task(_cross(instance, 'ends', 9, 2))
+    async with instance.links.crossing(upload(), 'c'):
+        waits = asyncio.create_task(_cross(instance, 'ends', 9, 2))
+        await asyncio.sleep(0.1)
+    waits.cancel()
+    await asyncio.gather(waits, return_exceptions=True)
+    window = instance.links._link_by_region['south'].window
+    assert window.on_way == 1
+    holds_room.cancel()
+
+
 class _Clock:
     """A clock that the test sets."""
 
