Give the service of the load tests no limit for cold servers

Cause: the test's service was a mock whose limit was compared with a number after the merge with the limit for cold servers (TypeError). Change: it declares none, as the services that the tests describe.

--- a/tests/builders/loaded_servers.py
+++ b/tests/builders/loaded_servers.py
@@ -121,7 +121,7 @@
                 1,
                 0,
             )
-        service = Mock(health_path='/healthz')
+        service = Mock(health_path='/healthz', cold_per_s=None)
         view.configuration = Mock(service_by_name={SERVICE: service})
         self.dispatcher = Dispatcher(
             view,
