Drop the credits of a route's services when its weights change

Cause: the credits of the weighted round-robin were kept while the names of the services stayed the same, whatever the scale of the new weights. Credits that were earned with weights of 50 outlast many requests with weights of 1. Class: state that is derived from a configuration and outlives it.

Change: credits belong to the weights by which they were earned.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import structlog
 
@@ -77,37 +78,48 @@
 _MAX_FORWARDED_BODY_BYTES = 1024 * 1024
 
 
+class _Credits(NamedTuple):
+    """The credits of a route's services.
+
+    Attributes:
+        earned_by: the weights by which they were earned.
+        by_service: the credits.
+    """
+
+    earned_by: tuple[WeightedService, ...]
+    by_service: dict[str, float]
+
+
 class WeightedRoundRobin:
     """Smooth weighted round-robin over the services of each route."""
 
     def __init__(self) -> None:
-        self._credit_by_route: dict[str, dict[str, float]] = {}
+        self._credits_by_route: dict[str, _Credits] = {}
 
     def pick(self, route: Route) -> str:
         """Returns the service that gets the next request of a route."""
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
-        credits = self._credit_by_route.get(route.name)
-        names = {weighted.service for weighted in route.weighted_services}
-        if credits is None or credits.keys() != names:
+        credits = self._credits_by_route.get(route.name)
+        if credits is None or credits.earned_by != route.weighted_services:
             credits = _random_credits(route.weighted_services)
-            self._credit_by_route[route.name] = credits
+            self._credits_by_route[route.name] = credits
+        by_service = credits.by_service
         total = sum(weighted.weight for weighted in route.weighted_services)
         for weighted in route.weighted_services:
-            credits[weighted.service] += weighted.weight
-        chosen = max(credits, key=credits.__getitem__)
-        credits[chosen] -= total
+            by_service[weighted.service] += weighted.weight
+        chosen = max(by_service, key=by_service.__getitem__)
+        by_service[chosen] -= total
         return chosen
 
 
-def _random_credits(
-    weighted_services: tuple[WeightedService, ...],
-) -> dict[str, float]:
+def _random_credits(weighted_services: tuple[WeightedService, ...]) -> _Credits:
     # With equal credits all instances would start with the same service.
-    return {
+    by_service = {
         weighted.service: random.random() * weighted.weight
         for weighted in weighted_services
     }
+    return _Credits(weighted_services, by_service)
 
 
 def find_route(
