--- a/tests/builders/configuration_world.py
+++ b/tests/builders/configuration_world.py
@@ -7,12 +7,17 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Collection, Iterator, Mapping
 from dataclasses import dataclass, field
+from math import inf
 from types import MappingProxyType, SimpleNamespace
 from typing import Any
 
+import msgspec
+
 from tests.builders.leadership_world import StoredRows
+from tests.builders.server_rows import decode_row
 from yuccadale_core.codes import ResultCode
 from yuccadale_edge._internal.clock import elapsed_s
 from yuccadale_edge._internal.membership.broadcaster import Broadcaster
@@ -53,6 +58,7 @@
 )
 from yuccadale_edge._internal.system_view import (
     CONFIGURATION_TABLE,
+    SERVER_TABLE,
     SOURCE_TABLES,
     InvalidRowError,
     SystemView,
@@ -74,6 +80,15 @@
 # A write without an answer may be applied up to this much later.
 _MAX_WRITE_DELAY_S = 4.0
 _LATE_WRITE_SHARE = 0.3
+# Fields of an entry besides those that the decoder of the tests reads.
+_ENTRY = MappingProxyType(
+    {
+        'address': '10.4.65.210:8665',
+        'info': {'service': 'ledger', 'zone': 'a', 'slots': 3},
+        'status': {'state': 'ready', 'slow_start_time': '3s', 'load': 0.25},
+        'labels': {'release': 'r-2026-12', 'pool': 'general', 'class': 'm'},
+    }
+)
 # Configurations that no instance may take.
 _INVALID_CONTENTS = (b'', b'12x', b'\xff')
 
@@ -143,6 +158,40 @@
         )
 
 
+@dataclass
+class SimulatedLinks:
+    """The network links of the instances, each way on its own.
+
+    What an instance sends, to whomever, leaves in order, and so does what it
+    receives arrive.
+
+    Attributes:
+        bytes_per_s_by_name: the rates; links that are not named are fast.
+        sent_bytes_by_name: what each instance has sent to the others.
+    """
+
+    bytes_per_s_by_name: dict[str, float] = field(default_factory=dict)
+    sent_bytes_by_name: Counter[str] = field(default_factory=Counter)
+    _free_s_by_way: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    async def send(self, name: str, size: int) -> None:
+        """Waits until bytes have left an instance."""
+        await self._pass(('out', name), name, size)
+
+    async def receive(self, name: str, size: int) -> None:
+        """Waits until bytes have reached an instance."""
+        await self._pass(('in', name), name, size)
+
+    async def _pass(self, way: tuple[str, str], name: str, size: int) -> None:
+        rate = self.bytes_per_s_by_name.get(name, inf)
+        if rate == inf:
+            return
+        now_s = elapsed_s()
+        free_s = max(self._free_s_by_way.get(way, 0), now_s) + size / rate
+        self._free_s_by_way[way] = free_s
+        await asyncio.sleep(free_s - now_s)
+
+
 class _Store:
     """The store as one instance reaches it."""
 
@@ -150,13 +199,15 @@
         self._world = world
         self._name = name
 
-    async def read(self, table: str, _wait_s: float = 0) -> Rows:
+    async def read(
+        self, table: str, timeout_s: float = _READ_TIMEOUT_S
+    ) -> Rows:
         """Reads a table."""
         await self._reach_store()
         tables = self._world.tables
         rows = Rows(tables.after(table, -1), tables.version)
         await self._reach_store()
-        return rows
+        return await self._receive(rows, timeout_s)
 
     async def changes(self, table: str, after: int, wait_s: float) -> Rows:
         """Waits for changes."""
@@ -174,7 +225,7 @@
                 break
         rows = Rows(tables.after(table, after), tables.version)
         await self._reach_store()
-        return rows
+        return await self._receive(rows, _READ_TIMEOUT_S)
 
     async def write(
         self, table: str, puts: Mapping[str, bytes], expected: Mapping[str, int]
@@ -195,6 +246,16 @@
         await self._reach_store()
         return world.tables.write(table, puts, expected)
 
+    async def _receive(self, rows: Rows, timeout_s: float) -> Rows:
+        # The store sends the content of rows as base64.
+        size = sum(len(row.content) * 4 // 3 for row in rows.rows)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._world.links.receive(self._name, size)
+        except TimeoutError as error:
+            raise StoreUnavailableError('the answer is late') from error
+        return rows
+
     async def _reach_store(self) -> None:
         world = self._world
         await asyncio.sleep(
@@ -227,7 +288,9 @@
         peer = await self._reach_peer(address)
         try:
             async with asyncio.timeout(timeout_s):
+                await self._world.transfer(self._name, peer.name, len(body))
                 answer = await peer.cluster.handle_request(topic, body)
+                await self._world.transfer(peer.name, self._name, len(answer))
         except TimeoutError as error:
             raise LinkLostError('no response') from error
         if peer is not await self._reach_peer(address):
@@ -243,6 +306,7 @@
             return False
         if world.random.random() < world.late_share:
             await asyncio.sleep(world.random.random())
+        await world.transfer(self._name, peer.name, len(body))
         peer.cluster.handle_message(topic, body)
         return True
 
@@ -261,6 +325,7 @@
     """One incarnation of an instance."""
 
     def __init__(self, world: 'ConfigurationWorld', name: str) -> None:
+        self.name = name
         self.settings = world.settings_by_name[name]
         self.started_s = elapsed_s()
         self.latest_version = 0
@@ -269,7 +334,7 @@
         store = _Store(world, name)
         self.system_view = SystemView(
             _decode_configuration,
-            lambda *_: None,  # type: ignore[arg-type, return-value]
+            decode_row,
             self.settings.bounds.max_source_age_s,
         )
         metrics = Metrics()
@@ -360,6 +425,7 @@
         late_share: share of the messages that arrive up to 1 s late.
         cut_off: names of the instances that reach neither the store nor
             another instance.
+        links: the links of the instances.
         problems: what the check found.
     """
 
@@ -372,6 +438,7 @@
         self.store_delay_s: float = 0
         self.cut_off: set[str] = set()
         self.late_share: float = 0
+        self.links = SimulatedLinks()
         self.instance_by_name: dict[str, FollowingInstance] = {}
         self.problems: list[str] = []
         self.settings_by_name = {
@@ -416,6 +483,19 @@
                     return _REGION_DELAY_S
         return _NEIGHBOUR_DELAY_S * (1 + self.random.random())
 
+    async def transfer(self, sender: str, receiver: str, size: int) -> None:
+        """Waits until a message between two instances has arrived."""
+        self.links.sent_bytes_by_name[sender] += size
+        await self.links.send(sender, size)
+        await self.links.receive(receiver, size)
+
+    def write_servers(self, first: int, last: int) -> None:
+        """Registers servers, each with an entry of the usual size."""
+        for number in range(first, last):
+            entry = {'incarnation': 1_700_000_000_000 + number, **_ENTRY}
+            content = msgspec.json.encode(entry)
+            self.tables.write(SERVER_TABLE, {f'i-{number:010x}': content}, {})
+
     def write_configuration(self) -> None:
         """Writes the next configuration, as an operator does."""
         version = len(self._acknowledged)
