Count the time of connecting to a sender against the deadline

Cause: a request was encoded with the time that it had before the link to its sender was opened. Opening one takes up to 1.3 s, for each sender that is tried, and was not bounded by the deadline.

Change: the link is opened first, within the deadline, and the times are reduced by what it took, also before the next sender is tried.

Evidence: both tests of test_forward_deadlines.py fail without the change: the sender is told 6000 ms instead of 5200 ms, and a request with 500 ms left is served after 2 s.

--- a/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/forwarding.py
@@ -1,5 +1,6 @@
 """Forwards requests to the instances that send to servers."""
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -200,6 +201,25 @@
         sender: Instance,
         request: RoutedRequest,
         crossing: Crossing | None,
+    ) -> Result | None:
+        try:
+            await self._connect(sender, request)
+        except PeerUnreachableError as error:
+            _note_loss(crossing)
+            self._mark_suspected(sender, str(error))
+            return None
+        except TimeoutError:
+            return Refused(
+                ResultCode.deadline_passed,
+                f'the deadline passed while {sender.name} was connected',
+            )
+        return await self._send(sender, request, crossing)
+
+    async def _send(
+        self,
+        sender: Instance,
+        request: RoutedRequest,
+        crossing: Crossing | None,
     ) -> Result | None:
         request.forwards += 1
         try:
@@ -238,6 +258,20 @@
             return None
         return result
 
+    async def _connect(self, sender: Instance, request: RoutedRequest) -> None:
+        """Opens the link to a sender; reduces the times by what that takes.
+
+        Raises:
+            PeerUnreachableError: no link could be opened.
+            TimeoutError: the deadline has passed.
+        """
+        begun_s = elapsed_s()
+        try:
+            async with asyncio.timeout(request.remaining_ms / _MS_PER_S):
+                await self._links.connect(sender.address)
+        finally:
+            _reduce_times(request, begun_s)
+
     def _observe_small(
         self, sender: Instance, took_s: float, result: Result | None
     ) -> None:
@@ -283,6 +317,13 @@
         )
 
 
+def _reduce_times(request: RoutedRequest, since_s: float) -> None:
+    """Reduces the times of a request by what has passed."""
+    took_ms = (elapsed_s() - since_s) * _MS_PER_S
+    request.remaining_ms -= took_ms
+    request.until_target_ms -= took_ms
+
+
 def _is_stopping(result: Result) -> bool:
     """Whether the sender refused a request since its process ends."""
     return (
--- a/tests/builders/limit_world.py
+++ b/tests/builders/limit_world.py
@@ -303,6 +303,9 @@
         self._node = node
         self._late: set[asyncio.Task[None]] = set()
 
+    async def connect(self, _address: Address) -> None:
+        """Does nothing: links are opened by the first request."""
+
     async def request(
         self,
         address: Address,
--- a/tests/builders/shared_link.py
+++ b/tests/builders/shared_link.py
@@ -68,6 +68,8 @@
         lost: whether links are lost after a request was sent.
         worked_s: time of a request at its server.
         waited_s: time of a request in the queue of the owner.
+        connect_s: time until the link is open.
+        remaining_ms: of the requests that were sent.
         crossed: large bodies by the second in which they were sent.
         delays_s: of small requests.
     """
@@ -78,6 +80,8 @@
     lost: bool = False
     worked_s: float = 0.26
     waited_s: float = 0
+    connect_s: float = 0
+    remaining_ms: list[float] = field(default_factory=list)
     crossed: list[float] = field(default_factory=list)
     delays_s: list[float] = field(default_factory=list)
     _free_s: float = 0
@@ -89,10 +93,15 @@
         await asyncio.sleep(self._free_s - sent_s + _ONE_WAY_S)
         return now_s() - sent_s
 
+    async def connect(self, _address: object) -> None:
+        """Replaces ``PeerLinks.connect``."""
+        await asyncio.sleep(self.connect_s)
+
     async def request(
         self, _address: object, _topic: str, body: bytes, *_: object
     ) -> Result:
         """Replaces ``PeerLinks.request``."""
+        self.remaining_ms.append(decode_request(body).remaining_ms)
         if self.lost:
             raise LinkLostError('closed')
         if not self.reachable:
