Check forwarded requests against a later configuration

Cause: the service of a request is chosen where it is taken and was not looked at again. Class: a decision that travels without the version by which it was made.

Change: forwarded requests name the version. A forward from an instance with a later one makes the receiver fetch it. An instance that knows of a later configuration refuses requests once its own is older than the bound; in an outage of the store nobody knows a later one, and known routes go on.

--- a/packages/edge/src/yuccadale_edge/_internal/model.py
+++ b/packages/edge/src/yuccadale_edge/_internal/model.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
+from itertools import chain
 
 from yuccadale_edge._internal.transport.client_pool import Address
 
@@ -45,6 +46,13 @@
     priority: int
     regions: tuple[str, ...] = ()
 
+    def sends_to(self, service: str) -> bool:
+        """Whether a service gets some of its requests."""
+        return any(
+            weighted.service == service and weighted.weight > 0
+            for weighted in self.weighted_services
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
@@ -96,6 +104,15 @@
                 return route
         return None
 
+    def allows(self, route_name: str, service: str) -> bool:
+        """Whether a route sends requests to a service."""
+        routes = chain.from_iterable(self.routes_by_host.values())
+        return any(
+            route.sends_to(service)
+            for route in routes
+            if route.name == route_name
+        )
+
 
 class ServerState(StrEnum):
     """The state that a server reports."""
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -128,13 +128,21 @@
     """Returns the configuration in force and the route of a request.
 
     An unknown route is refused as such only while the configuration is known
-    to be the newest; a newer one may have the route.
+    to be the newest; a newer one may have the route. Known routes are used in
+    an outage of the store, but not if another instance has a later
+    configuration that should be in force here.
     """
     configuration = system_view.configuration
     if configuration is None:
         return Refused(
             ResultCode.no_declaration, 'no configuration loaded yet', 1.0
         )
+    if system_view.misses_configuration():
+        return Refused(
+            ResultCode.declaration_outdated,
+            'another instance has a later configuration',
+            _CONFIRMATION_RETRY_S,
+        )
     route = configuration.route_for(host, path)
     if route is not None:
         return configuration, route
@@ -209,6 +217,9 @@
                     'the deadline passed before the request arrived',
                 )
             )
+        outdated = self._refuse_outdated(routed)
+        if outdated is not None:
+            return encode_message(outdated)
         routed.until_target_ms -= (now_s - due_s) * _MS_PER_S
         deadline_s = self._stop_guard.bounded_deadline_s(asked_until_s)
         if isinstance(deadline_s, Refused):
@@ -216,13 +227,73 @@
         routed.remaining_ms = (deadline_s - now_s) * _MS_PER_S
         return encode_message(await self._dispatcher.serve(routed))
 
+    def _refuse_outdated(self, routed: RoutedRequest) -> Refused | None:
+        """Refuses a request that a later configuration does not allow."""
+        configuration = self._system_view.configuration
+        if configuration is None or not routed.configuration:
+            return None
+        if configuration.version < routed.configuration:
+            self._system_view.announce_configuration()
+        if configuration.version <= routed.configuration:
+            return None
+        if configuration.allows(routed.route, routed.service):
+            return None
+        self._metrics.count('outdated_forwards')
+        return Refused(
+            ResultCode.declaration_outdated,
+            f'routed by version {routed.configuration}, version '
+            f'{configuration.version} does not allow that',
+            _CONFIRMATION_RETRY_S,
+        )
+
     async def _answer(self, request: CallerRequest) -> Reply:
-        message = request.message
         await self._wait_for_configuration(request)
         found = find_route(self._system_view, request.host, request.path)
         if isinstance(found, Refused):
             return self._refuse(request, None, found)
-        configuration, route = found
+        reply = await self._answer_on_route(request, *found, may_wait=True)
+        if reply is not None:
+            return reply
+        # Another instance has a later configuration.
+        found = await self._find_later_route(request, found[0])
+        if isinstance(found, Refused):
+            return self._refuse(request, None, found)
+        reply = await self._answer_on_route(request, *found, may_wait=False)
+        assert reply is not None
+        return reply
+
+    async def _find_later_route(
+        self, request: CallerRequest, known: Configuration
+    ) -> tuple[Configuration, Route] | Refused:
+        """Waits for a later configuration for a short time."""
+        self._system_view.announce_configuration()
+        until_s = elapsed_s() + _CONFIRMATION_RETRY_S
+        while self._system_view.configuration is known:
+            left_s = until_s - elapsed_s()
+            if left_s <= 0:
+                return Refused(
+                    ResultCode.declaration_outdated,
+                    'another instance has a later configuration',
+                    _CONFIRMATION_RETRY_S,
+                )
+            await self._system_view.wait_for_change(left_s)
+        return find_route(self._system_view, request.host, request.path)
+
+    async def _answer_on_route(
+        self,
+        request: CallerRequest,
+        configuration: Configuration,
+        route: Route,
+        *,
+        may_wait: bool,
+    ) -> Reply | None:
+        """Answers a request by a configuration.
+
+        Returns:
+            None if a later configuration is required and may be waited for;
+            the request was not sent to a server.
+        """
+        message = request.message
         service = self._round_robin.pick(route)
         try:
             result = await self._route_until_end(
@@ -238,6 +309,8 @@
             )
             raise
         if isinstance(result, Refused):
+            if may_wait and _requires_later_configuration(result):
+                return None
             return self._refuse(request, route, result, service)
         took_ms = _since_ms(message.arrived_s)
         self._answer_times.record(route.name, took_ms / _MS_PER_S)
@@ -316,6 +389,7 @@
                 ResultCode.service_unknown, 'the service is not declared'
             )
         routed = self._routed_request(request, route, service.name, arrived_s)
+        routed.configuration = configuration.version
         if not service.keyed:
             routed.key = None
             return await self._send_with_retries(
@@ -651,6 +725,12 @@
     return later
 
 
+def _requires_later_configuration(refused: Refused) -> bool:
+    return (
+        refused.code == ResultCode.declaration_outdated and not refused.attempts
+    )
+
+
 def _is_link_lost(result: Result) -> bool:
     return isinstance(result, Refused) and result.code == ResultCode.link_lost
 
--- a/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/requests.py
@@ -31,6 +31,8 @@
             earlier version.
         sending_id: under which the entry instance counts its attempts.
         regions: that may serve it and get its body; all if empty.
+        configuration: version by which its service was chosen; 0 if the entry
+            instance runs an earlier version.
     """
 
     request_id: str
@@ -53,6 +55,7 @@
     entry: str = ''
     sending_id: int = 0
     regions: tuple[str, ...] = ()
+    configuration: int = 0
 
 
 class Refused(msgspec.Struct, array_like=True, tag=True):
