Send rows of servers in pages, and broadcasts within a share of the link

Cause: rows of servers were pushed without regard to what had arrived. Whole tables (0.8 MB) went to each instance in responses that a link of 5 Mbit/s cannot carry within the 0.7 s of a report, and were sent again with the next report; broadcasts and standbys sent the same rows once more. A configuration, its confirmation and the reports waited behind them. Owners of keys grew in the same way: beyond 400 missed changes each response had all of them. Class: retransmission without flow control, and small urgent messages behind large ones.

Who misses more learns that from the ages in responses, and fetches pages, one at a time, from peers of its region; standbys ask the leader too. Owners carry the number of the change that set them, so that what an instance misses is sent once per range, in parts. Broadcasts use 0.4 of the leader's link; what exceeds that waits and is merged. The operators' rows never wait. A wait for changes that would outlast the age limit is shortened. Metrics show bytes by topic, bytes that wait, and missing rows.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -159,7 +159,7 @@
         loop = asyncio.get_running_loop()
         self._held = HeldBytes(memory_bytes * _HELD_SHARE)
         self._pool = ClientPool(loop, self._held)
-        self._links = PeerLinks(self._held)
+        self._links = PeerLinks(self._held, self._metrics)
         self._system_view = SystemView(
             adapter.decode_configuration,
             adapter.decode_server,
@@ -311,6 +311,7 @@
             stack.callback(self._links.close)
             tasks = [
                 ('membership', self._cluster.run),
+                ('missing rows', self._cluster.fetch_rows),
                 ('limits of servers', self._cluster.exchange_limits),
                 ('cold servers', self._cluster.exchange_cold),
                 ('servers that leave', self._cluster.exchange_leaving),
@@ -424,6 +425,10 @@
             self._report_listeners()
             self._metrics.gauge('held_forward_bytes', self._forwarded.size)
             self._metrics.gauge('held_bytes', self._held.size)
+            self._metrics.gauge(
+                'unsent_peer_bytes',
+                self._links.unsent_bytes() + self._peers.unsent_bytes(),
+            )
             self._metrics.gauge('given_up_bodies', self._held.given_up)
             self._dispatcher.maintain_queues()
             servers = self._system_view.servers
--- a/packages/edge/src/yuccadale_edge/_internal/membership/broadcaster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/broadcaster.py
@@ -78,6 +78,14 @@
                 self._send_to_region(members, body, topic, relay_topic)
             )
 
+    def receivers(self) -> int:
+        """Returns to how many instances ``broadcast`` sends by itself."""
+        other_regions = {
+            self._place.region_by_data_centre.get(one.data_centre, '')
+            for one in self.peers()
+        } - {self._place.region}
+        return len(self.region_peers()) + len(other_regions)
+
     def broadcast_in_region(self, topic: str, body: bytes) -> None:
         """Sends a message to the other instances of this region."""
         for instance in self.region_peers():
--- a/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/cluster.py
@@ -30,6 +30,7 @@
     RECORD_COPY_TOPIC,
     RELAY_TOPIC,
     REPORT_TOPIC,
+    ROWS_REQUEST_TOPIC,
     ROWS_TOPIC,
     UNCONFIRMED_GRANTS_TOPIC,
     VOTE_TOPIC,
@@ -80,8 +81,15 @@
         reporter = Reporter(self._roster_entry, system_view, dispatcher)
         self.record_key_work = reporter.record_key_work
         self._member = Member(
-            settings, system_view, leadership, links, broadcaster, reporter
+            settings,
+            system_view,
+            leadership,
+            links,
+            broadcaster,
+            reporter,
+            metrics,
         )
+        self.fetch_rows = self._member.fetch_rows
         self._leader = Leader(
             settings,
             system_view,
@@ -193,6 +201,8 @@
             return await self._electorate.handle_promise_request(body)
         if topic == VOTE_TOPIC:
             return self._electorate.handle_vote_request(body)
+        if topic == ROWS_REQUEST_TOPIC:
+            return self._leader.handle_rows_request(body)
         if topic == RECORD_COPY_TOPIC:
             return self._electorate.handle_copy_request(body)
         _log.warning('request of a peer has an unknown topic', topic=topic)
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -27,12 +27,17 @@
     SourceRows,
     UnconfirmedGrants,
     Version,
-    encode_source_row,
     instance_of,
 )
 from yuccadale_edge._internal.membership.reports import Reporter
+from yuccadale_edge._internal.membership.source_pages import (
+    PAGE_BYTES,
+    SourcePages,
+    size_of,
+)
 from yuccadale_edge._internal.membership.source_reader import StoreContact
 from yuccadale_edge._internal.membership.succession import Succession
+from yuccadale_edge._internal.membership.update_budget import UpdateBudget
 from yuccadale_edge._internal.model import Settings
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.call_runner import ServerCalls
@@ -69,7 +74,14 @@
 # An instance without a report for this long is removed from the roster, so
 # that no requests are forwarded to it.
 _MEMBER_TIMEOUT_S = 1.3
-_MAX_OWNER_CHANGES = 400
+# Ranges of keys in one message.
+_MAX_OWNER_RANGES = 300
+# Interval at which delayed broadcasts are sent.
+_BROADCAST_INTERVAL_S = 0.05
+# More rows than this are not added to a response: their receiver fetches them.
+_MAX_ROWS_BYTES = 8 * 1024
+# Changes that were made before the first one of a leader.
+_FIRST_SEQUENCE = 1
 _MAX_RECENT_BROADCASTS = 64
 # After a resignation another instance leads within this time, or the grants
 # that servers may still apply have expired.
@@ -83,7 +95,6 @@
 _decode_report = msgspec.msgpack.Decoder(Report).decode
 _decode_unconfirmed_grants = msgspec.msgpack.Decoder(UnconfirmedGrants).decode
 
-_OwnerChange = tuple[int, list[OwnedRange]]
 # The version of broadcast rows, and when they were broadcast.
 _Broadcast = tuple[int, float]
 
@@ -109,6 +120,8 @@
         planning_rate_by_holder: PlanningRates,
     ) -> None:
         self.draining = False
+        self._pages = SourcePages(system_view)
+        self.handle_rows_request = self._pages.answer
         self._settings = settings
         self._system_view = system_view
         self._leadership = leadership
@@ -130,12 +143,18 @@
         self._early_report_by_service: dict[str, UnconfirmedGrants] = {}
         self._roster_sequence = 0
         self._roster_changed = False
-        self._owner_changes_by_service: dict[str, deque[_OwnerChange]] = {}
         self._owner_sequence_by_service: dict[str, int] = {}
+        # Up to which changes were broadcast.
+        self._sent_sequence_by_service: dict[str, int] = {}
+        # Rows whose broadcast waits, and whether removals have a grace period.
+        self._unsent_after_by_table: dict[str, int] = {}
+        self._removal_grace = False
+        self._budget = UpdateBudget(settings.machine.link_mbps, elapsed_s)
 
     def reconfigure(self, settings: Settings) -> None:
         """Applies changed settings; addresses need a restart."""
         self._settings = settings
+        self._budget = UpdateBudget(settings.machine.link_mbps, elapsed_s)
 
     async def try_to_hand_over(self) -> None:
         """Hands the role over; keeps it if the store is unavailable."""
@@ -215,14 +234,21 @@
         )
 
     def broadcast_rows(self, source: SourceRows) -> None:
-        """Broadcasts rows that this instance read from the store."""
-        broadcasts = self._broadcasts_by_table.setdefault(
-            source.table, deque(maxlen=_MAX_RECENT_BROADCASTS)
-        )
-        broadcasts.append((source.version, elapsed_s()))
-        update = self._new_update()
-        update.sources = [source]
-        self._broadcast(update)
+        """Broadcasts rows that this instance read from the store.
+
+        The operators' rows are never delayed. Others wait while broadcasts use
+        their share of the link, and are then sent in pages.
+        """
+        table = source.table
+        if table == SERVER_TABLE:
+            large = size_of(source.rows) > PAGE_BYTES
+            waiting = table in self._unsent_after_by_table
+            if large or waiting or self._budget.exhausted:
+                self._metrics.count('delayed_broadcasts', table=table)
+                self._unsent_after_by_table.setdefault(table, source.after)
+                self._removal_grace |= source.removal_grace
+                return
+        self._send_rows(source)
 
     async def lead(self) -> None:
         """Runs the leader's tasks until another instance leads."""
@@ -253,8 +279,9 @@
         assumed_report_s = elapsed_s() + _MEMBER_TIMEOUT_S
         for name in self._system_view.instance_by_name:
             self._last_report_s_by_member.setdefault(name, assumed_report_s)
-        self._owner_changes_by_service = {}
         self._owner_sequence_by_service = {}
+        self._sent_sequence_by_service = {}
+        self._unsent_after_by_table = {}
         self._broadcasts_by_table = {}
         self._rows_sent_s_by_member = {}
         self._update_roster(force=True)
@@ -265,6 +292,7 @@
                 self._start(group, 'roster', self._maintain_roster),
                 self._start(group, 'services', self._run_managers),
                 self._start(group, 'hand-over', self._hand_over_when_due),
+                self._start(group, 'broadcasts', self._send_delayed),
             ]
             await renewal
             for task in tasks:
@@ -375,6 +403,7 @@
 
     def _create_manager(self, service: str) -> OwnershipManager:
         leadership = self._leadership
+        self._system_view.owners(service).restart_sequence(_FIRST_SEQUENCE)
         manager = OwnershipManager(
             service,
             leadership.epoch,
@@ -431,26 +460,69 @@
             return record
 
     def _publish_owners(self, service: str, ranges: list[OwnedRange]) -> None:
-        epoch = self._leadership.epoch
-        sequence = self._owner_sequence_by_service.get(service, 0)
-        self._owner_sequence_by_service[service] = sequence + 1
-        changes = self._owner_changes_by_service.setdefault(
-            service, deque(maxlen=_MAX_OWNER_CHANGES)
-        )
-        changes.append((sequence + 1, ranges))
         known = self._system_view.owners(service)
+        sequence = self._owner_sequence_by_service.get(service, _FIRST_SEQUENCE)
         now_s = elapsed_s()
-        for changed in ranges:
-            known.assign(
-                changed.first, changed.last, decode_owner(changed, now_s)
-            )
-        known.version = (epoch, sequence + 1)
+        for begin in range(0, len(ranges), _MAX_OWNER_RANGES):
+            sequence += 1
+            for changed in ranges[begin : begin + _MAX_OWNER_RANGES]:
+                known.assign(
+                    changed.first,
+                    changed.last,
+                    decode_owner(changed, now_s),
+                    sequence,
+                )
+        self._owner_sequence_by_service[service] = sequence
+        known.version = (self._leadership.epoch, sequence)
         self._system_view.wake()
-        after = (epoch, sequence) if sequence else None
+        self._send_owners(service)
+
+    async def _send_delayed(self) -> None:
+        """Sends broadcasts that had to wait, until cancelled."""
+        while True:
+            await asyncio.sleep(_BROADCAST_INTERVAL_S)
+            for table in list(self._unsent_after_by_table):
+                self._send_delayed_rows(table)
+            for service in self._owner_sequence_by_service:
+                self._send_owners(service)
+
+    def _send_delayed_rows(self, table: str) -> None:
+        version = self._system_view.status_by_table[table].version
+        after = self._unsent_after_by_table[table]
+        while after < version and not self._budget.exhausted:
+            page = self._pages.page(table, after)
+            page.removal_grace = self._removal_grace
+            self._send_rows(page)
+            after = page.version
+        self._unsent_after_by_table[table] = after
+        if after >= version:
+            self._unsent_after_by_table.pop(table)
+            self._removal_grace = False
+
+    def _send_rows(self, source: SourceRows) -> None:
+        broadcasts = self._broadcasts_by_table.setdefault(
+            source.table, deque(maxlen=_MAX_RECENT_BROADCASTS)
+        )
+        broadcasts.append((source.version, elapsed_s()))
         update = self._new_update()
-        update.owners = [OwnersUpdate(service, after, known.version, ranges)]
+        update.sources = [source]
         self._broadcast(update)
 
+    def _send_owners(self, service: str) -> None:
+        """Broadcasts changes of owners that were not broadcast yet.
+
+        Several changes of the same keys that had to wait are sent as one.
+        """
+        sequence = self._owner_sequence_by_service[service]
+        sent = self._sent_sequence_by_service.get(service, 0)
+        while sent < sequence and not self._budget.exhausted:
+            update = self._new_update()
+            page = self._owners_page(service, sent)
+            update.owners = [page]
+            self._broadcast(update)
+            sent = page.version[1]
+        self._sent_sequence_by_service[service] = sent
+
     def _apply_report(self, report: Report) -> None:
         name = report.entry.instance
         now_s = elapsed_s()
@@ -532,7 +604,20 @@
         )
 
     def _broadcast(self, update: LeaderUpdate) -> None:
-        self._broadcaster.broadcast(_encode(update))
+        self._count_contents(update)
+        body = _encode(update)
+        self._budget.spend(len(body) * self._broadcaster.receivers())
+        self._broadcaster.broadcast(body)
+
+    def _count_contents(self, update: LeaderUpdate) -> None:
+        for source in update.sources:
+            self._metrics.count(
+                'sent_rows', len(source.rows), table=source.table
+            )
+        for owners in update.owners:
+            self._metrics.count(
+                'sent_owner_ranges', len(owners.ranges), service=owners.service
+            )
 
     def _update_for(self, report: Report) -> LeaderUpdate:
         update = self._new_update()
@@ -543,9 +628,9 @@
         for table in SOURCE_TABLES:
             after = report.version_by_table.get(table, 0)
             if self._needs_rows(report.entry.instance, table, after):
-                update.sources.append(self._source_after(table, after))
+                update.sources.extend(self._sources_after(report, table, after))
         if self._needs_configuration(report):
-            update.sources.append(self._source_after(CONFIGURATION_TABLE, 0))
+            update.sources.append(self._pages.changes(CONFIGURATION_TABLE, 0))
         if report.membership_version != self._system_view.membership_version:
             update.roster = self._roster()
         for service in self._manager_by_service:
@@ -553,17 +638,34 @@
             owners = self._owners_after(service, known)
             if owners is not None:
                 update.owners.append(owners)
+        self._count_contents(update)
         return update
 
     def _sources_for_new(self, report: Report) -> list[SourceRows]:
         """Returns the whole tables of which a new instance has no rows."""
         return [
-            self._source_after(table, 0)
+            source
             for table in SOURCE_TABLES
             if not report.version_by_table.get(table)
             and self._system_view.status_by_table[table].version
+            for source in self._sources_after(report, table, 0)
         ]
 
+    def _sources_after(
+        self, report: Report, table: str, after: int
+    ) -> list[SourceRows]:
+        """Returns the rows to send with the response to a report.
+
+        A response with all rows of a large system would come after its
+        timeout, and so would the next one. The reporting instance sees from the
+        ages of the tables that it has to fetch them.
+        """
+        source = self._pages.changes(table, after)
+        size = size_of(source.rows)
+        if table == SERVER_TABLE and report.fetches_rows:
+            return [] if size > _MAX_ROWS_BYTES else [source]
+        return [source]
+
     def _needs_rows(self, member: str, table: str, after: int) -> bool:
         """Whether rows have to be sent to a member that reports a version.
 
@@ -610,30 +712,28 @@
             -inf,
         )
 
-    def _source_after(self, table: str, after: int) -> SourceRows:
-        version = self._system_view.status_by_table[table].version
-        if table == SERVER_TABLE:
-            rows = list(self._system_view.servers.row_by_id.values())
-        else:
-            rows = self._system_view.operator_rows()
-        newer = [encode_source_row(row) for row in rows if row.version > after]
-        return SourceRows(table, after, version, False, newer)
-
     def _owners_after(
         self, service: str, known: Version
     ) -> OwnersUpdate | None:
         owners = self._system_view.owners(service)
-        epoch, sequence = owners.version
+        epoch, _ = owners.version
         if epoch != self._leadership.epoch or known == owners.version:
             return None
-        changes = self._owner_changes_by_service.get(service, ())
-        if known[0] == epoch:
-            later = [one for one in changes if one[0] > known[1]]
-            if len(later) == sequence - known[1]:
-                ranges = [one for _, changed in later for one in changed]
-                return OwnersUpdate(service, known, owners.version, ranges)
+        return self._owners_page(service, known[1] if known[0] == epoch else 0)
+
+    def _owners_page(self, service: str, after: int) -> OwnersUpdate:
+        """Returns the owners that changed after a change of this leader."""
+        epoch = self._leadership.epoch
+        owners = self._system_view.owners(service)
+        ranges, sequence = owners.changed_after(
+            after, _MAX_OWNER_RANGES, elapsed_s()
+        )
         return OwnersUpdate(
-            service, None, owners.version, owners.ranges(elapsed_s())
+            service,
+            (epoch, after) if after else None,
+            (epoch, sequence),
+            ranges,
+            complete=(epoch, sequence) == owners.version,
         )
 
 
--- a/packages/edge/src/yuccadale_edge/_internal/membership/links.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/links.py
@@ -267,6 +267,12 @@
         writer.write(frame)
 
 
+def _unsent_bytes(writer: asyncio.StreamWriter) -> int:
+    if writer.is_closing():
+        return 0
+    return writer.transport.get_write_buffer_size()
+
+
 def _in_parts(topic: str, body: bytes) -> bool:
     return topic == FORWARD_TOPIC and len(body) > PART_BYTES
 
@@ -330,6 +336,11 @@
         """Whether the link can be used."""
         return not self._ended and not self._writer.is_closing()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """How many bytes wait for the network."""
+        return _unsent_bytes(self._writer)
+
     @property
     def established(self) -> bool:
         """Whether the peer has read from the link, which is open."""
@@ -517,19 +528,31 @@
 class PeerLinks:
     """All links that this instance dialled, by address of the peer."""
 
-    def __init__(self, held: HeldBytes | None = None) -> None:
+    def __init__(
+        self, held: HeldBytes | None = None, metrics: Metrics | None = None
+    ) -> None:
         """Creates the links.
 
         Args:
             held: account of the responses that are received in parts;
                 unbounded by default.
+            metrics: counts the bytes of messages by topic.
         """
         self._held = HeldBytes() if held is None else held
+        self._metrics = Metrics() if metrics is None else metrics
         self._link_by_address: dict[Address, PeerLink] = {}
         self._lock_by_address: dict[Address, asyncio.Lock] = {}
         self._readers: set[asyncio.Task[None]] = set()
         self._unreadable_peers: set[Address] = set()
 
+    async def connect(self, address: Address) -> None:
+        """Opens the link to a peer, unless it is open.
+
+        Raises:
+            PeerUnreachableError: no link could be opened.
+        """
+        await self._link(address)
+
     async def request(
         self,
         address: Address,
@@ -557,6 +580,7 @@
             UnreadableMessageError: the response could not be decoded.
         """
         link = await self._link(address)
+        self._metrics.count('peer_bytes', len(body), topic=topic)
         try:
             async with asyncio.timeout(timeout_s):
                 response = await link.request(topic, body)
@@ -583,9 +607,14 @@
             link = await self._link(address)
         except PeerUnreachableError:
             return False
+        self._metrics.count('peer_bytes', len(body), topic=topic)
         link.notify(topic, body)
         return link.open
 
+    def unsent_bytes(self) -> int:
+        """Returns how many bytes wait for the network."""
+        return sum(link.unsent_bytes for link in self._link_by_address.values())
+
     def drop(self, address: Address) -> None:
         """Resets the link to an address; the next use dials again."""
         link = self._link_by_address.pop(address, None)
@@ -753,6 +782,10 @@
         finally:
             self._close_link(link)
 
+    def unsent_bytes(self) -> int:
+        """Returns how many bytes of responses wait for the network."""
+        return sum(map(_unsent_bytes, self._writers))
+
     def close(self) -> None:
         """Closes all accepted links; what was written is still delivered."""
         for writer in list(self._writers):
@@ -926,6 +959,7 @@
         if response is None:
             link.write(_FAILURE, frame)
             return
+        self._metrics.count('peer_bytes', len(response), topic=frame.topic)
         if not _in_parts(frame.topic, response):
             link.write(_RESPONSE, frame, response)
             return
--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from math import inf
 
 import msgspec
@@ -33,8 +34,14 @@
     instance_of,
 )
 from yuccadale_edge._internal.membership.reports import Reporter
+from yuccadale_edge._internal.membership.row_fetcher import RowFetcher
+from yuccadale_edge._internal.membership.source_pages import (
+    PAGE_BYTES,
+    size_of,
+)
 from yuccadale_edge._internal.membership.succession import MIN_CAPACITY_RATIO
 from yuccadale_edge._internal.model import Settings
+from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.records import (
     KEYS_PREFIX,
     InvalidRecordError,
@@ -44,11 +51,13 @@
 from yuccadale_edge._internal.store import Rows, StoredRow
 from yuccadale_edge._internal.store_versions import version_text
 from yuccadale_edge._internal.system_view import (
+    SERVER_TABLE,
     Owner,
     SystemView,
     decode_owner,
     most_capable_first,
 )
+from yuccadale_edge._internal.transport.client_pool import Address
 
 _log = structlog.get_logger()
 
@@ -84,6 +93,10 @@
 # A new instance without a leader waits this long for rows from a standby of
 # its region; many that start at once would fill the link to the store.
 _NEW_MEMBER_READ_DELAY_S = 2.5
+# A peer may be as far behind as this instance; then the leader is asked.
+_MAX_PEER_FAILURES = 8
+# Share of the requests that go to the leader then.
+_LEADER_SHARE = 0.5
 # Versions of owners before the first update of a leader; epochs start at 1.
 _NO_VERSION = (0, 0)
 _RECORDED_VERSION = (0, 1)
@@ -111,8 +124,13 @@
         links: PeerLinks,
         broadcaster: Broadcaster,
         reporter: Reporter,
+        metrics: Metrics,
     ) -> None:
         self.draining = False
+        self._fetcher = RowFetcher(
+            system_view, links, self._row_source, self._apply_source, metrics
+        )
+        self.fetch_rows = self._fetcher.run
         self._settings = settings
         self._system_view = system_view
         self._leadership = leadership
@@ -145,15 +163,20 @@
         """Returns for how long a read of a source table waits for changes.
 
         Returns:
-            None if this instance does not have to read the table; 0 to read
-            it at once, before its rows are outdated.
+            None if this instance does not have to read the table, also while
+            its peers send many rows that it misses; 0 to read it at once,
+            before its rows are outdated.
         """
+        if table == SERVER_TABLE and self._receives_rows():
+            return None
         if self._system_view.needs_confirmation(table):
             return 0
         if self.should_read_sources():
             return min(
                 _MAX_CHANGES_WAIT_S,
                 self._system_view.max_source_age_s * _CHANGES_WAIT_SHARE,
+                # A wait that begins late would outlast the age limit.
+                self._system_view.confirmed_for_s(table),
             )
         return None
 
@@ -166,7 +189,9 @@
             return True
         now_s = elapsed_s()
         if not self._received_update:
-            late = now_s - self._started_s > _NEW_MEMBER_READ_DELAY_S
+            # Rows of a peer are on their way.
+            last_s = max(self._started_s, self._fetcher.received_s)
+            late = now_s - last_s > _NEW_MEMBER_READ_DELAY_S
             if late or not self._is_standby():
                 return late
             return now_s - self._first_report_s > _NEW_STANDBY_READ_DELAY_S
@@ -183,9 +208,22 @@
         return min(late_s, since_rows_s - REPORT_INTERVAL_S) > _STANDBY_READ_S
 
     def broadcast_rows_in_region(self, source: SourceRows) -> None:
-        """Sends rows that this instance read as a standby to its region."""
-        if self._is_standby():
-            self._broadcaster.broadcast_in_region(ROWS_TOPIC, _encode(source))
+        """Sends rows that this instance read as a standby to its region.
+
+        Only their version is sent if they are many; the others fetch them.
+        """
+        if not self._is_standby():
+            return
+        if size_of(source.rows) > PAGE_BYTES:
+            changed_version = max(row.version for row in source.rows)
+            source = SourceRows(
+                source.table,
+                changed_version,
+                changed_version,
+                source.removal_grace,
+                [],
+            )
+        self._broadcaster.broadcast_in_region(ROWS_TOPIC, _encode(source))
 
     def handle_rows(self, body: bytes) -> None:
         """Handles rows that a standby read from the store."""
@@ -265,6 +303,11 @@
             return
         self._report_now.clear()
 
+    def _receives_rows(self) -> bool:
+        """Whether peers are sending the rows of servers that are missing."""
+        leading = self._leadership.leading()
+        return not leading and self._fetcher.makes_progress(SERVER_TABLE)
+
     def _apply_recorded_owners(self) -> None:
         """Uses the stored owners until the first update of a leader arrives.
 
@@ -387,17 +430,13 @@
         """Requests the source tables from the electors of this region."""
         if all(self._system_view.version_by_table().values()):
             return
-        place = self._settings.place
-        for elector in self._leadership.row_electors:
-            own = elector.address == self._settings.contact_address
-            if own or place.distance(elector.data_centre) > 1:
-                continue
+        for address in self._region_electors():
             try:
-                await self._send_report(LeaderInfo(0, '', *elector.address, 0))
+                await self._send_report(LeaderInfo(0, '', *address, 0))
             except (PeerUnreachableError, LinkLostError) as error:
                 _log.info(
                     'no leader found through an elector, trying the next one',
-                    peer=elector.address,
+                    peer=address,
                     reason=str(error),
                     version_by_table=self._system_view.version_by_table(),
                 )
@@ -419,12 +458,58 @@
         for owners in update.owners:
             self._apply_owners(owners)
 
+    def _row_source(self, failures: int) -> Address | None:
+        """Returns the peer from which to fetch rows.
+
+        Standbys ask the leader too, and all ask their peers, most often those
+        on capable machines. So the leader sends the rows a few times only, and
+        few of them pass the link between regions.
+
+        Args:
+            failures: number of requests in a row that brought nothing.
+        """
+        leader = self._leadership.leader
+        leader_address = None
+        if leader is not None and not self._is_self(leader):
+            leader_address = leader.host, leader.port
+        weight_by_address = {
+            peer.address: peer.capacity + 1
+            for peer in self._broadcaster.region_peers()
+            if peer.address != leader_address
+        } or dict.fromkeys(self._region_electors(), 1.0)
+        if not weight_by_address:
+            return leader_address
+        may_ask_leader = self._is_standby() or failures >= _MAX_PEER_FAILURES
+        if (
+            leader_address
+            and may_ask_leader
+            and random.random() < _LEADER_SHARE
+        ):
+            return leader_address
+        return random.choices(
+            list(weight_by_address), list(weight_by_address.values())
+        )[0]
+
+    def _region_electors(self) -> list[Address]:
+        """Returns the electors of this region, except this instance."""
+        place = self._settings.place
+        return [
+            elector.address
+            for elector in self._leadership.row_electors
+            if elector.address != self._settings.contact_address
+            and place.distance(elector.data_centre) <= 1
+        ]
+
     def _apply_source(self, source: SourceRows) -> None:
         status = self._system_view.status_by_table.get(source.table)
         if status is None:
             # An instance of a later version may have more tables.
             return
         known = status.version
+        if source.after > known:
+            status.announce(
+                max((row.version for row in source.rows), default=source.after)
+            )
         rows = tuple(row.decode() for row in source.rows)
         # After a gap the version stays, so that the response to the next
         # report carries the missing rows.
@@ -463,14 +548,16 @@
             )
         known.version = owners.version
         self._system_view.wake()
+        if not owners.complete:
+            self._report_now.set()
 
     def _is_standby(self) -> bool:
         """Whether this instance is a standby of its region."""
+        leader = self._leadership.leader
         if not self._system_view.instance_by_name:
             # Without a roster the electors of the leader's row are standbys.
             electors = [one.address for one in self._leadership.row_electors]
             return not electors or self._settings.contact_address in electors
-        leader = self._leadership.leader
         peers = self._broadcaster.region_peers()
         ranked = sorted(
             (
--- a/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/messages.py
@@ -14,6 +14,7 @@
 REPORT_TOPIC = 'report'
 LEADER_UPDATE_TOPIC = 'news'
 ROWS_TOPIC = 'rows'
+ROWS_REQUEST_TOPIC = 'rows after'
 RELAY_TOPIC = 'relay'
 UNCONFIRMED_GRANTS_TOPIC = 'doubts'
 PROMISE_TOPIC = 'promise'
@@ -156,6 +157,19 @@
     rows: list[SourceRow]
 
 
+class RowsRequest(msgspec.Struct, array_like=True, frozen=True):
+    """A request for the rows of a source table after a version."""
+
+    table: str
+    after: int
+
+
+class RowsResponse(msgspec.Struct, array_like=True):
+    """Some of the requested rows, the oldest first; None without any."""
+
+    source: SourceRows | None
+
+
 class RosterEntry(msgspec.Struct, array_like=True):
     """An instance that reports to the leader.
 
@@ -201,12 +215,14 @@
         after: the ranges changed after this version; None for all ranges.
         version: the ranges are up to date with this version.
         ranges: ranges of keys with their owners.
+        complete: whether there is no later version yet.
     """
 
     service: str
     after: Version | None
     version: Version
     ranges: list[OwnedRange]
+    complete: bool = True
 
 
 class LeaderUpdate(msgspec.Struct, array_like=True):
@@ -309,6 +325,7 @@
             configuration in force there, 0 without one.
         electors_since: version since which the leader's row has named the
             electors that it knows, 0 if it knows none.
+        fetches_rows: whether it requests missing rows from any instance.
     """
 
     entry: RosterEntry
@@ -320,6 +337,7 @@
     unreachable: list[str]
     configuration_version: int = 0
     electors_since: int = 0
+    fetches_rows: bool = False
 
 
 class ReportResponse(msgspec.Struct, array_like=True):
--- a/packages/edge/src/yuccadale_edge/_internal/membership/reports.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/reports.py
@@ -55,6 +55,7 @@
             self._time_totals(),
             self._system_view.availability.unreachable_ids(),
             self._system_view.configuration_version(),
+            fetches_rows=True,
         )
 
     def _time_totals(self) -> list[ServiceTime]:
--- a/packages/edge/src/yuccadale_edge/_internal/observability/knowledge.py
+++ b/packages/edge/src/yuccadale_edge/_internal/observability/knowledge.py
@@ -37,6 +37,8 @@
             )
 
     def _report_age(self, table: str) -> None:
+        status = self._system_view.status_by_table[table]
+        self._metrics.gauge('rows_missing', int(status.is_behind), table=table)
         age_s = self._system_view.source_age_s(table)
         if age_s == inf:
             return
--- a/packages/edge/src/yuccadale_edge/_internal/source_status.py
+++ b/packages/edge/src/yuccadale_edge/_internal/source_status.py
@@ -38,11 +38,23 @@
         changed_version: version of the last known change.
         confirmed_s: the rows included all changes at this moment; ``-inf``
             before the first confirmation.
+        announced_version: version of the last change that another instance
+            knows.
     """
 
     version: int = 0
     changed_version: int = 0
     confirmed_s: float = -inf
+    announced_version: int = 0
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether another instance knows a change that is missing here."""
+        return self.version < self.announced_version
+
+    def announce(self, changed_version: int) -> None:
+        """Records that another instance knows a change."""
+        self.announced_version = max(self.announced_version, changed_version)
 
     def record_rows(
         self, version: int, changed_version: int, confirmed_s: float
@@ -67,6 +79,7 @@
                 the age cannot be understated.
         """
         if self.version < age.changed_version:
+            self.announce(age.changed_version)
             return
         if era_of(age.version) < era_of(self.version):
             # That instance does not know yet that the store was restored.
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -88,57 +88,114 @@
     available_in_s: float
 
 
+class _Entry(NamedTuple):
+    """An owner, and the number of the change that set it."""
+
+    owner: Owner
+    sequence: int
+
+
+_Bounds = tuple[int, int, _Entry]
+
+
 class OwnerMap:
     """The owners of all keys of one service."""
 
     def __init__(self) -> None:
         self.version = (0, 0)
         self._firsts: list[int] = [0]
-        self._owners: list[Owner] = [Owner(None, 0)]
+        self._entries: list[_Entry] = [_Entry(Owner(None, 0), 0)]
 
     def owner(self, key: int) -> Owner:
         """Returns the owner of a key."""
-        return self._owners[bisect_right(self._firsts, key) - 1]
+        return self._entries[bisect_right(self._firsts, key) - 1].owner
 
-    def assign(self, first: int, last: int, owner: Owner) -> None:
-        """Sets the owner of a range, both ends included."""
-        firsts, owners = self._firsts, self._owners
+    def assign(
+        self, first: int, last: int, owner: Owner, sequence: int = 0
+    ) -> None:
+        """Sets the owner of a range.
+
+        Args:
+            first: first key.
+            last: last key, included.
+            owner: of these keys.
+            sequence: number of this change, see ``changed_after``.
+        """
+        entry = _Entry(owner, sequence)
+        firsts, entries = self._firsts, self._entries
         begin = bisect_right(firsts, first) - 1
         end = bisect_right(firsts, last) - 1
         new_firsts: list[int] = []
-        new_owners: list[Owner] = []
+        new_entries: list[_Entry] = []
         if firsts[begin] < first:
             new_firsts.append(firsts[begin])
-            new_owners.append(owners[begin])
+            new_entries.append(entries[begin])
         new_firsts.append(first)
-        new_owners.append(owner)
+        new_entries.append(entry)
         after = firsts[end + 1] if end + 1 < len(firsts) else KEY_COUNT
         if last + 1 < after:
             new_firsts.append(last + 1)
-            new_owners.append(owners[end])
+            new_entries.append(entries[end])
         after_end = end + 1
         self._firsts = firsts[:begin] + new_firsts + firsts[after_end:]
-        self._owners = owners[:begin] + new_owners + owners[after_end:]
+        self._entries = entries[:begin] + new_entries + entries[after_end:]
+
+    def restart_sequence(self, sequence: int) -> None:
+        """Counts everything as set by one change."""
+        self._entries = [
+            _Entry(entry.owner, sequence) for entry in self._entries
+        ]
 
     def ranges(self, now_s: float) -> list[OwnedRange]:
         """Returns all ranges in the form that is sent."""
         return [
-            _owned_range(first, next_first - 1, owner, now_s)
-            for first, next_first, owner in self._bounds()
+            _owned_range(first, next_first - 1, entry.owner, now_s)
+            for first, next_first, entry in self._bounds()
         ]
 
+    def changed_after(
+        self, sequence: int, max_ranges: int, now_s: float
+    ) -> tuple[list[OwnedRange], int]:
+        """Returns what changed after a change, the oldest changes first.
+
+        Args:
+            sequence: number of that change.
+            max_ranges: where to end. Ranges of one change stay together.
+            now_s: the present time.
+
+        Returns:
+            Ranges with their present owners, and the number of the last
+            change that they include.
+        """
+        changed = sorted(
+            (
+                bounds
+                for bounds in self._bounds()
+                if bounds[2].sequence > sequence
+            ),
+            key=_sequence,
+        )
+        if len(changed) > max_ranges:
+            limit = changed[max_ranges - 1][2].sequence
+            changed = [one for one in changed if one[2].sequence <= limit]
+        ranges = [
+            _owned_range(first, next_first - 1, entry.owner, now_s)
+            for first, next_first, entry in changed
+        ]
+        return ranges, changed[-1][2].sequence if changed else sequence
+
     def unowned_keys(self) -> int:
         """Returns how many keys have no owner."""
         return sum(
             next_first - first
-            for first, next_first, owner in self._bounds()
-            if owner.holder is None
+            for first, next_first, entry in self._bounds()
+            if entry.owner.holder is None
         )
 
-    def _bounds(self) -> Iterable[tuple[int, int, Owner]]:
-        """Returns the first key, the key after the last, and the owner."""
+    def _bounds(self) -> Iterable[_Bounds]:
+        """Returns the first key, the key after the last, and the entry."""
         next_firsts = (*self._firsts[1:], KEY_COUNT)
-        return zip(self._firsts, next_firsts, self._owners, strict=True)
+        return zip(self._firsts, next_firsts, self._entries, strict=True)
 
 
 class _RemovedEntry(NamedTuple):
@@ -179,6 +236,8 @@
         self.server_by_id: dict[str, Server] = {}
         self.version_by_id: dict[str, int] = {}
         self.row_by_id: dict[str, StoredRow] = {}
+        # Changes with each row that is applied.
+        self.revision = 0
         self._decode = decode
         self._observe_entry = observe_entry
         self._removal_s_by_id: dict[str, float] = {}
@@ -201,6 +260,7 @@
         if row.version <= self.version_by_id.get(row.key, 0):
             return False
         known_row = self.row_by_id.get(row.key)
+        self.revision += 1
         self.version_by_id[row.key] = row.version
         self._held_by_id.pop(row.key, None)
         if known_row is not None and self._is_restored(row, known_row):
@@ -295,6 +355,7 @@
         *,
         removal_grace: bool = False,
     ) -> bool:
+        self.revision += 1
         self.row_by_id[row.key] = row
         if row.removed:
             content = b'' if known_row is None else known_row.content
@@ -450,9 +511,14 @@
 
     @property
     def is_loaded(self) -> bool:
-        """Whether a configuration and servers are known."""
-        return self.configuration is not None and bool(
-            self.servers.server_by_id
+        """Whether a configuration and servers are known.
+
+        A new instance knows some of the servers before it knows them all.
+        """
+        status = self.status_by_table[SERVER_TABLE]
+        loading = status.is_behind and status.confirmed_s == -inf
+        return self.configuration is not None and not (
+            loading or not self.servers.server_by_id
         )
 
     def wake(self) -> None:
@@ -573,6 +639,11 @@
             return 0
         return self.configuration.version
 
+    def announce_configuration(self) -> None:
+        """Records that another instance has a later configuration."""
+        status = self.status_by_table[CONFIGURATION_TABLE]
+        status.announce(status.version + 1)
+
     def version_by_table(self) -> dict[str, int]:
         """Returns the known version of each source table."""
         return {
@@ -591,13 +662,30 @@
         """Whether changes may be in force that this instance does not know."""
         return self.source_age_s(table) > self.max_source_age_s
 
+    def misses_configuration(self) -> bool:
+        """Whether a change is missing here that others had to know by now.
+
+        In an outage of the store nobody knows a later change.
+        """
+        behind = self.status_by_table[CONFIGURATION_TABLE].is_behind
+        return behind and self.is_outdated(CONFIGURATION_TABLE)
+
     def needs_confirmation(self, table: str) -> bool:
         """Whether confirmed rows will be outdated unless the store is read."""
         if table == CONFIGURATION_TABLE and self._store_is_behind:
             # The operators' next write ends that, and no read does.
             return False
-        read_age_s = self.max_source_age_s - _CONFIRMATION_TIME_S
-        return read_age_s < self.source_age_s(table) < inf
+        return self.confirmed_for_s(table) == 0
+
+    def confirmed_for_s(self, table: str) -> float:
+        """Returns the time until confirmed rows have to be read again.
+
+        It is infinite before the first confirmation.
+        """
+        age_s = self.source_age_s(table)
+        if age_s == inf:
+            return inf
+        return max(0, self.max_source_age_s - _CONFIRMATION_TIME_S - age_s)
 
     def is_confirmed(self, table: str) -> bool:
         """Whether the rows were the newest of the store at some moment.
@@ -770,5 +858,9 @@
     return OwnedRange(first, last, *owner.holder, available_in_s)
 
 
+def _sequence(bounds: _Bounds) -> int:
+    return bounds[2].sequence
+
+
 def _server_id(server: Server) -> str:
     return server.server_id
--- a/tests/edge/test_new_instances.py
+++ b/tests/edge/test_new_instances.py
@@ -19,6 +19,7 @@
 from yuccadale_edge._internal.membership.member import Member
 from yuccadale_edge._internal.membership.messages import Elector, LeaderInfo
 from yuccadale_edge._internal.membership.reports import Reporter
+from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.system_view import SystemView
 from yuccadale_edge.instance import Place, Settings
 
@@ -77,6 +78,7 @@
         links,  # type: ignore[arg-type]
         Broadcaster(settings, system_view, links),  # type: ignore[arg-type]
         Reporter(lambda: None, system_view, dispatcher),  # type: ignore
+        Metrics(),
     )
 
 
