Wake the fetcher of rows only for missing rows; bound the delay by large messages

A large configuration delayed the leader's other broadcasts by the time that it takes at their share of the link.

Change: it waits for an announcement. A message that does not wait delays others by 0.25 s at most.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -507,8 +507,9 @@
             return
         known = status.version
         if source.after > known:
-            status.announce(
-                max((row.version for row in source.rows), default=source.after)
+            self._system_view.announce(
+                source.table,
+                max((row.version for row in source.rows), default=source.after),
             )
         rows = tuple(row.decode() for row in source.rows)
         # After a gap the version stays, so that the response to the next
--- a/packages/edge/src/yuccadale_edge/_internal/membership/row_fetcher.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/row_fetcher.py
@@ -23,7 +23,6 @@
 from yuccadale_edge._internal.transport.client_pool import Address
 
 _RESPONSE_TIMEOUT_S = 1.5
-_CHECK_INTERVAL_S = 0.05
 # Rows are arriving while the last ones arrived within this time.
 _PROGRESS_S = 1.0
 # After requests that brought nothing, the next one is sent this much later.
@@ -82,7 +81,7 @@
     async def _follow(self, table: str) -> None:
         while True:
             await self._catch_up(table)
-            await asyncio.sleep(_CHECK_INTERVAL_S)
+            await self._system_view.wait_for_announcement()
 
     async def _catch_up(self, table: str) -> None:
         status = self._system_view.status_by_table[table]
--- a/packages/edge/src/yuccadale_edge/_internal/membership/update_budget.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/update_budget.py
@@ -7,6 +7,8 @@
 _LINK_SHARE = 0.4
 # Broadcasts may exceed their share for this long.
 _BURST_S = 0.5
+# Large messages that do not wait delay others by this much at most.
+_MAX_DELAY_S = 0.25
 
 
 class UpdateBudget:
@@ -39,4 +41,5 @@
 
     def spend(self, size: int) -> None:
         """Counts bytes that are sent, also those that do not wait."""
-        self._left -= size
+        least = -self._bytes_per_s * _MAX_DELAY_S
+        self._left = max(self._left - size, least)
--- a/packages/edge/src/yuccadale_edge/_internal/source_status.py
+++ b/packages/edge/src/yuccadale_edge/_internal/source_status.py
@@ -52,10 +52,6 @@
         """Whether another instance knows a change that is missing here."""
         return self.version < self.announced_version
 
-    def announce(self, changed_version: int) -> None:
-        """Records that another instance knows a change."""
-        self.announced_version = max(self.announced_version, changed_version)
-
     def record_rows(
         self, version: int, changed_version: int, confirmed_s: float
     ) -> None:
@@ -79,7 +75,6 @@
                 the age cannot be understated.
         """
         if self.version < age.changed_version:
-            self.announce(age.changed_version)
             return
         if era_of(age.version) < era_of(self.version):
             # That instance does not know yet that the store was restored.
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -505,6 +505,7 @@
         )
         self._decode_configuration = decode_configuration
         self._changed = asyncio.Event()
+        self._announced = asyncio.Event()
         # Whether the store was restored, and has an older configuration than
         # the one in force here.
         self._store_is_behind = False
@@ -605,6 +606,7 @@
             behind = age.table == CONFIGURATION_TABLE and self._store_is_behind
             if status is not None and not behind:
                 status.record_age(age, asked_s)
+                self.announce(age.table, age.changed_version)
 
     def source_ages(self) -> list[SourceAge]:
         """Returns the confirmations of the source tables to send."""
@@ -639,10 +641,24 @@
             return 0
         return self.configuration.version
 
+    def announce(self, table: str, changed_version: int) -> None:
+        """Records that another instance knows a change of a table."""
+        status = self.status_by_table[table]
+        status.announced_version = max(
+            status.announced_version, changed_version
+        )
+        if status.is_behind:
+            self._announced.set()
+            self._announced = asyncio.Event()
+
     def announce_configuration(self) -> None:
         """Records that another instance has a later configuration."""
-        status = self.status_by_table[CONFIGURATION_TABLE]
-        status.announce(status.version + 1)
+        known = self.status_by_table[CONFIGURATION_TABLE].version
+        self.announce(CONFIGURATION_TABLE, known + 1)
+
+    async def wait_for_announcement(self) -> None:
+        """Waits until another instance knows a change that is missing here."""
+        await self._announced.wait()
 
     def version_by_table(self) -> dict[str, int]:
         """Returns the known version of each source table."""
