--- a/packages/core/src/yuccadale_core/_internal/codes.py
+++ b/packages/core/src/yuccadale_core/_internal/codes.py
@@ -174,7 +174,7 @@
         ResultCode.declaration_outdated: CodeEntry(
             503,
             _NOT_RUN,
-            'No known route matches, but a newer declaration may have one.',
+            'A newer declaration may have another route for the request.',
             _SEND_AGAIN,
         ),
         ResultCode.queue_full: CodeEntry(
