Bound the work of a response to a report; never hold back the operators' rows

Cause: the leader collected all missing rows of servers for each report, only to see that they are too many. A standby announced a large configuration instead of sending it.

Change: a page of the largest size is collected; standbys hold back rows of servers only.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -660,11 +660,11 @@
         timeout, and so would the next one. The reporting instance sees from the
         ages of the tables that it has to fetch them.
         """
-        source = self._pages.changes(table, after)
-        size = size_of(source.rows)
-        if table == SERVER_TABLE and report.fetches_rows:
-            return [] if size > _MAX_ROWS_BYTES else [source]
-        return [source]
+        if not report.fetches_rows:
+            return [self._pages.changes(table, after)]
+        page = self._pages.page(table, after, _MAX_ROWS_BYTES)
+        status = self._system_view.status_by_table[table]
+        return [page] if page.version == status.version else []
 
     def _needs_rows(self, member: str, table: str, after: int) -> bool:
         """Whether rows have to be sent to a member that reports a version.
--- a/packages/edge/src/yuccadale_edge/_internal/membership/member.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/member.py
@@ -210,11 +210,11 @@
     def broadcast_rows_in_region(self, source: SourceRows) -> None:
         """Sends rows that this instance read as a standby to its region.
 
-        Only their version is sent if they are many; the others fetch them.
+        Only the version of many servers is sent; the others fetch their rows.
         """
         if not self._is_standby():
             return
-        if size_of(source.rows) > PAGE_BYTES:
+        if source.table == SERVER_TABLE and size_of(source.rows) > PAGE_BYTES:
             changed_version = max(row.version for row in source.rows)
             source = SourceRows(
                 source.table,
@@ -480,12 +480,9 @@
         if not weight_by_address:
             return leader_address
         may_ask_leader = self._is_standby() or failures >= _MAX_PEER_FAILURES
-        if (
-            leader_address
-            and may_ask_leader
-            and random.random() < _LEADER_SHARE
-        ):
-            return leader_address
+        if may_ask_leader and random.random() < _LEADER_SHARE:
+            if leader_address is not None:
+                return leader_address
         return random.choices(
             list(weight_by_address), list(weight_by_address.values())
         )[0]
