Store large records of keys by columns

Cause: the record of a service's keys grows with its servers and ranges, and the store refuses a row above 65,536 bytes. A compressed record of 2,416 servers has 84,630 bytes, so that no plan was ever recorded.

Change: a record that is too large after compression is stored by columns, with each server once and small numbers: 41,929 bytes for 2,416 servers, 64,785 with 5,000 ranges. Smaller records are unchanged, byte for byte. Versions before this one cannot read the new form.

--- a/packages/edge/src/yuccadale_edge/_internal/ownership/records.py
+++ b/packages/edge/src/yuccadale_edge/_internal/ownership/records.py
@@ -1,7 +1,8 @@
 """The stored record of a service's keys, from which a new leader starts.
 
 The store takes rows of 64 KiB. A record names each server once for each of its
-segments, so a large one is compressed.
+segments, so a large one is compressed. One that is still too large is stored by
+columns, with each server once; versions before that cannot read it.
 """
 
 import zlib
@@ -83,26 +84,78 @@
 
 # Half of the size of a row.
 _COMPRESS_ABOVE_BYTES = 32 * 1024
+# What a compressed record may take; more is stored by columns.
+_MAX_COMPRESSED_BYTES = 60 * 1024
 # Bounds the memory for an unreadable record.
 _MAX_DECOMPRESSED_BYTES = 16 * 1024 * 1024
-# The first byte of compressed content; JSON cannot begin with it.
+# The first bytes of compressed content; JSON cannot begin with them.
 _COMPRESSED_MARK = b'x'
+_COLUMNS_MARK = b'c'
+_SPEED_SCALE = 100
 
 _encode = msgspec.json.Encoder().encode
 _decode = msgspec.json.Decoder(KeysRecord).decode
 
+_Server = tuple[str, int, str, int]
+_DECODE_ERRORS = (
+    msgspec.DecodeError,
+    RecursionError,
+    ValueError,
+    IndexError,
+    zlib.error,
+)
+
+
+class _Columns(msgspec.Struct, array_like=True):
+    """A record, column by column.
+
+    Attributes:
+        ids, incarnations, hosts, ports: of the servers.
+        speeds: of the servers in hundredths, 0 if unknown.
+        other_speeds: of servers that hold nothing.
+        lengths, last_fences, holder_counts: of the segments.
+        holders, fences: of all segments, as numbers of servers.
+        base_incarnation: added to each incarnation, so that these are small.
+        base_fence: added to each fence.
+    """
+
+    epoch: int
+    era: int
+    all_calls_answered: bool
+    ids: list[str]
+    incarnations: list[int]
+    hosts: list[str]
+    ports: list[int]
+    speeds: list[Annotated[int, msgspec.Meta(ge=0)]]
+    other_speeds: dict[str, Annotated[float, msgspec.Meta(gt=0)]]
+    lengths: list[int]
+    last_fences: list[int]
+    holder_counts: list[Annotated[int, msgspec.Meta(ge=0)]]
+    holders: list[Annotated[int, msgspec.Meta(ge=0)]]
+    fences: list[int]
+    base_incarnation: int
+    base_fence: int
+
+
+_encode_columns = msgspec.msgpack.Encoder().encode
+_decode_columns = msgspec.msgpack.Decoder(_Columns).decode
+
 
 def encode_record(record: KeysRecord) -> bytes:
     """Encodes a record for the store."""
     content = _encode(record)
     if len(content) <= _COMPRESS_ABOVE_BYTES:
         return content
-    return compress_record(content)
+    compressed = compress_record(content)
+    if len(compressed) <= _MAX_COMPRESSED_BYTES:
+        return compressed
+    packed = _encode_columns(_to_columns(record))
+    return _COLUMNS_MARK + zlib.compress(packed)
 
 
 def compress_record(content: bytes) -> bytes:
     """Compresses an encoded record unless it is compressed already."""
-    if content.startswith(_COMPRESSED_MARK):
+    if content.startswith((_COMPRESSED_MARK, _COLUMNS_MARK)):
         return content
     return zlib.compress(content)
 
@@ -114,8 +167,8 @@
         InvalidRecordError: the content is no complete record.
     """
     try:
-        record = _decode(_decompress(content))
-    except (msgspec.DecodeError, RecursionError, zlib.error) as error:
+        record = _decode_content(content)
+    except _DECODE_ERRORS as error:
         raise InvalidRecordError(str(error)) from error
     next_first = 0
     for segment in record.segments:
@@ -127,12 +180,118 @@
     return record
 
 
+def _decode_content(content: bytes) -> KeysRecord:
+    if content.startswith(_COLUMNS_MARK):
+        packed = content.removeprefix(_COLUMNS_MARK)
+        return _from_columns(_decode_columns(_decompress(packed)))
+    if content.startswith(_COMPRESSED_MARK):
+        return _decode(_decompress(content))
+    return _decode(content)
+
+
 def _decompress(content: bytes) -> bytes:
-    if not content.startswith(_COMPRESSED_MARK):
-        return content
     return zlib.decompressobj().decompress(content, _MAX_DECOMPRESSED_BYTES)
 
 
+def _to_columns(record: KeysRecord) -> _Columns:
+    held = [one for segment in record.segments for one in segment.holders]
+    servers = list(dict.fromkeys(map(_server_of, held)))
+    number_by_server = {server: index for index, server in enumerate(servers)}
+    speed_by_id = dict(record.speed_by_server)
+    ids = [server[0] for server in servers]
+    incarnations = [server[1] for server in servers]
+    last_fences = [segment.last_fence for segment in record.segments]
+    fences = [one.fence for one in held]
+    base_incarnation = min(incarnations, default=0)
+    base_fence = min((*last_fences, *fences), default=0)
+    return _Columns(
+        record.epoch,
+        record.era,
+        record.all_calls_answered,
+        ids,
+        [one - base_incarnation for one in incarnations],
+        [server[2] for server in servers],
+        [server[3] for server in servers],
+        [_take_speed(speed_by_id, server_id) for server_id in ids],
+        speed_by_id,
+        [segment.last - segment.first for segment in record.segments],
+        [one - base_fence for one in last_fences],
+        [len(segment.holders) for segment in record.segments],
+        [number_by_server[_server_of(one)] for one in held],
+        [one - base_fence for one in fences],
+        base_incarnation,
+        base_fence,
+    )
+
+
+def _server_of(held: HolderRecord) -> _Server:
+    return held.server_id, held.incarnation, held.host, held.port
+
+
+def _take_speed(speed_by_id: dict[str, float], server_id: str) -> int:
+    """Takes the speed of a server; 0 if it has none in hundredths."""
+    scaled = round(speed_by_id.get(server_id, 0) * _SPEED_SCALE)
+    if not scaled or speed_by_id[server_id] != scaled / _SPEED_SCALE:
+        return 0
+    speed_by_id.pop(server_id)
+    return scaled
+
+
+def _from_columns(columns: _Columns) -> KeysRecord:
+    """Returns the record.
+
+    Raises:
+        ValueError, IndexError: the columns do not fit together.
+    """
+    servers = list(
+        zip(
+            columns.ids,
+            [one + columns.base_incarnation for one in columns.incarnations],
+            columns.hosts,
+            columns.ports,
+            strict=True,
+        )
+    )
+    held = [
+        HolderRecord(*servers[number], fence + columns.base_fence)
+        for number, fence in zip(columns.holders, columns.fences, strict=True)
+    ]
+    segments: list[SegmentRecord] = []
+    first, begin = 0, 0
+    for length, last_fence, count in zip(
+        columns.lengths,
+        columns.last_fences,
+        columns.holder_counts,
+        strict=True,
+    ):
+        end = begin + count
+        holders = held[begin:end]
+        segments.append(
+            SegmentRecord(
+                first,
+                first + length,
+                last_fence + columns.base_fence,
+                holders,
+            )
+        )
+        first += length + 1
+        begin = end
+    if begin != len(held):
+        raise ValueError('the holders do not fit the segments')
+    speeds = {
+        server_id: speed / _SPEED_SCALE
+        for server_id, speed in zip(columns.ids, columns.speeds, strict=True)
+        if speed
+    }
+    return KeysRecord(
+        columns.epoch,
+        segments,
+        columns.all_calls_answered,
+        {**speeds, **columns.other_speeds},
+        columns.era,
+    )
+
+
 def recorded_epoch(content: bytes) -> int:
     """Returns the highest epoch of a stored record, 0 if it is unreadable."""
     try:
