Do not refuse for a missing configuration that nobody can confirm

With a restored store that is behind, nobody confirms the configuration in force, and a peer that got a configuration after a gap did not give it to others; the refusals would have lasted until the operators' next write, or the end of an outage.

Change: no such refusal while the store is behind; a configuration that comes in force ends the announcement; a peer gives rows that it has, whatever its version.

Evidence: one test for each in test_forwarded_configuration.py and test_updates_in_parts.py.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/source_pages.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/source_pages.py
@@ -80,9 +80,12 @@
         """Answers the request of another instance for rows."""
         request = _decode_request(body)
         status = self._system_view.status_by_table.get(request.table)
-        if status is None or status.version <= request.after:
+        if status is None:
             return _encode(RowsResponse(None))
-        return _encode(RowsResponse(self.page(request.table, request.after)))
+        page = self.page(request.table, request.after)
+        # Rows that arrived after a gap are later than the version here.
+        newer = page.rows or status.version > request.after
+        return _encode(RowsResponse(page if newer else None))
 
     def _sort_servers(self) -> None:
         servers = self._system_view.servers
--- a/packages/edge/src/yuccadale_edge/_internal/system_view.py
+++ b/packages/edge/src/yuccadale_edge/_internal/system_view.py
@@ -681,10 +681,12 @@
     def misses_configuration(self) -> bool:
         """Whether a change is missing here that others had to know by now.
 
-        In an outage of the store nobody knows a later change.
+        In an outage of the store nobody knows a later change. While a restored
+        store has an older configuration, nobody can confirm the one in force.
         """
         behind = self.status_by_table[CONFIGURATION_TABLE].is_behind
-        return behind and self.is_outdated(CONFIGURATION_TABLE)
+        outdated = behind and self.is_outdated(CONFIGURATION_TABLE)
+        return outdated and not self._store_is_behind
 
     def needs_confirmation(self, table: str) -> bool:
         """Whether confirmed rows will be outdated unless the store is read."""
@@ -816,6 +818,8 @@
         self.configuration = configuration
         self.configuration_row = row
         self._store_is_behind = False
+        # What others know beyond it, they announce again.
+        self.status_by_table[CONFIGURATION_TABLE].announced_version = 0
         if known is not None and row.version <= known.version:
             # An instance had a later configuration than the restored store.
             self._store_is_behind = True
--- a/tests/edge/test_forwarded_configuration.py
+++ b/tests/edge/test_forwarded_configuration.py
@@ -106,3 +106,12 @@
     assert await instance.handle() == SERVED.status
     await asyncio.sleep(instance.view.max_source_age_s + _ARRIVAL_S)
     assert await instance.handle() == ResultCode.declaration_outdated
+
+
+@in_virtual_time
+async def test_requests_go_on_while_a_restored_store_is_behind() -> None:
+    """Guards against refusals until the operators write again."""
+    instance = RoutingInstance(configuration_of(2, 'old'))
+    instance.view.announce_configuration()
+    instance.view._store_is_behind = True
+    assert await instance.handle() == SERVED.status
--- a/tests/edge/test_updates_in_parts.py
+++ b/tests/edge/test_updates_in_parts.py
@@ -1,15 +1,22 @@
 """Owners of keys and rows of servers that are sent in parts."""
 
 import random
+from unittest.mock import Mock
 
+import msgspec
 import pytest
 
 from tests.builders.server_rows import decode_row, server_row
+from yuccadale_edge._internal.membership.messages import (
+    RowsRequest,
+    RowsResponse,
+)
 from yuccadale_edge._internal.membership.source_pages import SourcePages
 from yuccadale_edge._internal.membership.update_budget import UpdateBudget
 from yuccadale_edge._internal.ownership.segments import Holder
-from yuccadale_edge._internal.store import Rows
+from yuccadale_edge._internal.store import Rows, StoredRow
 from yuccadale_edge._internal.system_view import (
+    CONFIGURATION_TABLE,
     SERVER_TABLE,
     Owner,
     OwnerMap,
@@ -94,6 +101,29 @@
     assert receiver.servers.server_by_id == sender.servers.server_by_id
 
 
+def test_a_peer_gives_a_configuration_that_it_got_after_a_gap() -> None:
+    """Guards against an instance that nobody can bring up to date."""
+    sender, receiver = _view(), _view()
+    row = StoredRow('config', b'', 7)
+    sender.configuration_row = row
+    request = msgspec.msgpack.encode(RowsRequest(CONFIGURATION_TABLE, 0))
+    answer = SourcePages(sender).answer(request)
+    response = msgspec.msgpack.decode(answer, type=RowsResponse)
+    assert response.source is not None
+    assert [one.decode() for one in response.source.rows] == [row]
+    receiver.announce_configuration()
+    configuration = Mock(version=3, routes_by_host={})
+    receiver._decode_configuration = lambda _: configuration
+    receiver.apply_rows(
+        CONFIGURATION_TABLE,
+        Rows((row,), response.source.version),
+        full_snapshot=False,
+        removal_grace=False,
+    )
+    assert receiver.configuration is configuration
+    assert not receiver.status_by_table[CONFIGURATION_TABLE].is_behind
+
+
 def test_broadcasts_stay_within_their_share_of_the_link() -> None:
     """Guards against broadcasts that fill the link of the leader."""
     now_s: float = 0
