Count the receivers of a broadcast where it is sent; build refusal 2009 once

Broadcaster.receivers grouped the peers by region a second time for each broadcast of the leader; broadcast returns the number now. Four refusals with code 2009 were built in four places. What is sent and answered is unchanged.

--- a/packages/edge/src/yuccadale_edge/_internal/membership/broadcaster.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/broadcaster.py
@@ -54,7 +54,7 @@
         body: bytes,
         topic: str = LEADER_UPDATE_TOPIC,
         relay_topic: str = RELAY_TOPIC,
-    ) -> None:
+    ) -> int:
         """Sends a message to all other instances.
 
         To save traffic between regions, one instance of each other region
@@ -64,12 +64,17 @@
             body: the message.
             topic: its topic.
             relay_topic: its topic for an instance that relays it.
+
+        Returns:
+            To how many instances this one sends it by itself.
         """
+        receivers = 0
         members_by_region: dict[str, list[Instance]] = {}
         region_of = self._place.region_by_data_centre
         for instance in self.peers():
             region = region_of.get(instance.data_centre, '')
             if region == self._place.region:
+                receivers += 1
                 self.start_task(self._send(instance, topic, body))
             else:
                 members_by_region.setdefault(region, []).append(instance)
@@ -77,14 +82,7 @@
             self.start_task(
                 self._send_to_region(members, body, topic, relay_topic)
             )
-
-    def receivers(self) -> int:
-        """Returns to how many instances ``broadcast`` sends by itself."""
-        other_regions = {
-            self._place.region_by_data_centre.get(one.data_centre, '')
-            for one in self.peers()
-        } - {self._place.region}
-        return len(self.region_peers()) + len(other_regions)
+        return receivers + len(members_by_region)
 
     def broadcast_in_region(self, topic: str, body: bytes) -> None:
         """Sends a message to the other instances of this region."""
--- a/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
+++ b/packages/edge/src/yuccadale_edge/_internal/membership/leader.py
@@ -606,8 +606,8 @@
     def _broadcast(self, update: LeaderUpdate) -> None:
         self._count_contents(update)
         body = _encode(update)
-        self._budget.spend(len(body) * self._broadcaster.receivers())
-        self._broadcaster.broadcast(body)
+        receivers = self._broadcaster.broadcast(body)
+        self._budget.spend(len(body) * receivers)
 
     def _count_contents(self, update: LeaderUpdate) -> None:
         for source in update.sources:
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -122,6 +122,13 @@
     return _Credits(weighted_services, by_service)
 
 
+def _refuse_outdated(reason: str) -> Refused:
+    """Refuses a request that a later configuration may route otherwise."""
+    return Refused(
+        ResultCode.declaration_outdated, reason, _CONFIRMATION_RETRY_S
+    )
+
+
 def find_route(
     system_view: SystemView, host: str, path: str
 ) -> tuple[Configuration, Route] | Refused:
@@ -138,19 +145,13 @@
             ResultCode.no_declaration, 'no configuration loaded yet', 1.0
         )
     if system_view.misses_configuration():
-        return Refused(
-            ResultCode.declaration_outdated,
-            'another instance has a later configuration',
-            _CONFIRMATION_RETRY_S,
-        )
+        return _refuse_outdated('another instance has a later configuration')
     route = configuration.route_for(host, path)
     if route is not None:
         return configuration, route
     if system_view.is_outdated(CONFIGURATION_TABLE):
-        return Refused(
-            ResultCode.declaration_outdated,
-            'no route matches, and the configuration may be outdated',
-            _CONFIRMATION_RETRY_S,
+        return _refuse_outdated(
+            'no route matches, and the configuration may be outdated'
         )
     return Refused(ResultCode.service_unknown, 'no route matches')
 
@@ -217,7 +218,7 @@
                     'the deadline passed before the request arrived',
                 )
             )
-        outdated = self._refuse_outdated(routed)
+        outdated = self._check_configuration(routed)
         if outdated is not None:
             return encode_message(outdated)
         routed.until_target_ms -= (now_s - due_s) * _MS_PER_S
@@ -227,7 +228,7 @@
         routed.remaining_ms = (deadline_s - now_s) * _MS_PER_S
         return encode_message(await self._dispatcher.serve(routed))
 
-    def _refuse_outdated(self, routed: RoutedRequest) -> Refused | None:
+    def _check_configuration(self, routed: RoutedRequest) -> Refused | None:
         """Refuses a request that a later configuration does not allow."""
         configuration = self._system_view.configuration
         if configuration is None or not routed.configuration:
@@ -239,11 +240,9 @@
         if configuration.allows(routed.route, routed.service):
             return None
         self._metrics.count('outdated_forwards')
-        return Refused(
-            ResultCode.declaration_outdated,
+        return _refuse_outdated(
             f'routed by version {routed.configuration}, version '
-            f'{configuration.version} does not allow that',
-            _CONFIRMATION_RETRY_S,
+            f'{configuration.version} does not allow that'
         )
 
     async def _answer(self, request: CallerRequest) -> Reply:
@@ -271,10 +270,8 @@
         while self._system_view.configuration is known:
             left_s = until_s - elapsed_s()
             if left_s <= 0:
-                return Refused(
-                    ResultCode.declaration_outdated,
-                    'another instance has a later configuration',
-                    _CONFIRMATION_RETRY_S,
+                return _refuse_outdated(
+                    'another instance has a later configuration'
                 )
             await self._system_view.wait_for_change(left_s)
         return find_route(self._system_view, request.host, request.path)
