--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -36,6 +36,9 @@
 from yuccadale_edge._internal.observability.knowledge import (
     KnowledgeReporter,
 )
+from yuccadale_edge._internal.observability.loop_lag import (
+    sleep_and_observe_lag,
+)
 from yuccadale_edge._internal.observability.metrics import Metrics
 from yuccadale_edge._internal.ownership.call_runner import ServerCalls
 from yuccadale_edge._internal.routing.attempts import (
@@ -444,7 +447,7 @@
             instances = max(1, len(self._system_view.instance_by_name))
             for budget in self._retry_budget_by_service.values():
                 budget.instances = instances
-            await asyncio.sleep(_HOUSEKEEPING_S)
+            await sleep_and_observe_lag(_HOUSEKEEPING_S, self._metrics)
 
     def _report_listeners(self) -> None:
         """Sets the gauges of the connections and requests of clients."""
--- a/tests/edge/test_observability.py
+++ b/tests/edge/test_observability.py
@@ -1,5 +1,6 @@
 """Non-blocking logs; every log event and metric is documented."""
 
+import asyncio
 import json
 import os
 import re
@@ -9,9 +10,14 @@
 import pytest
 
 from yuccadale_edge._internal.observability import logs
+from yuccadale_edge._internal.observability.loop_lag import (
+    sleep_and_observe_lag,
+)
+from yuccadale_edge._internal.observability.metrics import Metrics
 
 SOURCES = sorted(Path('packages/edge/src').rglob('*.py'))
 PAGE = Path('docs/OPERATIONS.md')
+_HELD_S = 0.3
 
 
 def _names_in_sources(pattern: str) -> set[str]:
@@ -41,6 +47,18 @@
     assert not sorted(missing)
 
 
+async def test_a_held_event_loop_shows_in_a_histogram() -> None:
+    """Guards against a process that hangs while its metrics look well."""
+    metrics = Metrics()
+    asyncio.get_running_loop().call_soon(time.sleep, _HELD_S)
+    await sleep_and_observe_lag(_HELD_S / 2, metrics)
+    lines = metrics.text().splitlines()
+    total_ms = float(lines[-1].split()[-1])
+    assert lines[-1].startswith('yuccadale_event_loop_lag_ms_sum')
+    assert total_ms >= _HELD_S / 2 * 1000
+    assert 'yuccadale_event_loop_lag_ms_count 1' in lines
+
+
 def test_a_stopped_log_reader_does_not_block_writes() -> None:
     """Guards against requests that are delayed by a full log pipe."""
     reading, writing = os.pipe()
