Bound what answers may parse in one turn of the event loop

Cause: all that had arrived was parsed at once. A readable connection gives the protocol up to 32 reads of 256 KiB before the loop goes on, and each chunk cost 1.4 us of calls in Python. The time limit of the request could not end it, as its timer did not run either.

Change: ParseScheduler counts the calls of all parsers in a turn of the event loop. Answers are parsed in parts of 4 KiB, from reads of 64 KiB; beyond 2,048 calls in a turn a connection stops reading and goes on in a later turn, those that have parsed the least first. The pieces of a part are joined at once. A body whose framing exceeds twice its content by 64 KiB ends its request as malformed. Gauge deferred_parsing, event 'expensive answer' with server and calls.

Why it works: one turn parses a bounded number of calls for all connections together, so timers and other connections have their turn; and an endless answer of tiny chunks ends after about 22,000 of them.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -67,6 +67,7 @@
 from yuccadale_edge._internal.transport.client_pool import Address, ClientPool
 from yuccadale_edge._internal.transport.held_bytes import BodyShare, HeldBytes
 from yuccadale_edge._internal.transport.listening import listen_when_free
+from yuccadale_edge._internal.transport.parse_scheduler import ParseScheduler
 from yuccadale_edge._internal.transport.server_connection import (
     CallerMessage,
     ListenerState,
@@ -161,7 +162,8 @@
         memory_bytes = settings.machine.memory_mb * _BYTES_PER_MB
         loop = asyncio.get_running_loop()
         self._held = HeldBytes(memory_bytes * _HELD_SHARE)
-        self._pool = ClientPool(loop, self._held)
+        self._parse_scheduler = ParseScheduler()
+        self._pool = ClientPool(loop, self._held, self._parse_scheduler)
         self._links = PeerLinks(self._held, self._metrics)
         self._system_view = SystemView(
             adapter.decode_configuration,
@@ -433,6 +435,9 @@
                 self._links.unsent_bytes() + self._peers.unsent_bytes(),
             )
             self._metrics.gauge('given_up_bodies', self._held.given_up)
+            self._metrics.gauge(
+                'deferred_parsing', self._parse_scheduler.deferrals
+            )
             self._dispatcher.maintain_queues()
             servers = self._system_view.servers
             if servers.remove_after_grace() | servers.accept_held():
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_connection.py
@@ -15,12 +15,17 @@
 from io import BytesIO
 
 import httptools
+import structlog
 
 from yuccadale_edge._internal.transport.held_bytes import (
     SMALL_BYTES,
     HeldBytes,
     Holding,
 )
+from yuccadale_edge._internal.transport.parse_scheduler import (
+    MAX_CALLS_PER_TURN,
+    ParseScheduler,
+)
 from yuccadale_edge._internal.transport.sockets import (
     is_readable,
     unacknowledged_bytes,
@@ -28,6 +33,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+_log = structlog.get_logger()
+
 # The connection ends after this time with unacknowledged bytes. This detects a
 # machine that lost power and sends no reset.
 UNACKNOWLEDGED_S = 2.5
@@ -36,9 +43,16 @@
 # Otherwise the kernel goes on sending for a closed connection.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _MAX_ANSWER_BYTES = 64 * 1024 * 1024
-# Bytes that may be read without completing a head, or a part of a body. One
-# read of the event loop is added.
+# Bytes that may be parsed without completing a head, or a part of a body. What
+# is parsed at once is added.
 _MAX_UNPARSED_BYTES = 64 * 1024
+# Bytes of heads, and of bodies in chunks, that are parsed at once. The parser
+# cannot pause, and each field and each chunk costs a call.
+_PARSED_BYTES = 4 * 1024
+# Bytes of a body in chunks that are not content may be twice the content, and
+# so many more.
+_MAX_FRAMING_BYTES = 64 * 1024
+_FRAMING_RATIO = 2
 # Interim answers, and answers to other requests, before the answer.
 _MAX_OTHER_ANSWERS = 16
 # An answer with another status is none. The parser accepts all of three digits.
@@ -112,9 +126,12 @@
         return not self.proven and self.connection.reusable
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """Sends requests to one server and reads their answers.
 
+    Answers are parsed in parts, as far as the scheduler permits in one turn of
+    the event loop; nothing is read meanwhile.
+
     Attributes:
         number: distinguishes the connections of a process in logs.
         answers: number of answers on it so far, additional ones included.
@@ -123,17 +140,23 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, held: HeldBytes, number: int = 0
+        self,
+        loop: asyncio.AbstractEventLoop,
+        held: HeldBytes,
+        scheduler: ParseScheduler,
+        number: int = 0,
     ) -> None:
         """Creates a connection.
 
         Args:
             loop: the event loop.
             held: account of the answers that are read.
+            scheduler: bounds what is parsed in one turn of the event loop.
             number: distinguishes the connections of a process in logs.
         """
         self._loop = loop
         self._held = held
+        self._scheduler = scheduler
         self.number = number
         self.answers = 0
         self.proven_deliveries = 0
@@ -142,12 +165,20 @@
         self._holding: Holding | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
+        # Bytes that are read, but wait until they may be parsed.
+        self._unparsed = b''
+        self._awaits_room = False
+        # Pieces of the body from the part that is being parsed.
+        self._pieces: list[bytes] = []
         self._waiter: asyncio.Future[Answer] | None = None
         self._matches: AnswerMatcher | None = None
         self._head_only = False
         self._only_acknowledged = False
         self._reset_answer()
         self._unparsed_bytes = 0
+        # Calls of the parser for the answers to one request.
+        self._parsed_calls = 0
+        self._is_expensive = False
         self._other_answers = 0
         self._keep_alive = True
         self._unacknowledged_s: float = 0
@@ -251,6 +282,8 @@
         self._head_only = head_only
         self._only_acknowledged = only_acknowledged
         self._other_answers = 0
+        self._parsed_calls = 0
+        self._is_expensive = False
         self.used = True
         self._limit_unacknowledged(unacknowledged_s)
         if len(body) > SMALL_BYTES:
@@ -272,23 +305,21 @@
     def close(self) -> None:
         """Resets the connection; what was not sent yet is discarded."""
         self._keep_alive = False
+        self._unparsed = b''
         if self._transport is not None:
             self._transport.abort()
 
-    def data_received(self, chunk: bytes) -> None:
-        """Feeds the parser; closes the connection if no request is pending."""
-        if not self._pending:
-            self.close()
-            return
-        self._unparsed_bytes += len(chunk)
-        try:
-            self._parser.feed_data(chunk)
-        except httptools.HttpParserUpgrade:
-            self._fail(AnswerMalformedError('the server switched protocols'))
-        except httptools.HttpParserError as error:
-            self._fail(AnswerMalformedError(str(error)))
-        if self._unparsed_bytes > _MAX_UNPARSED_BYTES:
-            self._fail(AnswerMalformedError('a head or trailer is too large'))
+    def get_buffer(self, _size: int) -> memoryview:
+        """Returns the buffer of all connections."""
+        return self._scheduler.buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Parses what was read; closes if no request is pending."""
+        received = self._scheduler.buffer[:size]
+        if self._unparsed:
+            self._unparsed += bytes(received)
+        else:
+            self._feed(received)
 
     def eof_received(self) -> bool:
         """Completes an answer whose body is delimited by the connection end."""
@@ -329,6 +360,7 @@
         """Collects a header."""
         self._check_status()
         self._check_line(text)
+        self._parsed_calls += 1
         lowered = name.lower()
         self._headers.append((lowered, text))
         if lowered in {b'content-length', b'transfer-encoding'}:
@@ -339,6 +371,7 @@
     def on_headers_complete(self) -> None:
         """Determines how the body is delimited."""
         self._unparsed_bytes = 0
+        self._head_complete = True
         if not self._check_status():
             return
         status = self._parser.get_status_code()
@@ -352,22 +385,15 @@
             self._finish_head()
         self._reserve_body()
 
-    def on_body(self, chunk: bytes) -> None:
+    def on_body(self, piece: bytes) -> None:
         """Collects a piece of the body."""
-        self._unparsed_bytes = 0
-        if not self._pending:
-            return
-        self._body_bytes += len(chunk)
-        if self._body_bytes > _MAX_ANSWER_BYTES:
-            self._fail(AnswerMalformedError('the answer is too large'))
-            return
-        self._body.write(chunk)
-        if self._holding is not None:
-            self._holding.grow_to(self._body_bytes)
+        self._pieces.append(piece)
 
     def on_message_complete(self) -> None:
         """Completes the answer unless it is interim."""
+        self._collect_body()
         self._unparsed_bytes = 0
+        self._head_complete = False
         if not self._parser.should_keep_alive():
             self._keep_alive = False
         if self._parser.get_status_code() >= _FIRST_FINAL_STATUS:
@@ -375,6 +401,93 @@
         else:
             self._pass_over()
 
+    def _feed(self, received: memoryview) -> None:
+        """Parses what was read, as far as the scheduler permits now."""
+        left = received
+        while left and self._pending and self._scheduler.may_parse():
+            size = self._next_bytes()
+            self._parse(left[:size])
+            left = left[size:]
+        if left and self._pending:
+            self._unparsed = bytes(left)
+            self._defer()
+        elif left:
+            # Bytes behind the answer belong to no request.
+            self.close()
+
+    def _next_bytes(self) -> int:
+        """Returns how much is parsed before the scheduler is asked again."""
+        left = self._announced_bytes - self._body_bytes
+        return left if self._head_complete and left > 0 else _PARSED_BYTES
+
+    def _parse(self, part: memoryview) -> None:
+        in_body = self._head_complete
+        calls_before = self._parsed_calls
+        self._unparsed_bytes += len(part)
+        try:
+            self._parser.feed_data(part)
+        except httptools.HttpParserUpgrade:
+            self._fail(AnswerMalformedError('the server switched protocols'))
+        except httptools.HttpParserError as error:
+            self._fail(AnswerMalformedError(str(error)))
+        self._collect_body()
+        self._scheduler.count(self._parsed_calls - calls_before, len(part))
+        if self._unparsed_bytes > _MAX_UNPARSED_BYTES:
+            self._fail(AnswerMalformedError('a head or trailer is too large'))
+        if in_body and self._head_complete:
+            self._check_framing(len(part))
+
+    def _check_framing(self, size: int) -> None:
+        """Fails the request if the body is too expensive for its content."""
+        self._coded_bytes += size
+        framing = self._coded_bytes - self._body_bytes
+        if framing > self._body_bytes * _FRAMING_RATIO + _MAX_FRAMING_BYTES:
+            self._fail(
+                AnswerMalformedError('the chunks of the body are too small')
+            )
+
+    def _collect_body(self) -> None:
+        """Moves the collected pieces to the body."""
+        if not self._pieces:
+            return
+        self._parsed_calls += len(self._pieces)
+        joined = b''.join(self._pieces)
+        self._pieces.clear()
+        self._unparsed_bytes = 0
+        if not self._pending:
+            return
+        self._body_bytes += len(joined)
+        if self._body_bytes > _MAX_ANSWER_BYTES:
+            self._fail(AnswerMalformedError('the answer is too large'))
+            return
+        self._body.write(joined)
+        if self._holding is not None:
+            self._holding.grow_to(self._body_bytes)
+
+    def _defer(self) -> None:
+        """Parses the rest in a later turn; reads nothing until then."""
+        transport = self._transport
+        assert transport is not None
+        if transport.is_closing():
+            return
+        transport.pause_reading()
+        self._scheduler.wait(self._parsed_calls, self._parse_deferred)
+        if self._parsed_calls >= MAX_CALLS_PER_TURN and not self._is_expensive:
+            self._is_expensive = True
+            _log.info(
+                'expensive answer',
+                server=transport.get_extra_info('peername'),
+                parsed_calls=self._parsed_calls,
+                size=self._body_bytes,
+            )
+
+    def _parse_deferred(self) -> None:
+        unparsed = self._unparsed
+        self._unparsed = b''
+        if unparsed:
+            self._feed(memoryview(unparsed))
+        self._read_on()
+
     def _check_status(self) -> bool:
         """Fails the request if the status of the answer is not valid.
 
@@ -414,11 +527,19 @@
             self._fail(AnswerMalformedError('the answer is too large'))
             return
         assert self._transport is not None
-        if not self._holding.reserve(self._announced_bytes, self._read_on):
+        if not self._holding.reserve(self._announced_bytes, self._use_room):
+            self._awaits_room = True
             self._transport.pause_reading()
 
+    def _use_room(self) -> None:
+        self._awaits_room = False
+        self._read_on()
+
     def _read_on(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        """Reads again, unless something that was read waits."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if not self._unparsed and not self._awaits_room:
             self._transport.resume_reading()
 
     def _give_up_answer(self) -> None:
@@ -467,6 +588,8 @@
         self._body = BytesIO()
         self._body_bytes = 0
         self._announced_bytes = 0
+        self._coded_bytes = 0
+        self._head_complete = False
         self._framed = False
         self._body_until_close = False
 
--- a/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/client_pool.py
@@ -10,6 +10,7 @@
     NotSentError,
 )
 from yuccadale_edge._internal.transport.held_bytes import HeldBytes
+from yuccadale_edge._internal.transport.parse_scheduler import ParseScheduler
 
 Address = tuple[str, int]
 
@@ -30,16 +31,21 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, held: HeldBytes | None = None
+        self,
+        loop: asyncio.AbstractEventLoop,
+        held: HeldBytes | None = None,
+        scheduler: ParseScheduler | None = None,
     ) -> None:
         """Creates a pool.
 
         Args:
             loop: the event loop of its connections.
             held: account of the answers that are read; unbounded by default.
+            scheduler: shared with others that parse on the loop.
         """
         self._loop = loop
         self._held = HeldBytes() if held is None else held
+        self._scheduler = ParseScheduler() if scheduler is None else scheduler
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
         self._numbers = itertools.count(1)
         self.opened = 0
@@ -147,7 +153,10 @@
             async with asyncio.timeout(connect_timeout_s):
                 _, connection = await self._loop.create_connection(
                     lambda: ClientConnection(
-                        self._loop, self._held, next(self._numbers)
+                        self._loop,
+                        self._held,
+                        self._scheduler,
+                        next(self._numbers),
                     ),
                     *address,
                 )
