Promise that a request has not run only if that is proven

Cause: a server's answer kept its status whatever that promised. Only refusals of our own were checked for it.

Change: routing/outcome_proofs.py holds the proof for all replies. On a route whose requests may not repeat, 408, 429 or 503 without X-Not-Executed becomes 502 (code 4010) without signature; repeatable ones are unchanged.

Why it works: every reply with a promising status passes one place, at the instance that answers the caller, also after forwards and second attempts.

--- a/packages/core/src/yuccadale_core/_internal/codes.py
+++ b/packages/core/src/yuccadale_core/_internal/codes.py
@@ -60,6 +60,7 @@
     request_id_reused = 4007
     link_lost = 4008
     peer_queue_full = 4009
+    server_failed = 4010
 
     declaration_invalid = 5001
     base_revision_outdated = 5002
@@ -297,6 +298,12 @@
         ResultCode.peer_queue_full: CodeEntry(
             503, _NOT_RUN, 'The queue to the leader is full.', _SEND_AGAIN
         ),
+        ResultCode.server_failed: CodeEntry(
+            502,
+            _UNKNOWN,
+            'The server refused without stating that the work did not run.',
+            'Check the work itself before sending it again.',
+        ),
         ResultCode.declaration_invalid: CodeEntry(
             422,
             _NOT_RUN,
--- a/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
+++ b/packages/edge/src/yuccadale_edge/_internal/routing/request_router.py
@@ -24,6 +24,7 @@
     decode_request,
     encode_message,
 )
+from yuccadale_edge._internal.routing.outcome_proofs import provable_result
 from yuccadale_edge._internal.routing.owner_waits import (
     TYPICAL_MOVE_S,
     OwnerReturns,
@@ -305,6 +306,9 @@
                 after_ms=_since_ms(message.arrived_s),
             )
             raise
+        result = provable_result(
+            result, self._codec, repeatable=route.repeatable
+        )
         if isinstance(result, Refused):
             if may_wait and _requires_later_configuration(result):
                 return None
--- a/packages/edge/src/yuccadale_edge/instance.py
+++ b/packages/edge/src/yuccadale_edge/instance.py
@@ -32,6 +32,7 @@
     InvalidWarmUpError,
     ServerLoad,
 )
+from yuccadale_edge._internal.routing.outcome_proofs import refusal_status
 from yuccadale_edge._internal.routing.requests import (
     CallerRequest,
     RoutedRequest,
@@ -126,6 +127,7 @@
     'configure_logs',
     'era_of',
     'number_of',
+    'refusal_status',
     'store_version',
     'version_text',
 )
