Bound what callers' requests may parse in one turn of the event loop

What callers saw: 20 clients sent bodies of legal size in chunks of one byte to one instance.

Change: connections of callers use the scheduler of the answers, so the bound of a turn holds for both together. The pieces of a part are joined and charged at once. A legal body in small chunks waits behind usual requests and is not refused.

--- a/packages/edge/src/yuccadale_edge/_internal/app.py
+++ b/packages/edge/src/yuccadale_edge/_internal/app.py
@@ -265,6 +265,7 @@
                 descriptors * _CALLERS_SHARE,
                 memory_bytes * _CONNECTIONS_SHARE / _CONNECTION_BYTES,
             ),
+            scheduler=self._parse_scheduler,
         )
         self._status = ListenerState(
             self._answer_status_request,
@@ -273,6 +274,7 @@
             self._held,
             max_connections=descriptors * _STATUS_CONNECTIONS_SHARE,
             keeps_bodies=False,
+            scheduler=self._parse_scheduler,
         )
         self._forwarded = BodyShare(memory_bytes * _BODIES_SHARE, self._held)
         self._peers = PeerServer(
--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -31,6 +31,10 @@
     Holding,
 )
 from yuccadale_edge._internal.transport.open_connections import OpenConnections
+from yuccadale_edge._internal.transport.parse_scheduler import (
+    MAX_CALLS_PER_TURN,
+    ParseScheduler,
+)
 from yuccadale_edge._internal.transport.received_requests import (
     ReceivedRequests,
     UnfinishedRequest,
@@ -134,6 +138,7 @@
         requests: account of the requests that are read or handled.
         held: account of all bytes that the process holds for others.
         connections: the open connections.
+        scheduler: bounds what is parsed in one turn of the event loop.
         slow_bodies: number of requests that were refused because their bodies
             arrived too slowly.
         keeps_bodies: whether the handler needs the bodies of requests.
@@ -150,6 +155,7 @@
         *,
         max_connections: float = inf,
         keeps_bodies: bool = True,
+        scheduler: ParseScheduler | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -158,6 +164,7 @@
         self.connections: OpenConnections[ServerConnection] = OpenConnections(
             max_connections
         )
+        self.scheduler = ParseScheduler() if scheduler is None else scheduler
         self.slow_bodies = 0
         self.keeps_bodies = keeps_bodies
         self.buffer = memoryview(bytearray(_READ_BYTES))
@@ -197,6 +204,13 @@
         self._unparsed_bytes = 0
         # Bytes that are read, but wait until they may be parsed.
         self._unparsed = b''
+        self._awaits_turn = False
+        # Calls of the parser, and those before the request that is being read.
+        self._parsed_calls = 0
+        self._earlier_calls = 0
+        self._is_expensive = False
+        # Pieces of the body from the part that is being parsed.
+        self._pieces: list[bytes] = []
         self._head_complete = False
         self._body_until_s: float = 0
         self._written_body_bytes = 0
@@ -288,6 +302,8 @@
         self._header_bytes = 0
         self._body_bytes = 0
         self._unparsed_bytes = 0
+        self._earlier_calls = self._parsed_calls
+        self._is_expensive = False
         self._unfinished.begin(elapsed_s())
         self._hold_request()
         self._start_idle_timer(self._listener.limits.header_timeout_s)
@@ -299,6 +315,7 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Collects a header."""
+        self._parsed_calls += 1
         self._count_header_bytes(len(name) + len(text) + _HEADER_OVERHEAD_BYTES)
         if self._reject_status is None:
             self._headers.append((name.lower(), text))
@@ -319,17 +336,12 @@
             self._write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_body(self, piece: bytes) -> None:
-        """Collects a piece of the body, up to the size limit."""
-        self._unparsed_bytes = 0
-        self._body_bytes += len(piece)
-        if self._reject_status is None:
-            self._unfinished.receive(len(piece), elapsed_s())
-            self._hold_body(self._body_bytes)
-        if self._reject_status is None and self._listener.keeps_bodies:
-            self._body.write(piece)
+        """Collects a piece of the body."""
+        self._pieces.append(piece)
 
     def on_message_complete(self) -> None:
         """Starts handling the request."""
+        self._collect_body()
         self._reading_request = False
         if self._closing:
             return
@@ -390,17 +402,53 @@
             self._transport.abort()
 
     def _feed(self, received: memoryview) -> None:
-        first = 0
-        while first < len(received) and self._may_parse():
-            last = first + self._next_bytes()
-            self._parse(received[first:last])
-            first = last
+        """Parses what was read, as far as the connection may send more."""
+        left = received
+        scheduler = self._listener.scheduler
+        while left and self._may_parse() and scheduler.may_parse():
+            size = self._next_bytes()
+            self._parse(left[:size])
+            left = left[size:]
         if self._closing or self._rejected:
             self._unparsed = b''
             return
-        self._unparsed = bytes(received[first:])
+        self._unparsed = bytes(left)
         if self._unparsed and self._transport is not None:
             self._transport.pause_reading()
+            if self._may_parse():
+                self._defer()
+
+    def _defer(self) -> None:
+        """Parses the rest in a later turn of the event loop."""
+        if self._awaits_turn:
+            return
+        self._awaits_turn = True
+        calls = self._parsed_calls - self._earlier_calls
+        self._listener.scheduler.wait(calls, self._parse_deferred)
+        if calls >= MAX_CALLS_PER_TURN and not self._is_expensive:
+            self._is_expensive = True
+            assert self._transport is not None
+            _log.info(
+                'expensive request',
+                client=self._transport.get_extra_info('peername'),
+                parsed_calls=calls,
+                size=self._body_bytes,
+            )
+
+    def _parse_deferred(self) -> None:
+        self._awaits_turn = False
+        self._parse_unparsed()
+
+    def _parse_unparsed(self) -> None:
+        """Parses what has waited, and reads on if nothing is left of it."""
+        unparsed = self._unparsed
+        self._unparsed = b''
+        if unparsed:
+            self._feed(memoryview(unparsed))
+        if self._closing or self._unparsed or self._transport is None:
+            return
+        if self._may_parse():
+            self._transport.resume_reading()
 
     def _may_parse(self) -> bool:
         """Whether the connection may send more before its next answer."""
@@ -419,20 +467,40 @@
             return left if left > 0 else _PARSED_CHUNK_BYTES
         return _PARSED_BYTES
 
-    def _parse(self, chunk: memoryview) -> None:
-        self._unparsed_bytes += len(chunk)
+    def _parse(self, part: memoryview) -> None:
+        calls_before = self._parsed_calls
+        self._unparsed_bytes += len(part)
         try:
-            self._parser.feed_data(chunk)
+            self._parser.feed_data(part)
         except httptools.HttpParserUpgrade:
             self._reject(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
             self._reject(HTTPStatus.BAD_REQUEST)
+        self._collect_body()
+        self._listener.scheduler.count(
+            self._parsed_calls - calls_before, len(part)
+        )
         max_unparsed = self._listener.limits.header_bytes + _UNCOUNTED_BYTES
         if self._unparsed_bytes > max_unparsed:
             self._reject_status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
         if self._reject_status is not None and not self._rejected:
             self._reject(self._reject_status)
 
+    def _collect_body(self) -> None:
+        """Moves the collected pieces to the body, up to the size limit."""
+        if not self._pieces:
+            return
+        self._parsed_calls += len(self._pieces)
+        joined = b''.join(self._pieces)
+        self._pieces.clear()
+        self._unparsed_bytes = 0
+        self._body_bytes += len(joined)
+        if self._reject_status is None:
+            self._unfinished.receive(len(joined), elapsed_s())
+            self._hold_body(self._body_bytes)
+        if self._reject_status is None and self._listener.keeps_bodies:
+            self._body.write(joined)
+
     async def _handle(self, message: CallerMessage, room: AnswerRoom) -> Reply:
         try:
             with room.collecting():
@@ -540,15 +608,8 @@
             self._resume_reading()
 
     def _resume_reading(self) -> None:
-        unparsed = self._unparsed
-        self._unparsed = b''
-        if unparsed:
-            self._feed(memoryview(unparsed))
-        if self._closing:
-            return
-        if self._transport is not None and self._may_parse():
-            self._transport.resume_reading()
-        if not self._answers:
+        self._parse_unparsed()
+        if not self._closing and not self._answers:
             limits = self._listener.limits
             reads_head = self._reading_request and not self._head_complete
             self._start_idle_timer(
--- a/tests/builders/prepared_answers.py
+++ b/tests/builders/prepared_answers.py
@@ -16,6 +16,11 @@
 _SEND_TIMEOUT_S = 5.0
 
 
+def chunked_body(chunk: bytes, count: int) -> bytes:
+    """Encodes a body of many equal chunks, without its end."""
+    return b'%x\r\n%b\r\n' % (len(chunk), chunk) * count
+
+
 def chunked_answer(chunk: bytes, count: int, *, ends: bool = True) -> bytes:
     """Encodes an answer whose body has many equal chunks.
 
@@ -25,8 +30,7 @@
         ends: whether the last chunk is followed by the end of the body.
     """
     head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
-    body = b'%x\r\n%b\r\n' % (len(chunk), chunk) * count
-    return head + body + b'0\r\n\r\n' * ends
+    return head + chunked_body(chunk, count) + b'0\r\n\r\n' * ends
 
 
 @dataclass(frozen=True)
--- a/tests/edge/test_parse_scheduler.py
+++ b/tests/edge/test_parse_scheduler.py
@@ -11,6 +11,10 @@
     chunked_answer,
     open_request,
 )
+from tests.builders.prepared_requests import (
+    chunked_request,
+    listener_with_callers,
+)
 from tests.builders.raw_server import accepting_socket
 from yuccadale_edge._internal.transport.client_connection import (
     AnswerMalformedError,
@@ -119,3 +123,36 @@
                 while True:
                     request.peer.send(b'x')
                     await asyncio.sleep(0)
+
+
+async def test_requests_of_many_callers_share_a_turn() -> None:
+    """Guards against a small crowd that stops a process (review case 9)."""
+    async with listener_with_callers(_CONNECTIONS) as running:
+        for caller in running.callers:
+            caller.sendall(chunked_request(_CHUNK, _OF_EACH))
+        turns = await running.turns_until_handled(_CONNECTIONS)
+        assert turns >= _CONNECTIONS * _OF_EACH // _CHUNKS_PER_TURN
+        assert set(running.bodies) == {_CHUNK * _OF_EACH}
+
+
+async def test_a_usual_request_does_not_wait_for_expensive_ones() -> None:
+    """Guards against callers that wait behind all that others have sent."""
+    async with listener_with_callers(_CONNECTIONS) as running:
+        usual, *expensive = running.callers
+        for caller in expensive:
+            caller.sendall(chunked_request(_CHUNK, _OF_EACH))
+        for _ in range(3):
+            await asyncio.sleep(0)
+        usual.sendall(chunked_request(b'usual', 1))
+        while b'usual' not in running.bodies:
+            await running.turns_until_handled(len(running.bodies) + 1)
+        assert running.bodies.index(b'usual') <= 2
+
+
+async def test_a_large_request_in_chunks_of_one_byte_is_handled() -> None:
+    """Guards against legal requests that are refused in calm."""
+    async with listener_with_callers(1) as running:
+        running.callers[0].sendall(chunked_request(b'z', _MANY))
+        turns = await running.turns_until_handled(1)
+        assert turns >= _MANY // _CHUNKS_PER_TURN
+        assert running.bodies == [b'z' * _MANY]
