Keep connections open while the kernel delivers their answers

Cause: a connection was idle once its answer was written, and was closed when the transport's buffer was empty. The kernel still held the rest; what the caller sent to the closed socket made it reset the connection.

Change: bytes that the caller's machine has not acknowledged make a connection busy for a stop, and let a closed one linger while the caller makes progress.

--- a/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
+++ b/packages/edge/src/yuccadale_edge/_internal/transport/server_connection.py
@@ -39,7 +39,10 @@
     ReceivedRequests,
     UnfinishedRequest,
 )
-from yuccadale_edge._internal.transport.sockets import is_readable
+from yuccadale_edge._internal.transport.sockets import (
+    is_readable,
+    unacknowledged_bytes,
+)
 
 _log = structlog.get_logger()
 
@@ -374,10 +377,13 @@
     def close_when_idle(self) -> None:
         """Closes an idle connection; a busy one closes with its last answer.
 
-        A request that has arrived, but was not read yet, is still answered.
+        A request that has arrived, but was not read yet, is still answered. An
+        answer that the caller is still receiving makes a connection busy.
         """
         if self.busy or self._transport is None or self._closing:
             return
+        if self._undelivered_bytes():
+            return
         if not is_readable(self._transport.get_extra_info('socket')):
             self._close()
 
@@ -694,19 +700,23 @@
             _LINGER_S,
             self._end_lingering,
             linger_until_s,
-            self._unwritten_bytes(),
+            self._undelivered_bytes(),
         )
 
-    def _end_lingering(self, until_s: float, unwritten_before: int) -> None:
-        """Aborts the connection when all is written, or none for some time."""
-        unwritten = self._unwritten_bytes()
-        if unwritten < unwritten_before:
+    def _end_lingering(self, until_s: float, undelivered_before: int) -> None:
+        """Aborts the connection when all is delivered, or none for some time.
+
+        If the caller sends to a socket that was closed before, the kernel
+        discards what it still had to deliver.
+        """
+        undelivered = self._undelivered_bytes()
+        if undelivered < undelivered_before:
             until_s = elapsed_s() + self._listener.limits.idle_timeout_s
-        if not unwritten or elapsed_s() >= until_s:
+        if not undelivered or elapsed_s() >= until_s:
             self.abort()
             return
         self._timer = self._loop.call_later(
-            _LINGER_S, self._end_lingering, until_s, unwritten
+            _LINGER_S, self._end_lingering, until_s, undelivered
         )
 
     def _await_reader(self, unwritten_before: int, read_s: float) -> None:
@@ -739,6 +749,14 @@
         if self._unwritten is not None:
             self._unwritten.mark_stalled(stalled=not has_read)
 
+    def _undelivered_bytes(self) -> int:
+        """Returns the bytes that the caller's machine has not acknowledged."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return 0
+        in_kernel = unacknowledged_bytes(transport.get_extra_info('socket'))
+        return self._unwritten_bytes() + in_kernel
+
     def _unwritten_bytes(self) -> int:
         if self._transport is None:
             return 0
--- a/tests/edge/test_server_connection.py
+++ b/tests/edge/test_server_connection.py
@@ -17,7 +17,11 @@
 )
 
 _REQUEST = b'GET /x HTTP/1.1\r\nhost: h\r\n\r\n'
+_LAST_REQUEST = b'GET /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n'
 _LARGE_ANSWER = b'a' * 30_000
+# Together longer than a connection lingers after its last answer.
+_POLLS = 15
+_POLL_S = 0.1
 _MAX_HELD = 1_000_000
 _LONG_S = 5.0
 _IDLE_S = 0.3
@@ -309,6 +313,52 @@
             assert answer.startswith(b'HTTP/1.1 200')
 
 
+def _slow_reader(port: int) -> socket.socket:
+    """Opens a connection whose answers mostly stay in the server's kernel."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.connect(('127.0.0.1', port))
+    return caller
+
+
+async def _read_to_end(caller: socket.socket) -> bytes:
+    caller.setblocking(False)
+    received = b''
+    async with asyncio.timeout(_LONG_S):
+        while True:
+            piece = await asyncio.get_running_loop().sock_recv(caller, 4096)
+            if not piece:
+                return received
+            received += piece
+
+
+@pytest.mark.parametrize('last_request', [_REQUEST, _LAST_REQUEST])
+async def test_an_answer_in_the_kernel_survives_a_close(
+    last_request: bytes,
+) -> None:
+    """Guards against answers that a planned stop cuts (review case 8).
+
+    The caller sends its next request while it reads. The connection was closed
+    when its last answer was written, and reset by that request.
+    """
+    async with _running_listener() as listener:
+        with _slow_reader(listener.port) as caller:
+            caller.sendall(last_request)
+            async with asyncio.timeout(_LONG_S):
+                while not listener.messages:
+                    await asyncio.sleep(0.01)
+            listener.state.limits.idle_timeout_s = _LONG_S
+            listener.state.closing = True
+            for _ in range(_POLLS):
+                for connection in list(listener.state.connections.all):
+                    connection.close_when_idle()
+                await asyncio.sleep(_POLL_S)
+            caller.sendall(_REQUEST)
+            await asyncio.sleep(_POLL_S)
+            received = await _read_to_end(caller)
+        assert received.count(b'a' * len(_LARGE_ANSWER)) >= 1
+
+
 async def test_a_failed_request_leaves_others_of_its_connection_alone() -> None:
     """Guards against answers that are lost by an error of another request."""
     async with _running_listener() as listener:
