--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -70,3 +70,20 @@
     eras = StoreEras()
     eras.enter(eras.count(None))
     assert (eras.current, eras.unmarked) == (0, False)
+
+
+def test_an_answer_from_before_the_restore_is_of_an_earlier_era() -> None:
+    """Guards against an answer from before the restore that counts after it."""
+    eras = StoreEras()
+    eras.enter(eras.count(1))
+    assert eras.count(0) < eras.current
+    assert eras.count(1) == eras.current
+
+
+async def test_a_server_may_have_the_name_of_the_mark() -> None:
+    """Guards against rows of others that are taken for the mark."""
+    async with _store_of_era(1) as (state, make_store):
+        state.put('servers', 'first-era', b'{}')
+        rows = await make_store().read('servers')
+        assert [row.key for row in rows.rows] == ['first-era']
+        assert era_of(rows.version) == 1
