--- a/tests/builders/platform_servers.py
+++ b/tests/builders/platform_servers.py
@@ -4,8 +4,9 @@
 import time
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from math import inf
 from types import MappingProxyType
 from weakref import WeakSet
@@ -20,6 +21,8 @@
 
 
 _PIECE_BYTES = 64 * 1024
+# Leaves time to others in the process; some 100 Mbit/s remain.
+_PIECE_PAUSE_S = 0.005
 _NOT_EXECUTED = MappingProxyType({'X-Not-Executed': '1'})
 
 
@@ -41,6 +44,9 @@
         work_s: processing time of a request.
         drop_answers: run requests, but close their connections unanswered.
         sends_without_end: bodies of its answers do not end.
+        endless_chunk: the content of each of their chunks.
+        failure_status: run requests that may not repeat, but answer them with
+            this status, which does not state that they did not run.
         send_extra_answers: send a second answer shortly after each answer.
         shed_next: number of requests to refuse although there is capacity.
         copied_refusals: refusals that it sends once more; none by default.
@@ -73,6 +79,8 @@
     work_s: float = 0.005
     drop_answers: bool = False
     sends_without_end: bool = False
+    endless_chunk: bytes = bytes(_PIECE_BYTES)
+    failure_status: int = HTTPStatus.OK
     send_extra_answers: bool = False
     full: bool = False
     shed_next: int = 0
@@ -106,6 +114,11 @@
         """Whether requests run and get no whole answer."""
         return self.drop_answers or self.sends_without_end
 
+    def status_after_work(self, path: str) -> int:
+        """Returns the status of the answer to a request that has run."""
+        repeatable = path.startswith('/download/')
+        return HTTPStatus.OK if repeatable else self.failure_status
+
     def note_arrival(self) -> None:
         """Notes that a request arrives now."""
         self.arrivals_s.append(time.monotonic())
@@ -288,6 +301,7 @@
             return await _fail_to_answer(server, request, request_id)
         body = f'{request.method} {request.path_qs} '.encode()
         response = web.Response(
+            status=server.status_after_work(request.path),
             body=body + request_body,
             headers={
                 'X-Attempt-Id': request_id,
@@ -309,10 +323,17 @@
     if server.drop_answers:
         return drop_connection(request)
     response = web.StreamResponse(headers={'X-Attempt-Id': request_id})
+    response.enable_chunked_encoding()
     await response.prepare(request)
-    with suppress(ConnectionError):
-        while server.sends_without_end:
-            await response.write(bytes(_PIECE_BYTES))
+    assert request.transport is not None
+    chunk = b'%x\r\n%b\r\n' % (
+        len(server.endless_chunk),
+        server.endless_chunk,
+    )
+    while server.sends_without_end and not request.transport.is_closing():
+        if request.transport.get_write_buffer_size() < _PIECE_BYTES:
+            request.transport.write(chunk * (_PIECE_BYTES // len(chunk) + 1))
+        await asyncio.sleep(_PIECE_PAUSE_S)
     return drop_connection(request)
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import Callable, Coroutine
+from http import HTTPStatus
 from math import inf
 
 from tests.builders.limit_record import LimitRecord
@@ -36,6 +37,9 @@
 _COPIES_S = (1.0, 2.0)
 _REFUSED_SHARE = 1 / 3
 _REFUSAL_STATUSES = (503, 429, 421, 400)
+_FAILURE_STATUSES = (503, 429, 408)
+_FAILURES_S = (0.5, 2.0)
+_ENDLESS_CHUNKS = (bytes(64 * 1024), b'z', b'zzz', bytes(1024))
 _ROUTE_TIMEOUTS = ('2000ms', '3000ms')
 
 Fault = Callable[[random.Random], Coroutine[None, None, None]]
@@ -107,6 +111,7 @@
         for server in self._servers:
             server.drop_answers = False
             server.sends_without_end = False
+            server.failure_status = HTTPStatus.OK
             server.work_s = _WORK_S[0]
             self._name_limit(server, inf)
             server.full = False
@@ -144,6 +149,7 @@
             'input': self._input_faults(),
             'limits': [self._limit_server],
             'answers': [self._copy_answers],
+            'failures': [self._fail_after_work, self._send_small_chunks],
             'statements': [self._leave_by_answer, self._ask_for_pause],
             'evacuations': [self._evacuations.evacuate],
         }
@@ -269,6 +275,17 @@
         await asyncio.sleep(2.0)
         server.sends_without_end = False
 
+    async def _send_small_chunks(self, random_source: random.Random) -> None:
+        server = random_source.choice(self._servers)
+        server.endless_chunk = random_source.choice(_ENDLESS_CHUNKS)
+        await self._send_without_end(random_source)
+
+    async def _fail_after_work(self, random_source: random.Random) -> None:
+        server = random_source.choice(self._servers)
+        server.failure_status = random_source.choice(_FAILURE_STATUSES)
+        await asyncio.sleep(random_source.choice(_FAILURES_S))
+        server.failure_status = HTTPStatus.OK
+
     async def _pause(self, random_source: random.Random) -> None:
         instance = random_source.choice(self._instances)
         instance.signal(signal.SIGSTOP)
