--- a/tests/builders/unproven_grants.py
+++ b/tests/builders/unproven_grants.py
@@ -7,6 +7,7 @@
     ClientConnection,
 )
 from yuccadale_edge._internal.transport.held_bytes import HeldBytes
+from yuccadale_edge._internal.transport.parse_scheduler import ParseScheduler
 from yuccadale_edge.ownership import (
     KEY_COUNT,
     CallKind,
@@ -24,7 +25,9 @@
 def open_connection() -> ClientConnection:
     """Returns an open, idle connection."""
     connection = ClientConnection(
-        mock.Mock(spec=asyncio.AbstractEventLoop), HeldBytes()
+        mock.Mock(spec=asyncio.AbstractEventLoop),
+        HeldBytes(),
+        ParseScheduler(),
     )
     transport = mock.MagicMock(spec=asyncio.Transport)
     transport.is_closing.return_value = False
