Prepare sockets of tests for unread bytes in one place

The builders of answers and of requests that wait in the kernel each set the same buffer and time limit.

--- a/tests/builders/prepared_answers.py
+++ b/tests/builders/prepared_answers.py
@@ -10,12 +10,18 @@
 
 REQUEST = b'GET /x HTTP/1.1\r\nhost: s\r\n\r\n'
 _CONNECT_TIMEOUT_S = 5.0
-# Room for a whole answer that nobody reads yet.
+# Room for a whole message that nobody reads yet.
 _SEND_BUFFER_BYTES = 1024 * 1024
 # Sending fails instead of waiting for a reader in the same thread.
 _SEND_TIMEOUT_S = 5.0
 
 
+def allow_unread_bytes(sock: socket.socket) -> None:
+    """Lets a socket send a whole message without a turn of the event loop."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
+    sock.settimeout(_SEND_TIMEOUT_S)
+
+
 def chunked_body(chunk: bytes, count: int) -> bytes:
     """Encodes a body of many equal chunks, without its end."""
     return b'%x\r\n%b\r\n' % (len(chunk), chunk) * count
@@ -47,10 +53,7 @@
 
     def send_answer(self, encoded: bytes) -> None:
         """Sends bytes without a turn of the event loop."""
-        self.peer.setsockopt(
-            socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES
-        )
-        self.peer.settimeout(_SEND_TIMEOUT_S)
+        allow_unread_bytes(self.peer)
         self.peer.sendall(encoded)
 
 
--- a/tests/builders/prepared_requests.py
+++ b/tests/builders/prepared_requests.py
@@ -6,7 +6,10 @@
 from contextlib import ExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 
-from tests.builders.prepared_answers import chunked_body
+from tests.builders.prepared_answers import (
+    allow_unread_bytes,
+    chunked_body,
+)
 from yuccadale_edge._internal.transport.server_connection import (
     CallerMessage,
     ListenerState,
@@ -15,9 +18,7 @@
     ServerLimits,
 )
 
-_SEND_BUFFER_BYTES = 1024 * 1024
-# Sending fails instead of waiting for a reader in the same thread.
-_SEND_TIMEOUT_S = 5.0
+_HANDLED_WITHIN_S = 5.0
 
 
 def chunked_request(chunk: bytes, count: int) -> bytes:
@@ -46,7 +47,7 @@
     async def turns_until_handled(self, count: int) -> int:
         """Counts the turns of the event loop until requests were handled."""
         turns = 0
-        async with asyncio.timeout(_SEND_TIMEOUT_S):
+        async with asyncio.timeout(_HANDLED_WITHIN_S):
             while len(self.bodies) < count:
                 await asyncio.sleep(0)
                 turns += 1
@@ -69,10 +70,7 @@
         for _ in range(count):
             caller = socket.create_connection(server.sockets[0].getsockname())
             stack.callback(caller.close)
-            caller.setsockopt(
-                socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES
-            )
-            caller.settimeout(_SEND_TIMEOUT_S)
+            allow_unread_bytes(caller)
             running.callers.append(caller)
         while len(state.connections.all) < count:
             await asyncio.sleep(0)
